--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: stand-ins, demo launcher, figures, slopes, test runner."""
--- /dev/null
+++ b/trefoilgw/messages/codec.py
@@ -0,0 +1,161 @@
+"""Frames on a stream: 4-byte length, then one msgpack array.
+
+The array holds the message's code and its fields in order. Nested values are
+arrays as well. Nothing here knows what a message means.
+"""
+
+import functools
+import struct
+from collections.abc import Iterator
+
+import attrs
+import msgpack
+
+from trefoilgw.messages import core
+
+# Large enough for a job of 310 tasks in one batch under the 4 MB body limit.
+FRAME_LIMIT_BYTES = 8 * 1024 * 1024
+
+_LENGTH = struct.Struct(">I")
+
+
+class FrameError(Exception):
+    """A peer sent bytes that are not a frame of this protocol."""
+
+
+@attrs.frozen
+class _Field:
+    """How one field of a message class stands on the wire.
+
+    Attributes:
+        name: Attribute name.
+        item_class: Class of the items if the field is a tuple of values.
+        value_class: Class of the value if the field is a nested value.
+        types: Types that a plain field may have; msgpack may turn a whole
+            float into an int, and tuples into lists.
+    """
+
+    name: str
+    item_class: type | None
+    value_class: type | None
+    types: tuple[type, ...]
+
+
+def _plain_types(annotation) -> tuple[type, ...]:
+    """Returns the wire types of a field that holds no nested value."""
+    if annotation is float:
+        return (float, int)
+    if annotation in (int, str, bytes, bool):
+        return (annotation,)
+    return (list,)
+
+
+@functools.cache
+def _fields(cls: type) -> tuple[_Field, ...]:
+    """Returns the wire fields of a message or value class."""
+    return tuple(
+        _Field(
+            field.name,
+            field.metadata.get("item"),
+            field.metadata.get("value"),
+            _plain_types(field.type),
+        )
+        for field in attrs.fields(cls)
+    )
+
+
+@functools.cache
+def _required(cls: type) -> int:
+    """Returns how many leading fields have no default."""
+    return sum(field.default is attrs.NOTHING for field in attrs.fields(cls))
+
+
+def _flatten(value) -> list:
+    """Returns the fields of an attrs value as a list for msgpack."""
+    flat = []
+    for field in _fields(type(value)):
+        content = getattr(value, field.name)
+        if field.item_class is not None:
+            content = [_flatten(item) for item in content]
+        elif field.value_class is not None:
+            content = _flatten(content)
+        flat.append(content)
+    return flat
+
+
+def _read_field(field: _Field, content):
+    """Returns the value of one field from its wire form."""
+    if field.value_class is not None:
+        return _build(field.value_class, content)
+    if not isinstance(content, field.types):
+        raise FrameError(f"field {field.name} has the wrong type")
+    if field.item_class is not None:
+        return tuple(_build(field.item_class, item) for item in content)
+    return tuple(content) if isinstance(content, list) else content
+
+
+def _build(cls: type, flat: list):
+    """Returns an attrs value from its fields.
+
+    Fields beyond those known are ignored: a newer sender may append some.
+    """
+    if not isinstance(flat, list) or len(flat) < _required(cls):
+        raise FrameError(f"{cls.__name__} has too few fields")
+    pairs = zip(_fields(cls), flat, strict=False)
+    return cls(*[_read_field(field, content) for field, content in pairs])
+
+
+def encode(message) -> bytes:
+    """Returns the frame of a message.
+
+    Raises:
+        FrameError: The frame would exceed `FRAME_LIMIT_BYTES`.
+    """
+    body = msgpack.packb([message.code, *_flatten(message)])
+    if len(body) > FRAME_LIMIT_BYTES:
+        raise FrameError(f"frame of {len(body)} bytes exceeds the limit")
+    return _LENGTH.pack(len(body)) + body
+
+
+def _decode(body: bytes):
+    """Returns the message in a frame's body."""
+    try:
+        flat = msgpack.unpackb(body)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise FrameError(f"not msgpack: {error}") from error
+    if not isinstance(flat, list) or not flat:
+        raise FrameError("frame is not a non-empty array")
+    code = flat[0]
+    cls = core.CLASSES.get(code) if isinstance(code, int) else None
+    if cls is None:
+        raise FrameError(f"unknown message code {code!r}")
+    return _build(cls, flat[1:])
+
+
+@attrs.define
+class Decoder:
+    """Cuts a byte stream into messages.
+
+    Attributes:
+        buffer: Bytes of the frame that is not yet complete.
+    """
+
+    buffer: bytearray = attrs.field(factory=bytearray)
+
+    def feed(self, data: bytes) -> Iterator:
+        """Yields the messages that are complete after `data` arrived.
+
+        Raises:
+            FrameError: The stream can't be read any further.
+        """
+        self.buffer += data
+        while len(self.buffer) >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(self.buffer)
+            if length > FRAME_LIMIT_BYTES:
+                raise FrameError(f"frame of {length} bytes exceeds the limit")
+            end = _LENGTH.size + length
+            if len(self.buffer) < end:
+                return
+            body = bytes(self.buffer[_LENGTH.size : end])
+            del self.buffer[:end]
+            yield _decode(body)
--- /dev/null
+++ b/trefoilgw/messages/tests/test_codec.py
@@ -0,0 +1,98 @@
+"""Contract of the codec: round trips and broken frames."""
+
+import contextlib
+import struct
+import unittest
+
+import msgpack
+from hypothesis import given
+from hypothesis import strategies as st
+
+from trefoilgw.messages import codec
+from trefoilgw.messages import core as messages
+from trefoilgw.outcomes import core as outcomes
+
+ENTRY = messages.RosterEntry("a" * 16, "127.0.0.1:1", "127.0.0.1:2", "d1")
+SAMPLES = (
+    messages.Leaving(),
+    messages.Pong(1.0, 2, (1, 2)),
+    messages.PeerHello(1, ENTRY, 3, b"p"),
+    messages.Welcome("b" * 16, 1, 2, 3.0, 4, (ENTRY, ENTRY)),
+    messages.RunBatch(
+        1, "j", "c", "k", "s", 2, "", 1.5, True, (messages.TaskSpec(0, b"{}"),)
+    ),
+)
+
+
+def frame(body: bytes) -> bytes:
+    return struct.pack(">I", len(body)) + body
+
+
+class CodecTest(unittest.TestCase):
+    def test_round_trip_in_any_pieces(self):
+        """TCP may cut a frame at any byte."""
+        data = b"".join(codec.encode(sample) for sample in SAMPLES)
+        for size in (1, 3, 7, len(data)):
+            decoder = codec.Decoder()
+            arrived = []
+            for start in range(0, len(data), size):
+                arrived += decoder.feed(data[start : start + size])
+            self.assertEqual(list(SAMPLES), arrived)
+
+    def test_broken_frames(self):
+        """A peer of another protocol must end in one clear error."""
+        cases = {
+            "not msgpack": frame(b"\xc1"),
+            "not an array": frame(msgpack.packb({"a": 1})),
+            "empty array": frame(msgpack.packb([])),
+            "unknown code": frame(msgpack.packb([9999])),
+            "code is a list": frame(msgpack.packb([[1]])),
+            "too few fields": frame(msgpack.packb([11, 1.0])),
+            "wrong type": frame(msgpack.packb([11, "now", 2])),
+            "nested wrong type": frame(msgpack.packb([22, 1, ["x"]])),
+            "over the limit": struct.pack(">I", codec.FRAME_LIMIT_BYTES + 1),
+        }
+        for name, data in cases.items():
+            with self.subTest(name), self.assertRaises(codec.FrameError):
+                list(codec.Decoder().feed(data))
+
+    def test_truncated_frame_yields_nothing(self):
+        """A stream cut mid-frame must not deliver half a message."""
+        data = codec.encode(SAMPLES[-1])
+        self.assertEqual([], list(codec.Decoder().feed(data[:-1])))
+
+    def test_extra_fields_are_ignored(self):
+        """A newer sender may append fields."""
+        data = frame(msgpack.packb([12, 3, "new"]))
+        self.assertEqual(
+            [messages.CreditGrant(3)], list(codec.Decoder().feed(data))
+        )
+
+    @given(st.binary(max_size=200))
+    def test_any_bytes_decode_or_fail_clearly(self, data):
+        """Random bytes must raise nothing but FrameError."""
+        with contextlib.suppress(codec.FrameError):
+            list(codec.Decoder().feed(frame(data)))
+
+
+class FateTest(unittest.TestCase):
+    def test_round_trip(self):
+        """Not run and unknown must stay distinct on the wire."""
+        fates = (
+            outcomes.Completed(b"{}", 0.5),
+            outcomes.Failed(outcomes.Reason.TARGET_ERROR, "x", 0.1),
+            outcomes.NotRun(outcomes.Reason.NO_SLOT),
+            outcomes.Unknown(outcomes.Reason.DEADLINE),
+        )
+        for fate in fates:
+            wire = messages.fate_to_wire(3, fate)
+            self.assertEqual(fate, messages.fate_from_wire(wire))
+
+    def test_unrecognised_fate_is_unknown(self):
+        """A newer agent's fate must never be read as not run."""
+        wire = messages.TaskOutcome(0, "paused", "r", "", b"", 0.0)
+        self.assertIsInstance(messages.fate_from_wire(wire), outcomes.Unknown)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/trefoilgw/timers/tests/test_core.py
@@ -0,0 +1,76 @@
+"""Contract of the timer service."""
+
+import unittest
+
+import eventlet
+from eventlet import queue
+
+from trefoilgw.timers import core as timers
+
+TIMEOUT_S = 10.0
+
+
+class FakeClock:
+    """A clock that a test moves by hand."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class TimerServiceTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = FakeClock()
+        self.service = timers.TimerService(now=self.clock)
+        self.calls = queue.Queue()
+
+    def start(self):
+        eventlet.spawn_n(self.service.run)
+        eventlet.sleep(0)
+        self.addCleanup(self.service.stop)
+
+    def test_due_timers_run_in_order(self):
+        self.service.after(0.3, lambda: self.calls.put("late"))
+        self.service.after(0.1, lambda: self.calls.put("early"))
+        self.start()
+        self.clock.now_s += 0.5
+        got = [self.calls.get(timeout=TIMEOUT_S) for _ in range(2)]
+        self.assertEqual(["early", "late"], got)
+
+    def test_cancelled_timer_is_not_called(self):
+        """A part that stopped must not be called any more."""
+        timer = self.service.after(0.1, lambda: self.calls.put("cancelled"))
+        self.service.after(0.2, lambda: self.calls.put("kept"))
+        timer.cancel()
+        self.start()
+        self.clock.now_s += 0.5
+        self.assertEqual("kept", self.calls.get(timeout=TIMEOUT_S))
+
+    def test_failing_callback_does_not_stop_the_rest(self):
+        """One part's error must not stop the heartbeats of another."""
+
+        def fail():
+            raise RuntimeError("expected in this test")
+
+        self.service.every(0.1, fail)
+        self.service.every(0.1, lambda: self.calls.put("on"))
+        self.start()
+        with self.assertLogs("trefoilgw.timers.core", "ERROR"):
+            for _ in range(2):
+                self.clock.now_s += 0.2
+                self.calls.get(timeout=TIMEOUT_S)
+
+    def test_pause_is_reported_before_due_timers(self):
+        """A resumed process must fence itself before it acts."""
+        self.service.on_pause(lambda gap_s: self.calls.put(gap_s))
+        self.service.after(0.1, lambda: self.calls.put("timer"))
+        self.start()
+        self.clock.now_s += 60.0
+        self.assertGreaterEqual(self.calls.get(timeout=TIMEOUT_S), 59.0)
+        self.assertEqual("timer", self.calls.get(timeout=TIMEOUT_S))
+
+
+if __name__ == "__main__":
+    unittest.main()
