--- /dev/null
+++ b/trefoilgw/metrics/__init__.py
@@ -0,0 +1,17 @@
+"""Counters, gauges and histograms in the Prometheus text form."""
+
+from trefoilgw.metrics.core import CONTENT_TYPE
+from trefoilgw.metrics.core import Counter
+from trefoilgw.metrics.core import Gauge
+from trefoilgw.metrics.core import Histogram
+from trefoilgw.metrics.core import Registry
+from trefoilgw.metrics.core import Sample
+
+__all__ = [
+    "CONTENT_TYPE",
+    "Counter",
+    "Gauge",
+    "Histogram",
+    "Registry",
+    "Sample",
+]
