--- /dev/null
+++ b/trefoilgw/membership/__init__.py
@@ -0,0 +1,25 @@
+"""Which agents are alive, which are ejected and which kinds are stopped."""
+
+from trefoilgw.membership.changes import Eject
+from trefoilgw.membership.changes import KindReleased
+from trefoilgw.membership.changes import PoisonKind
+from trefoilgw.membership.changes import Probe
+from trefoilgw.membership.changes import Readmit
+from trefoilgw.membership.heartbeats import Heartbeats
+from trefoilgw.membership.heartbeats import Recovered
+from trefoilgw.membership.heartbeats import Removed
+from trefoilgw.membership.heartbeats import Suspected
+from trefoilgw.membership.outliers import Outliers
+
+__all__ = [
+    "Eject",
+    "Heartbeats",
+    "KindReleased",
+    "Outliers",
+    "PoisonKind",
+    "Probe",
+    "Readmit",
+    "Recovered",
+    "Removed",
+    "Suspected",
+]
