--- /dev/null
+++ b/tools/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of outside systems, met by their published protocols."""
