--- /dev/null
+++ b/trefoilgw/load/client.py
@@ -0,0 +1,191 @@
+"""A small HTTP/1.1 client on green sockets with persistent connections.
+
+It does only what a load run needs, so that the generator costs little beside
+the entries. It never sends a request twice.
+"""
+
+import contextlib
+import socket as stdlib_socket
+import time
+
+import attrs
+import eventlet
+from eventlet.green import socket
+
+READ_BYTES = 64 * 1024
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+
+
+class NotSentError(Exception):
+    """No connection was made: the request certainly went nowhere."""
+
+
+class LostError(Exception):
+    """The request may have been carried out; no answer arrived."""
+
+
+@attrs.frozen
+class Response:
+    """An HTTP answer.
+
+    Attributes:
+        status: HTTP status.
+        headers: By lower-case name.
+        body: Decoded of its transfer coding.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@attrs.define(eq=False)
+class _Connection:
+    """One connection and the bytes that were read ahead."""
+
+    sock: socket.socket
+    buffer: bytes = b""
+
+    def read_more(self) -> None:
+        """Reads at least one byte.
+
+        Raises:
+            ConnectionResetError: The server closed the connection.
+        """
+        data = self.sock.recv(READ_BYTES)
+        if not data:
+            raise ConnectionResetError("closed by the server")
+        self.buffer += data
+
+    def read_until(self, mark: bytes) -> bytes:
+        """Returns the bytes before a mark and drops both."""
+        while mark not in self.buffer:
+            if len(self.buffer) > BODY_LIMIT_BYTES:
+                raise ValueError("the answer is too long")
+            self.read_more()
+        before, _, self.buffer = self.buffer.partition(mark)
+        return before
+
+    def read_exactly(self, length: int) -> bytes:
+        """Returns the next `length` bytes."""
+        if length > BODY_LIMIT_BYTES:
+            raise ValueError("the answer is too long")
+        while len(self.buffer) < length:
+            self.read_more()
+        data, self.buffer = self.buffer[:length], self.buffer[length:]
+        return data
+
+    def usable(self) -> bool:
+        """Returns whether an idle connection is still open."""
+        try:
+            self.sock.fd.recv(1, stdlib_socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Closes the connection."""
+        with contextlib.suppress(OSError):
+            self.sock.close()
+
+
+@attrs.define(eq=False)
+class Client:
+    """Requests to one server.
+
+    Attributes:
+        address: ``ip:port``.
+        connects: Connections opened.
+    """
+
+    address: str
+    connects: int = 0
+    _idle: list = attrs.field(factory=list)
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        timeout_s: float = 30.0,
+    ) -> Response:
+        """Sends one request and waits for its answer.
+
+        Raises:
+            NotSentError: No connection could be made.
+            LostError: No whole answer arrived in time.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        connection = self._connect(timeout_s)
+        lines = [f"{method} {path} HTTP/1.1", f"Host: {self.address}"]
+        lines += [f"{name}: {text}" for name, text in (headers or {}).items()]
+        lines += [f"Content-Length: {len(body)}", "", ""]
+        data = "\r\n".join(lines).encode() + body
+        try:
+            left_s = max(0.0, deadline_s - time.monotonic())
+            with eventlet.Timeout(left_s, TimeoutError("no answer in time")):
+                connection.sock.sendall(data)
+                response = _read_response(connection)
+        except (OSError, EOFError, ValueError) as error:
+            connection.close()
+            raise LostError(f"{self.address}: {error}") from error
+        if response.headers.get("connection", "").lower() == "close":
+            connection.close()
+        else:
+            self._idle.append(connection)
+        return response
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _connect(self, timeout_s: float) -> _Connection:
+        """Returns an idle connection or a new one."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable():
+                return connection
+            connection.close()
+        host, _, port = self.address.rpartition(":")
+        try:
+            sock = socket.create_connection((host, int(port)), timeout_s)
+            sock.settimeout(None)
+            sock.setsockopt(
+                stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1
+            )
+        except OSError as error:
+            raise NotSentError(f"{self.address}: {error}") from error
+        self.connects += 1
+        return _Connection(sock)
+
+
+def _read_response(connection: _Connection) -> Response:
+    """Reads one answer."""
+    head = connection.read_until(b"\r\n\r\n").decode("latin-1")
+    status_line, *lines = head.split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, text = line.partition(":")
+        headers[name.strip().lower()] = text.strip()
+    status = int(status_line.split(" ", 2)[1])
+    if headers.get("transfer-encoding", "").lower() == "chunked":
+        body = _read_chunks(connection)
+    else:
+        body = connection.read_exactly(int(headers.get("content-length", 0)))
+    return Response(status, headers, body)
+
+
+def _read_chunks(connection: _Connection) -> bytes:
+    """Reads a body in chunked transfer coding (RFC 9112, section 7.1)."""
+    chunks = []
+    while True:
+        size = connection.read_until(b"\r\n").partition(b";")[0]
+        length = int(size, 16)
+        chunks.append(connection.read_exactly(length))
+        connection.read_exactly(2)
+        if not length:
+            return b"".join(chunks)
