--- a/trefoilgw/streams/core.py
+++ b/trefoilgw/streams/core.py
@@ -84,6 +84,7 @@
         received_bytes: Bytes read.
         last_received_s: Monotonic time of the last bytes read.
         closed: True once either side closed.
+        outbox_limit_bytes: At this size of unsent frames the stream closes.
     """
 
     sock: socket.socket
@@ -99,6 +100,7 @@
     received_bytes: int = 0
     last_received_s: float = attrs.field(factory=time.monotonic)
     closed: bool = False
+    outbox_limit_bytes: int = OUTBOX_LIMIT_BYTES
     _outbox: list = attrs.field(factory=list)
     _outbox_bytes: int = 0
     _wake: event.Event = attrs.field(factory=event.Event)
@@ -130,7 +132,7 @@
         self._outbox.append(frame)
         self._outbox_bytes += len(frame)
         self.sent_messages += 1
-        if self._outbox_bytes > OUTBOX_LIMIT_BYTES:
+        if self._outbox_bytes > self.outbox_limit_bytes:
             self.close("the peer does not read")
             return False
         self._notify()
