Add the agent's thin path: ledger, slots, target calls, streams

An agent dials its seeds, learns the roster, keeps a stream to each assigned entry, lends credits, runs batches against the target over HTTP and answers them.

--- /dev/null
+++ b/trefoilgw/agent/__init__.py
@@ -0,0 +1,3 @@
+"""The agent, the process beside each target."""
+
+__all__ = []
--- /dev/null
+++ b/trefoilgw/agent/connections.py
@@ -0,0 +1,311 @@
+"""The streams of an agent: one to each entry that it is assigned.
+
+Finds the entries through the seed addresses and the roster, dials them, and
+redials with full jitter. What is said on a stream is up to the agent.
+"""
+
+import logging
+import random
+import time
+from collections.abc import Callable
+
+import attrs
+import eventlet
+
+from trefoilgw.agent import choice
+from trefoilgw.messages import core as messages
+from trefoilgw.streams import core as streams
+
+# Full jitter between 0 and a limit that doubles; it spreads the redials of
+# many agents after an outage.
+REDIAL_FIRST_S = 0.1
+REDIAL_LIMIT_S = 5.0
+# An address that failed this often in a row counts as unreachable.
+UNREACHABLE_FAILURES = 3
+# Results and a configuration of 1 MB fit; the agent has 32 MB in all.
+OUTBOX_LIMIT_BYTES = 4 * 1024 * 1024
+
+log = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Link:
+    """The stream to one address.
+
+    Attributes:
+        address: ``ip:port`` of an entry or of a balancer of entries.
+        failures: Dials that failed in a row.
+        stream: The open stream, or None.
+        entry: Incarnation of the entry reached last.
+        session: Number of the session of `stream`.
+        dialing: True while a dial is under way or scheduled.
+        opened_s: When the last stream was opened.
+        pinged_s: When the last ping was sent.
+        closing: True once the agent has told this entry that it leaves.
+    """
+
+    address: str
+    failures: int = 0
+    stream: streams.Stream | None = None
+    entry: str = ""
+    session: int = 0
+    dialing: bool = False
+    opened_s: float = 0.0
+    pinged_s: float = 0.0
+    closing: bool = False
+
+
+@attrs.define(eq=False)
+class Connections:
+    """Keeps the streams.
+
+    Attributes:
+        agent: Incarnation of the agent.
+        key: Shared key of the streams.
+        seeds: Addresses from the settings.
+        hello: Returns the agent's hello.
+        accept: Called with a link, its welcome and the time of the dial before
+            the stream starts; returns False to drop the stream.
+        on_open: Called with a link whose stream has started.
+        on_message: Called with a link and each message.
+        on_closed: Called with a link whose stream closed.
+        rng: Source of jitter.
+        epoch: Epoch of the roster.
+        roster: Entries of the newest roster; empty if none is known.
+        links: By address.
+        dials: Dials begun.
+        dial_failures: Dials that failed.
+    """
+
+    agent: str
+    key: bytes
+    seeds: tuple[str, ...]
+    hello: Callable[[], messages.AgentHello]
+    accept: Callable
+    on_open: Callable
+    on_message: Callable
+    on_closed: Callable
+    rng: random.Random
+    epoch: int = 0
+    roster: tuple[messages.RosterEntry, ...] = ()
+    links: dict[str, Link] = attrs.field(factory=dict)
+    dials: int = 0
+    dial_failures: int = 0
+    _stopped: bool = False
+
+    def update(self) -> None:
+        """Dials what is wanted and has no stream, and forgets the rest."""
+        if self._stopped:
+            return
+        wanted = self._wanted()
+        for address in wanted:
+            link = self.links.setdefault(address, Link(address))
+            if link.stream is None and not link.dialing:
+                link.dialing = True
+                eventlet.spawn_n(self._dial_until_open, link)
+        for address in list(self.links):
+            link = self.links[address]
+            if address not in wanted and link.stream is None:
+                del self.links[address]
+
+    def stop(self) -> None:
+        """Ends dialing; open streams stay."""
+        self._stopped = True
+
+    def close(self, reason: str) -> None:
+        """Ends dialing and closes all streams."""
+        self.stop()
+        for link in self.open_links():
+            link.stream.close(reason)
+
+    def open_links(self) -> list[Link]:
+        """Returns the links with an open stream."""
+        return [link for link in self.links.values() if link.stream]
+
+    def link_to(self, entry: str) -> Link | None:
+        """Returns the link with an open stream to an entry."""
+        for link in self.links.values():
+            if link.stream is not None and link.entry == entry:
+                return link
+        return None
+
+    def learn_roster(
+        self, epoch: int, entries: tuple[messages.RosterEntry, ...]
+    ) -> bool:
+        """Takes a roster if it is newer than the known one.
+
+        Returns:
+            True if it was taken.
+        """
+        if epoch <= self.epoch:
+            return False
+        self.epoch = epoch
+        self.roster = entries
+        return True
+
+    def assigned(self) -> tuple[messages.RosterEntry, ...]:
+        """Returns the entries of the roster that this agent serves."""
+        unreachable = frozenset(
+            address
+            for address, link in self.links.items()
+            if link.stream is None and link.failures >= UNREACHABLE_FAILURES
+        )
+        return choice.assigned(self.agent, self.roster, unreachable)
+
+    def surplus_links(self) -> list[Link]:
+        """Returns open links that the agent no longer needs.
+
+        An entry that is not in the roster may be a new one or one that is
+        finishing its jobs; it closes its stream itself.
+        """
+        if len(self.open_links()) <= choice.ENTRIES_PER_AGENT:
+            return []
+        chosen = {entry.incarnation for entry in self.assigned()}
+        listed = {entry.incarnation for entry in self.roster}
+        return [
+            link for link in self.open_links() if link.entry in listed - chosen
+        ]
+
+    def _wanted(self) -> set[str]:
+        """Returns the addresses to keep a stream to."""
+        chosen = {entry.stream_address for entry in self.assigned()}
+        listed = {entry.stream_address for entry in self.roster}
+        reached = any(
+            link.stream is not None and address in chosen
+            for address, link in self.links.items()
+        )
+        seeds = [seed for seed in self.seeds if not self._is_second(seed)]
+        if not reached:
+            return chosen | set(self._limited(seeds, 0))
+        unlisted = [
+            seed
+            for seed in seeds
+            if seed not in listed and not self._is_balancer(seed)
+        ]
+        return chosen | set(self._limited(unlisted, len(chosen)))
+
+    def _limited(self, seeds, others: int) -> list[str]:
+        """Returns the seeds to dial: none beyond the open streams' limit."""
+        open_seeds = [
+            seed
+            for seed in seeds
+            if seed in self.links and self.links[seed].stream is not None
+        ]
+        if others + len(open_seeds) >= choice.ENTRIES_PER_AGENT:
+            return open_seeds
+        return list(seeds)
+
+    def _is_second(self, seed: str) -> bool:
+        """Returns True if a seed led to an entry that is connected elsewhere.
+
+        Dialing it again would replace the session of that stream.
+        """
+        link = self.links.get(seed)
+        if link is None or not link.entry or link.stream is not None:
+            return False
+        return self.link_to(link.entry) is not None
+
+    def _is_balancer(self, seed: str) -> bool:
+        """Returns True if a seed led to an entry with another address."""
+        link = self.links.get(seed)
+        return link is not None and any(
+            entry.incarnation == link.entry and entry.stream_address != seed
+            for entry in self.roster
+        )
+
+    def _dial_until_open(self, link: Link) -> None:
+        """Dials until a stream is open or the address is not wanted."""
+        try:
+            if link.entry:
+                eventlet.sleep(self._redial_delay_s(link.failures))
+            while not self._stopped and link.address in self._wanted():
+                if self._dial(link):
+                    return
+                eventlet.sleep(self._redial_delay_s(link.failures))
+        finally:
+            link.dialing = False
+            self.update()
+
+    def _redial_delay_s(self, failures: int) -> float:
+        """Returns a delay with full jitter."""
+        limit_s = min(REDIAL_LIMIT_S, REDIAL_FIRST_S * 2 ** min(failures, 10))
+        return self.rng.uniform(0.0, limit_s)
+
+    def _dial(self, link: Link) -> bool:
+        """Returns True if a stream was opened and started."""
+        self.dials += 1
+        began_s = time.monotonic()
+        try:
+            stream = streams.dial(link.address, self.key, self.hello())
+        except streams.DialError as error:
+            self._dial_failed(link, str(error))
+            return False
+        welcome = stream.welcome
+        self.learn_roster(welcome.epoch, welcome.entries)
+        link.entry = welcome.incarnation
+        link.session = welcome.session
+        if self._stopped or not self._serves(link):
+            stream.close("not assigned")
+            link.failures += 1
+            return False
+        if not self.accept(link, welcome, began_s):
+            stream.close("the session is not the newest")
+            link.failures += 1
+            return False
+        self._start(link, stream)
+        return True
+
+    def _serves(self, link: Link) -> bool:
+        """Returns False if the entry just reached belongs to other agents."""
+        listed = {entry.incarnation for entry in self.roster}
+        chosen = {entry.incarnation for entry in self.assigned()}
+        return link.entry in chosen or link.entry not in listed
+
+    def _start(self, link: Link, stream: streams.Stream) -> None:
+        """Starts a stream and closes an older one to the same entry."""
+        former = self.link_to(link.entry)
+        if former is not None:
+            older = former.stream
+            former.stream = None
+            older.close("replaced by a newer session")
+        link.stream = stream
+        link.opened_s = time.monotonic()
+        link.closing = False
+        stream.outbox_limit_bytes = OUTBOX_LIMIT_BYTES
+        log.info(
+            "connected", extra={"entry": link.entry, "session": link.session}
+        )
+        stream.start(
+            lambda stream, message: self._deliver(link, stream, message),
+            lambda stream, reason: self._closed(link, stream, reason),
+        )
+        self.on_open(link)
+        self.update()
+
+    def _deliver(self, link: Link, stream: streams.Stream, message) -> None:
+        """Hands over a message of the link's newest stream."""
+        if link.stream is stream:
+            self.on_message(link, message)
+
+    def _closed(self, link: Link, stream: streams.Stream, reason) -> None:
+        """Notes that a stream closed, and redials."""
+        if link.stream is not stream:
+            return
+        link.stream = None
+        lived_s = time.monotonic() - link.opened_s
+        link.failures = link.failures + 1 if lived_s < REDIAL_LIMIT_S else 0
+        log.info("disconnected", extra={"entry": link.entry, "reason": reason})
+        self.on_closed(link)
+        self.update()
+
+    def _dial_failed(self, link: Link, reason: str) -> None:
+        """Counts a failed dial; only a change of state is logged."""
+        self.dial_failures += 1
+        link.failures += 1
+        if link.failures == 1:
+            log.info(
+                "dial failed",
+                extra={"address": link.address, "reason": reason},
+            )
+        if link.failures == UNREACHABLE_FAILURES:
+            self.update()
--- /dev/null
+++ b/trefoilgw/agent/main.py
@@ -0,0 +1,18 @@
+"""Command ``trefoilgw-agent --settings FILE``."""
+
+import sys
+
+
+def main() -> int:
+    """Runs an agent until it has left; see `trefoilgw.agent.program.run`."""
+    import eventlet
+
+    # urllib3 must load after this, so that it waits in the event loop.
+    eventlet.monkey_patch()
+    from trefoilgw.agent import program
+
+    return program.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/trefoilgw/agent/program.py
@@ -0,0 +1,52 @@
+"""The agent's process: settings, signals and the ready line."""
+
+import argparse
+import json
+import signal
+import sys
+
+from eventlet import hubs
+
+from trefoilgw.agent import core
+from trefoilgw.findings import core as findings
+from trefoilgw.logs import core as logs
+from trefoilgw.settings import core as settings_core
+
+EXIT_BAD_SETTINGS = 2
+
+
+def run(arguments: list[str] | None = None) -> int:
+    """Runs an agent until it has left.
+
+    Args:
+        arguments: Command line without the program; None for the process's.
+
+    Returns:
+        0 after a graceful leave, 2 if the settings file has findings.
+    """
+    parser = argparse.ArgumentParser("trefoilgw-agent")
+    parser.add_argument("--settings", required=True, metavar="FILE")
+    options = parser.parse_args(arguments)
+    settings = settings_core.load_agent(options.settings)
+    if not isinstance(settings, settings_core.AgentSettings):
+        print(findings.render(settings), file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    agent = core.Agent(settings)
+    logs.configure("agent", incarnation=agent.incarnation, name=settings.name)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: _leave_soon(agent))
+    agent.start()
+    ready = {
+        "ready": True,
+        "agent": settings.name,
+        "admin": agent.admin_address,
+        "incarnation": agent.incarnation,
+    }
+    print(json.dumps(ready), flush=True)
+    agent.wait()
+    return 0
+
+
+def _leave_soon(agent: core.Agent) -> None:
+    """Leaves from the event loop; a signal may interrupt any line."""
+    hubs.get_hub().schedule_call_global(0, agent.leave)
--- /dev/null
+++ b/trefoilgw/slots/__init__.py
@@ -0,0 +1,23 @@
+"""Batches on the slots of a target, and credits lent to the entries."""
+
+from trefoilgw.slots.actions import GrantCredits
+from trefoilgw.slots.actions import SendDone
+from trefoilgw.slots.actions import SendLeaving
+from trefoilgw.slots.actions import StartTask
+from trefoilgw.slots.actions import StopTask
+from trefoilgw.slots.actions import TaskRef
+from trefoilgw.slots.core import Counters
+from trefoilgw.slots.core import Slots
+from trefoilgw.slots.credits import CreditBook
+
+__all__ = [
+    "Counters",
+    "CreditBook",
+    "GrantCredits",
+    "SendDone",
+    "SendLeaving",
+    "Slots",
+    "StartTask",
+    "StopTask",
+    "TaskRef",
+]
