--- a/trefoilgw/ledger/core.py
+++ b/trefoilgw/ledger/core.py
@@ -6,30 +6,18 @@
 does not decide when a task starts and knows no slots.
 """
 
-import collections
 import enum
 
 import attrs
 
 from trefoilgw.ledger import marks as marks_module
+from trefoilgw.ledger import records as records_module
 from trefoilgw.ledger import sessions as sessions_module
 from trefoilgw.messages import core as messages
 from trefoilgw.outcomes import core as outcomes
 
-RESULT_RETENTION_S = 60.0
 # A home that is away for longer than this has removed the agent long before.
 RECORD_RETENTION_S = marks_module.RETENTION_S
-# About ten seconds of unacknowledged single tasks at 400 starts a second.
-LIMIT_RECORDS = 4096
-# Results are kept for reconciliation only; the agent has 32 MB in all.
-LIMIT_RESULT_BYTES = 2 * 1024 * 1024
-
-
-class State(enum.Enum):
-    """State of a task that has no fate yet."""
-
-    QUEUED = "queued"
-    STARTED = "started"
 
 
 @attrs.frozen
@@ -51,29 +39,6 @@
     FULL = "full"
 
 
-@attrs.define(eq=False)
-class BatchRecord:
-    """Tasks of one batch.
-
-    Attributes:
-        entry: Incarnation of the home.
-        batch: Number at the home.
-        job: Identity of the job, see `job_id`.
-        tasks: State or fate by task index.
-        open_tasks: Tasks without a fate.
-        touched_s: When the record was last written.
-        result_bytes: Size of the results that are kept.
-    """
-
-    entry: str
-    batch: int
-    job: str
-    tasks: dict
-    open_tasks: int
-    touched_s: float
-    result_bytes: int = 0
-
-
 @attrs.frozen
 class Reconciled:
     """Answer about one batch after a reconnect.
@@ -91,12 +56,6 @@
     final: bool
 
 
-NEVER_RECEIVED = outcomes.NotRun(
-    outcomes.Reason.AUTHORITY_LOST, "never received, struck"
-)
-NOT_KEPT = outcomes.Unknown(
-    outcomes.Reason.INTERNAL, "the result is no longer kept"
-)
 EARLIER_PROCESS = outcomes.Unknown(
     outcomes.Reason.AGENT_LOST, "this agent has no record of the batch"
 )
@@ -128,12 +87,7 @@
     Attributes:
         sessions: Fence and lease of the entries.
         marks: Start marks.
-        records: Batches by (entry, batch), oldest first.
-        limit_records: At this many records the oldest ended one is dropped;
-            if none has ended, new batches are refused as not run.
-        limit_result_bytes: Above it the oldest results are dropped and become
-            `Unknown` for later reconciliation.
-        result_bytes: Size of the results that are kept.
+        records: Records of the batches.
     """
 
     sessions: sessions_module.Sessions = attrs.field(
@@ -142,11 +96,9 @@
     marks: marks_module.StartMarks = attrs.field(
         factory=marks_module.StartMarks
     )
-    records: dict = attrs.field(factory=dict)
-    limit_records: int = LIMIT_RECORDS
-    limit_result_bytes: int = LIMIT_RESULT_BYTES
-    result_bytes: int = 0
-    _with_results: collections.deque = attrs.field(factory=collections.deque)
+    records: records_module.RecordTable = attrs.field(
+        factory=records_module.RecordTable
+    )
 
     def session_opened(
         self,
@@ -182,14 +134,14 @@
         """
         if not self.sessions.current(entry, session):
             return Receipt.FENCED
-        if (entry, batch) in self.records:
+        if self.records.get(entry, batch) is not None:
             return Receipt.DUPLICATE
-        if not self._make_room():
-            return Receipt.FULL
-        tasks = dict.fromkeys(indices, State.QUEUED)
-        self.records[entry, batch] = BatchRecord(
+        tasks = dict.fromkeys(indices, records_module.State.QUEUED)
+        record = records_module.BatchRecord(
             entry, batch, job, tasks, len(tasks), now_s
         )
+        if not self.records.add(record):
+            return Receipt.FULL
         return Receipt.ACCEPTED
 
     def refusal(
@@ -218,12 +170,12 @@
             `Started` if the task must be sent now. `NotRun` if it may not
             start; the caller records it with `finished`.
         """
-        record = self.records.get((entry, batch))
+        record = self.records.get(entry, batch)
         state = record.tasks.get(index) if record else None
         if isinstance(state, outcomes.NotRun):
             return state
         mark = marks_module.mark_of(job, index)
-        if state is not State.QUEUED or mark in self.marks:
+        if state is not records_module.State.QUEUED or mark in self.marks:
             return AlreadyStarted()
         refusal = self.refusal(entry, session, deadline_s, now_s)
         if refusal is None and self.marks.full:
@@ -231,7 +183,7 @@
         if refusal is not None:
             return refusal
         self.marks.add(mark, now_s)
-        record.tasks[index] = State.STARTED
+        record.tasks[index] = records_module.State.STARTED
         return Started()
 
     def finished(
@@ -251,19 +203,18 @@
         Returns:
             False if the task has a fate already or is not known.
         """
-        record = self.records.get((entry, batch))
+        record = self.records.get(entry, batch)
         if record is None:
             return False
         state = record.tasks.get(index)
-        if not isinstance(state, State):
+        if not isinstance(state, records_module.State):
             return False
-        if isinstance(fate, outcomes.NotRun) and state is State.STARTED:
+        if (
+            isinstance(fate, outcomes.NotRun)
+            and state is records_module.State.STARTED
+        ):
             self.marks.discard(marks_module.mark_of(job, index))
-        record.tasks[index] = fate
-        record.open_tasks -= 1
-        record.touched_s = now_s
-        if isinstance(fate, outcomes.Completed):
-            self._keep_result(record, len(fate.result))
+        self.records.write(record, index, fate, now_s)
         return True
 
     def strike(
@@ -277,14 +228,14 @@
         Returns:
             Indices of the tasks that were struck.
         """
-        record = self.records.get((entry, batch))
+        record = self.records.get(entry, batch)
         if record is None:
-            self._record_struck(entry, batch, {}, now_s)
+            self._record_struck(entry, batch, now_s)
             return ()
         struck = tuple(
             index
             for index, state in record.tasks.items()
-            if state is State.QUEUED
+            if state is records_module.State.QUEUED
         )
         for index in struck:
             self.finished(entry, batch, record.job, index, fate, now_s)
@@ -302,37 +253,30 @@
     def acknowledged(self, entry: str, batches: tuple[int, ...]) -> None:
         """Drops the records of batches whose answers have arrived."""
         for batch in batches:
-            record = self.records.get((entry, batch))
+            record = self.records.get(entry, batch)
             if record is not None and not record.open_tasks:
-                self._drop(record)
+                self.records.drop(record)
 
     def expire(self, now_s: float) -> None:
         """Drops what is past its retention; call about once a second."""
         if self.marks.expire(now_s):
             self._mark_open_batches(now_s)
-        for record in list(self.records.values()):
-            if record.open_tasks:
-                continue
-            age_s = now_s - record.touched_s
-            if age_s >= RESULT_RETENTION_S and record.result_bytes:
-                self._drop_results(record)
-            if age_s >= RECORD_RETENTION_S:
-                self._drop_unless_open_at_home(record)
+        for record in list(self.records.records.values()):
+            if not record.open_tasks:
+                self._expire_record(record, now_s - record.touched_s)
+        self.records.forget_entries(self.sessions.entries)
 
     def _reconcile_one(
         self, entry: str, ref: messages.BatchRef, now_s: float
     ) -> Reconciled:
         """Returns the answer for one batch."""
-        record = self.records.get((entry, ref.batch))
+        record = self.records.get(entry, ref.batch)
         if record is None:
-            fate = self._fate_without_record(entry, ref.batch)
-            fates = dict.fromkeys(ref.indices, fate)
-            self._record_struck(entry, ref.batch, fates, now_s)
-            return Reconciled(ref.batch, ref.job, fates, True)
+            record = self._record_struck(entry, ref.batch, now_s)
         fates = {}
         for index in ref.indices:
-            state = record.tasks.setdefault(index, NEVER_RECEIVED)
-            if not isinstance(state, State):
+            state = record.tasks.setdefault(index, record.absent)
+            if not isinstance(state, records_module.State):
                 fates[index] = state
         return Reconciled(ref.batch, ref.job, fates, not record.open_tasks)
 
@@ -343,76 +287,42 @@
         and a batch up to the highest dropped number may have had a record.
         """
         known = self.sessions.entries.get(entry)
-        if known is None or known.first or batch <= known.dropped_batch:
+        if known is None or known.first:
             return EARLIER_PROCESS
-        return NEVER_RECEIVED
+        if self.records.may_have_dropped(entry, batch):
+            return EARLIER_PROCESS
+        return records_module.NEVER_RECEIVED
 
     def _record_struck(
-        self, entry: str, batch: int, fates: dict, now_s: float
-    ) -> None:
-        """Opens a record without open tasks.
+        self, entry: str, batch: int, now_s: float
+    ) -> records_module.BatchRecord:
+        """Returns the record of a batch that has none and may not start.
 
         Without room for the record, the session fence alone keeps the bytes
         of older streams from starting anything.
         """
-        if self._make_room():
-            self.records[entry, batch] = BatchRecord(
-                entry, batch, "", dict(fates), 0, now_s
-            )
-
-    def _keep_result(self, record: BatchRecord, size_bytes: int) -> None:
-        """Counts a kept result and drops the oldest above the limit."""
-        if not size_bytes:
-            return
-        if not record.result_bytes:
-            self._with_results.append(record)
-        record.result_bytes += size_bytes
-        self.result_bytes += size_bytes
-        while self.result_bytes > self.limit_result_bytes:
-            self._drop_results(self._with_results[0])
-
-    def _drop_results(self, record: BatchRecord) -> None:
-        """Replaces the kept results of a record."""
-        for index, state in record.tasks.items():
-            if isinstance(state, outcomes.Completed):
-                record.tasks[index] = NOT_KEPT
-        self.result_bytes -= record.result_bytes
-        record.result_bytes = 0
-        self._with_results.remove(record)
-
-    def _drop(self, record: BatchRecord) -> None:
-        """Removes a record; its start marks stay."""
-        if record.result_bytes:
-            self._drop_results(record)
-        del self.records[record.entry, record.batch]
-        known = self.sessions.entries.get(record.entry)
-        if known is not None:
-            known.dropped_batch = max(known.dropped_batch, record.batch)
-
-    def _drop_unless_open_at_home(self, record: BatchRecord) -> None:
-        """Drops an old record unless its home is connected and waits."""
-        known = self.sessions.entries.get(record.entry)
-        if known is None or not known.connected:
-            self._drop(record)
-
-    def _make_room(self) -> bool:
-        """Returns True if there is room for one more record."""
-        if len(self.records) < self.limit_records:
-            return True
-        for record in self.records.values():
-            if not record.open_tasks:
-                self._drop(record)
-                return True
-        return False
+        absent = self._fate_without_record(entry, batch)
+        record = records_module.BatchRecord(
+            entry, batch, "", {}, 0, now_s, absent
+        )
+        self.records.add(record)
+        return record
+
+    def _expire_record(
+        self, record: records_module.BatchRecord, age_s: float
+    ) -> None:
+        """Drops results, and records unless their home is still waiting."""
+        if age_s >= records_module.RESULT_RETENTION_S and record.result_bytes:
+            self.records.drop_results(record)
+        if age_s >= RECORD_RETENTION_S:
+            known = self.sessions.entries.get(record.entry)
+            if known is None or not known.connected:
+                self.records.drop(record)
 
     def _mark_open_batches(self, now_s: float) -> None:
         """Marks the tasks of all records that may have started again."""
-        for record in self.records.values():
-            for index, state in record.tasks.items():
-                not_started = state is State.QUEUED or isinstance(
-                    state, outcomes.NotRun
-                )
-                if record.job and not not_started:
-                    self.marks.add(
-                        marks_module.mark_of(record.job, index), now_s
-                    )
+        for record in self.records.records.values():
+            for index in record.started_indices():
+                if record.job:
+                    mark = marks_module.mark_of(record.job, index)
+                    self.marks.add(mark, now_s)
--- a/trefoilgw/ledger/sessions.py
+++ b/trefoilgw/ledger/sessions.py
@@ -23,7 +23,6 @@
         lease_s: Length of the lease in seconds.
         first: True during the first session of this entry.
         connected: True until the stream of the newest session closes.
-        dropped_batch: Highest batch number whose record was dropped.
     """
 
     session: int
@@ -31,7 +30,6 @@
     lease_s: float = LEASE_S
     first: bool = True
     connected: bool = True
-    dropped_batch: int = -1
 
 
 @attrs.define
--- a/trefoilgw/slots/actions.py
+++ b/trefoilgw/slots/actions.py
@@ -78,3 +78,10 @@
 
 
 Action = StartTask | StopTask | SendDone | GrantCredits | SendLeaving
+
+
+def grant_actions(granted: dict[str, int]) -> tuple[GrantCredits, ...]:
+    """Returns the messages for granted credits."""
+    return tuple(
+        GrantCredits(entry, count) for entry, count in granted.items() if count
+    )
--- a/trefoilgw/slots/batches.py
+++ b/trefoilgw/slots/batches.py
@@ -54,7 +54,7 @@
     deadline_s: float
     concurrency: int
     booked: int
-    queue: collections.deque
+    queue: collections.deque = attrs.field(factory=collections.deque)
     running: set = attrs.field(factory=set)
     pending: dict = attrs.field(factory=dict)
     pending_bytes: int = 0
