Grant free credits in one place

The package did not import after the split. Disconnects, returns and connects now only book, and the slots grant afterwards, so that nothing is granted while the agent leaves.

--- a/trefoilgw/slots/__init__.py
+++ b/trefoilgw/slots/__init__.py
@@ -6,9 +6,9 @@
 from trefoilgw.slots.actions import StartTask
 from trefoilgw.slots.actions import StopTask
 from trefoilgw.slots.actions import TaskRef
-from trefoilgw.slots.core import Counters
 from trefoilgw.slots.core import Slots
 from trefoilgw.slots.credits import CreditBook
+from trefoilgw.slots.execution import Counters
 
 __all__ = [
     "Counters",
--- a/trefoilgw/slots/core.py
+++ b/trefoilgw/slots/core.py
@@ -97,21 +97,20 @@
         Batches of its older sessions start nothing until `reconcile` names
         them; batches that it does not name are struck after the lease time.
         """
-        found = self.disconnect(entry, now_s)
+        self.book.disconnect(entry, now_s)
         for batch in self.execution.batches_of(entry):
             batch.held_until_s = now_s + sessions.LEASE_S
         if self.left:
             return (actions.SendLeaving(entry),)
-        return found + actions.grant_actions(self.book.connect(entry, now_s))
+        self.book.connect(entry)
+        return tuple(self.execution.grants(now_s))
 
     def disconnect(
         self, entry: str, now_s: float
     ) -> tuple[actions.Action, ...]:
         """Takes back an entry's credits; its batches run on."""
-        if self.left:
-            self.book.disconnect(entry, now_s)
-            return ()
-        return actions.grant_actions(self.book.disconnect(entry, now_s))
+        self.book.disconnect(entry, now_s)
+        return tuple(self.execution.grants(now_s))
 
     def entry_leaving(self, entry: str) -> None:
         """Notes that an entry takes no new credits."""
@@ -121,7 +120,8 @@
         self, entry: str, credits: int, now_s: float
     ) -> tuple[actions.Action, ...]:
         """Books credits that an entry gave back."""
-        return actions.grant_actions(self.book.returned(entry, credits, now_s))
+        self.book.returned(entry, credits, now_s)
+        return tuple(self.execution.grants(now_s))
 
     def run_batch(
         self,
--- a/trefoilgw/slots/credits.py
+++ b/trefoilgw/slots/credits.py
@@ -77,26 +77,20 @@
         base, remainder = divmod(self.total, len(ranked))
         return base + (ranked.index(entry) < remainder)
 
-    def connect(self, entry: str, now_s: float) -> dict[str, int]:
-        """Opens an account and grants the entry's share as far as free.
-
-        Returns:
-            Credits granted now, by entry.
-        """
+    def connect(self, entry: str) -> None:
+        """Opens an account, to which the entry's share is owed."""
         self.reserved_until_s.pop(entry, None)
         self.accounts[entry] = Account()
         self.accounts[entry].owed = self._missing(entry)
-        return self.grant(now_s)
 
-    def disconnect(self, entry: str, now_s: float) -> dict[str, int]:
+    def disconnect(self, entry: str, now_s: float) -> None:
         """Takes back the credits of an entry whose stream closed."""
         account = self.accounts.pop(entry, None)
         if account is None:
-            return {}
+            return
         self.free += account.held
         if not account.leaving:
             self.reserved_until_s[entry] = now_s + RESERVATION_S
-        return self.grant(now_s)
 
     def leaving(self, entry: str) -> None:
         """Notes that an entry takes no new credits."""
@@ -104,18 +98,15 @@
             self.accounts[entry].leaving = True
             self.accounts[entry].owed = 0
 
-    def returned(
-        self, entry: str, credits: int, now_s: float
-    ) -> dict[str, int]:
+    def returned(self, entry: str, credits: int, now_s: float) -> None:
         """Books credits that an entry gave back."""
         account = self.accounts.get(entry)
         if account is None:
-            return {}
+            return
         taken = max(0, min(credits, account.held))
         account.held -= taken
         account.rests_until_s = now_s + REST_S
         self.free += taken
-        return self.grant(now_s)
 
     def spend(self, entry: str, holder: str, credits: int) -> int:
         """Moves credits of a holder into use by an entry.
@@ -145,8 +136,7 @@
 
         Returns:
             How many the entry holds again. The rest has become free: the
-            entry is gone or leaving, or another one misses its first share;
-            call `grant` for those.
+            entry is gone or leaving, or another one misses its first share.
         """
         self._end_use(entry, credits)
         account = self.accounts.get(entry)
@@ -166,6 +156,8 @@
     def grant(self, now_s: float) -> dict[str, int]:
         """Grants free credits: first those owed, then the unreserved rest.
 
+        Call it after each change that may have made credits free.
+
         Returns:
             Credits granted now, by entry.
         """
