Add contract tests of the ledger and the slots

It found that a larger resize took free credits that the entry does not count; resizes now use held credits only.

--- a/trefoilgw/slots/core.py
+++ b/trefoilgw/slots/core.py
@@ -178,6 +178,7 @@
         batch.concurrency = max(0, concurrency)
         missing = batch.concurrency - batch.booked
         if missing > 0 and batch.queue:
+            missing = min(missing, self.held(entry))
             batch.booked += self.book.spend(entry, entry, missing)
         found = self.execution.advance(batch, now_s)
         if not batch.finished:
--- /dev/null
+++ b/trefoilgw/slots/tests/test_credits.py
@@ -0,0 +1,348 @@
+"""Credits: never more than the slots, and shared among the entries."""
+
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from trefoilgw.messages import core as messages
+from trefoilgw.outcomes import core as outcomes
+from trefoilgw.slots import actions
+from trefoilgw.slots import credits
+from trefoilgw.slots.tests import scenes
+from trefoilgw.slots.tests.scenes import A
+from trefoilgw.slots.tests.scenes import B
+from trefoilgw.slots.tests.scenes import batch
+from trefoilgw.slots.tests.scenes import connected
+from trefoilgw.slots.tests.scenes import finish
+from trefoilgw.slots.tests.scenes import run
+from trefoilgw.slots.tests.scenes import started
+from trefoilgw.slots.tests.scenes import told
+
+C = "c" * 16
+ENTRIES = (A, B, C)
+
+
+class ShareTest(unittest.TestCase):
+    def test_shares_are_even(self):
+        """An entry that connects first must not get every slot."""
+        cases = {(A,): [8], (A, B): [4, 4], ENTRIES: [2, 3, 3]}
+        for entries, expected in cases.items():
+            with self.subTest(len(entries)):
+                slots = connected(*entries)
+                held = sorted(slots.held(entry) for entry in entries)
+                self.assertEqual(expected, held)
+
+    def test_remainder_differs_among_agents(self):
+        """One entry must not get the larger share of every agent."""
+        first = set()
+        for number in range(40):
+            book = credits.CreditBook(f"{number:016x}", 8)
+            for entry in ENTRIES:
+                book.connect(entry)
+            smaller = [e for e in ENTRIES if book.share(e) == 2]
+            first.update(smaller)
+        self.assertEqual(set(ENTRIES), first)
+
+    def test_share_of_a_missing_entry(self):
+        """A restarted entry must find credits, a lost one must not."""
+        slots = scenes.empty()
+        slots.expect((A, B), 0.0)
+        scenes.connect(slots, A)
+        self.assertEqual([], told(slots.tick(1.0)))
+        self.assertEqual(4, slots.held(A))
+        self.assertEqual([("a", 4)], told(slots.tick(credits.RESERVATION_S)))
+        self.assertEqual([], told(scenes.connect(slots, B, now_s=4.0)))
+
+    def test_share_of_a_late_entry_is_paid_from_answers(self):
+        """An entry that joins a busy agent must get its share."""
+        slots = connected(A)
+        run(slots, batch(specs=scenes.tasks(6), concurrency=6))
+        scenes.connect(slots, B)
+        for index in range(5):
+            finish(slots, index)
+        answer, grant = told(finish(slots, 5))
+        self.assertEqual(2, answer[2])
+        self.assertEqual(("b", 4), grant)
+        self.assertEqual([4, 4], [slots.held(A), slots.held(B)])
+
+    def test_credits_of_a_lost_entry_go_to_the_others(self):
+        """Slots must not stay unused when an entry terminates."""
+        slots = connected(A, B)
+        self.assertEqual([], told(slots.disconnect(A, 1.0)))
+        found = slots.tick(1.0 + credits.RESERVATION_S)
+        self.assertEqual([("b", 4)], told(found))
+
+    def test_leaving_entry_gets_none(self):
+        """Credits sent to a leaving entry would stay unused."""
+        slots = connected(A, B)
+        run(slots, batch(specs=scenes.tasks(1)))
+        slots.entry_leaving(A)
+        answer, grant = told(finish(slots, 0))
+        self.assertEqual(0, answer[2])
+        self.assertEqual(("b", 2), grant)
+        found = slots.credits_returned(A, 2, 1.0)
+        self.assertEqual([("b", 2)], told(found))
+
+    def test_returned_credits_do_not_bounce(self):
+        """Credits given back must not return in the same moment."""
+        slots = connected(A)
+        self.assertEqual((), slots.credits_returned(A, 3, 1.0))
+        self.assertEqual(5, slots.held(A))
+        self.assertEqual([("a", 3)], told(slots.tick(1.0 + credits.REST_S)))
+        self.assertEqual((), slots.credits_returned(A, -5, 9.0))
+        self.assertEqual((), slots.credits_returned(C, 5, 9.0))
+
+
+class LendingTest(unittest.TestCase):
+    def test_borrower_uses_the_lenders_credits(self):
+        """A lent credit must leave the lender and return to its user."""
+        slots = connected(A, B)
+        message = batch(specs=scenes.tasks(1), concurrency=3, lender=A)
+        self.assertEqual([0], started(run(slots, message, entry=B)))
+        self.assertEqual([1, 4], [slots.held(A), slots.held(B)])
+        (answer,) = told(finish(slots, 0, entry=B))
+        self.assertEqual(3, answer[2])
+        self.assertEqual([1, 7], [slots.held(A), slots.held(B)])
+
+    def test_lender_has_gone(self):
+        """Credits lent anew must not be used a second time."""
+        slots = connected(A, B, slots=4)
+        slots.disconnect(A, 1.0)
+        slots.tick(1.0 + credits.RESERVATION_S)
+        slots.ledger.renewed(B, 1, 4.0)
+        message = batch(specs=scenes.tasks(1), lender=A)
+        (answer,) = told(run(slots, message, entry=B, now_s=4.0))
+        self.assertEqual((1, {0: "not_run no_slot"}, 0, True), answer)
+        self.assertEqual(4, slots.held(B))
+
+    def test_lender_holds_less_than_was_lent(self):
+        """A conflict must run what it can rather than overcommit."""
+        slots = connected(A, B)
+        run(slots, batch(specs=scenes.tasks(3), concurrency=3))
+        message = batch(2, specs=scenes.tasks(3), concurrency=3, lender=A)
+        self.assertEqual([0], started(run(slots, message, entry=B)))
+
+
+class EarlyReturnTest(unittest.TestCase):
+    def test_idle_credits(self):
+        """Idle credits must reach waiting work without many messages."""
+        cases = {"alone": (False, []), "overtaken": (True, [("a", 2)])}
+        for name, (overtaken, expected) in cases.items():
+            with self.subTest(name):
+                slots = connected(A)
+                specs = scenes.tasks(4)
+                run(slots, batch(specs=specs, concurrency=4))
+                if overtaken:
+                    run(slots, batch(2, specs=scenes.tasks(2)))
+                self.assertEqual([], told(finish(slots, 0)))
+                self.assertEqual(expected, told(finish(slots, 1)))
+
+    def test_idle_credits_travel_with_other_answers(self):
+        """A message that leaves anyway must carry idle credits."""
+        slots = connected(A)
+        run(slots, batch(specs=scenes.tasks(4), concurrency=4))
+        run(slots, batch(2, specs=scenes.tasks(1), concurrency=1))
+        finish(slots, 0)
+        (answer,) = told(finish(slots, 0, number=2))
+        self.assertEqual(2, answer[2])
+
+
+class CreditMachine(stateful.RuleBasedStateMachine):
+    """Random events, with the entries' own count of their credits.
+
+    Guards against a sum of credits above the slots, a second start, a task
+    told as not run that starts, and credits that get lost on the way.
+
+    Attributes:
+        counted: Credits by connected entry, from the messages alone.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.slots = scenes.empty(slots=5)
+        self.slots.expect(ENTRIES, 0.0)
+        self.now_s = 0.0
+        self.sessions = dict.fromkeys(ENTRIES, 0)
+        self.counted = {}
+        self.numbers = 0
+        self.running = set()
+        self.ever_started = set()
+        self.not_run = set()
+        self.open = {}
+        self.left = False
+
+    def perform(self, found):
+        for action in found:
+            match action:
+                case actions.StartTask(ref=ref, job=job):
+                    assert (job, ref.index) not in self.ever_started
+                    assert (job, ref.index) not in self.not_run
+                    self.ever_started.add((job, ref.index))
+                    self.running.add(ref)
+                case actions.GrantCredits(entry=entry, credits=count):
+                    assert count > 0
+                    self.counted[entry] += count
+                case actions.SendDone(entry=entry, message=message):
+                    self.answered(entry, message)
+
+    def answered(self, entry, message):
+        waiting = self.open.get((entry, message.batch), set())
+        if entry not in self.counted:
+            return
+        self.counted[entry] += message.credits
+        for item in message.outcomes:
+            if item.fate == "not_run":
+                assert (message.job, item.index) not in self.ever_started
+                self.not_run.add((message.job, item.index))
+        told_now = {item.index for item in message.outcomes}
+        waiting -= told_now
+        if message.final:
+            assert not waiting
+            self.open.pop((entry, message.batch), None)
+
+    @stateful.rule(entry=strategies.sampled_from(ENTRIES))
+    def connect(self, entry):
+        self.sessions[entry] += 1
+        session = self.sessions[entry]
+        self.counted[entry] = 0
+        self.perform(scenes.connect(self.slots, entry, session, self.now_s))
+        refs = tuple(
+            messages.BatchRef(number, f"t1.{number}", tuple(sorted(indices)))
+            for (home, number), indices in self.open.items()
+            if home == entry
+        )
+        found = self.slots.reconcile(entry, session, refs, self.now_s)
+        self.perform(found)
+
+    @stateful.precondition(lambda self: self.counted)
+    @stateful.rule(data=strategies.data())
+    def disconnect(self, data):
+        entry = data.draw(strategies.sampled_from(sorted(self.counted)))
+        del self.counted[entry]
+        session = self.sessions[entry]
+        self.slots.ledger.session_closed(entry, session)
+        self.perform(self.slots.disconnect(entry, self.now_s))
+
+    @stateful.precondition(lambda self: any(self.counted.values()))
+    @stateful.rule(
+        data=strategies.data(),
+        size=strategies.integers(1, 6),
+        lent=strategies.booleans(),
+        lost=strategies.sampled_from([False, False, True]),
+    )
+    def dispatch(self, data, size, lent, lost):
+        rich = sorted(e for e, count in self.counted.items() if count)
+        holder = data.draw(strategies.sampled_from(rich))
+        entry = holder
+        if lent:
+            entry = data.draw(strategies.sampled_from(sorted(self.counted)))
+        count = data.draw(strategies.integers(1, self.counted[holder]))
+        self.numbers += 1
+        number = self.numbers
+        self.open[entry, number] = set(range(size))
+        if lost:
+            return
+        self.counted[holder] -= count
+        message = batch(
+            number,
+            specs=scenes.tasks(size),
+            concurrency=count,
+            lender="" if entry == holder else holder,
+            deadline_s=data.draw(strategies.sampled_from([1.0, 30.0])),
+        )
+        session = self.sessions[entry]
+        found = run(self.slots, message, entry, session, self.now_s)
+        self.perform(found)
+
+    @stateful.precondition(lambda self: self.running)
+    @stateful.rule(
+        data=strategies.data(),
+        fate=strategies.sampled_from(
+            [
+                scenes.DONE,
+                outcomes.Failed(outcomes.Reason.TARGET_ERROR),
+                outcomes.Unknown(outcomes.Reason.TARGET_UNREACHABLE),
+            ]
+        ),
+    )
+    def task_ends(self, data, fate):
+        refs = sorted(self.running, key=lambda ref: (ref.batch, ref.index))
+        ref = data.draw(strategies.sampled_from(refs))
+        self.running.remove(ref)
+        self.perform(self.slots.task_finished(ref, fate, self.now_s))
+
+    @stateful.precondition(lambda self: self.open)
+    @stateful.rule(data=strategies.data(), size=strategies.integers(0, 6))
+    def resize(self, data, size):
+        entry, number = data.draw(strategies.sampled_from(sorted(self.open)))
+        if entry not in self.counted:
+            return
+        live = self.slots.open.get((entry, number))
+        before = live.booked if live else 0
+        found = self.slots.resize(entry, number, size, self.now_s)
+        live = self.slots.open.get((entry, number))
+        grown = max(0, (live.booked if live else 0) - before)
+        self.counted[entry] -= min(grown, self.counted[entry])
+        self.perform(found)
+
+    @stateful.precondition(lambda self: self.open)
+    @stateful.rule(data=strategies.data())
+    def strike(self, data):
+        entry, number = data.draw(strategies.sampled_from(sorted(self.open)))
+        if entry in self.counted:
+            reason = outcomes.Reason.CANCELLED
+            found = self.slots.strike(entry, (number,), reason, self.now_s)
+            self.perform(found)
+
+    @stateful.precondition(lambda self: any(self.counted.values()))
+    @stateful.rule(data=strategies.data())
+    def give_back(self, data):
+        rich = sorted(e for e, count in self.counted.items() if count)
+        entry = data.draw(strategies.sampled_from(rich))
+        count = data.draw(strategies.integers(1, self.counted[entry]))
+        self.counted[entry] -= count
+        found = self.slots.credits_returned(entry, count, self.now_s)
+        self.perform(found)
+
+    @stateful.rule(step_s=strategies.sampled_from([0.1, 1.0, 3.5]))
+    def wait(self, step_s):
+        self.now_s += step_s
+        if step_s < 3.0:
+            for entry in self.counted:
+                session = self.sessions[entry]
+                self.slots.ledger.renewed(entry, session, self.now_s)
+        self.perform(self.slots.check(self.now_s))
+        self.perform(self.slots.tick(self.now_s))
+
+    @stateful.precondition(lambda self: len(self.ever_started) > 10)
+    @stateful.rule()
+    def leave(self):
+        self.left = True
+        self.perform(self.slots.leave(self.now_s))
+
+    @stateful.invariant()
+    def slots_are_counted_once(self):
+        book = self.slots.book
+        held = sum(account.held for account in book.accounts.values())
+        total = book.free + held + sum(book.used.values())
+        assert total == book.total
+        assert book.free >= 0
+        assert len(self.running) <= sum(book.used.values())
+
+    @stateful.invariant()
+    def entries_count_as_the_agent_does(self):
+        for entry, count in self.counted.items():
+            if not self.left:
+                assert count == self.slots.held(entry), entry
+
+
+CreditMachineTest = CreditMachine.TestCase
+CreditMachineTest.settings = hypothesis.settings(
+    max_examples=150, stateful_step_count=40
+)
+
+
+if __name__ == "__main__":
+    unittest.main()
