--- /dev/null
+++ b/trefoilgw/callers/protocol.py
@@ -0,0 +1,339 @@
+"""HTTP/1.1 on a connection, on top of eventlet's WSGI server.
+
+The request head is parsed here, not by the standard library's mail parser,
+which takes about as long as everything else the entry does for a small
+request. A request is read completely before the application is called, so
+that a slow sender is cut off at one place.
+
+Source: RFC 9112, sections 2 to 7.
+"""
+
+import io
+import re
+import socket
+
+import attrs
+import eventlet
+from eventlet import greenio
+from eventlet import wsgi
+
+from trefoilgw.callers import problems
+from trefoilgw.callers import values
+from trefoilgw.outcomes import core as outcomes
+
+_TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_DISCARD_BYTES = 64 * 1024
+
+
+@attrs.define
+class Limits:
+    """Limits of requests and what broke them.
+
+    Attributes:
+        body_limit_bytes: Largest body.
+        head_limit_bytes: Largest request line and headers together.
+        line_limit_bytes: Largest single line of them.
+        send_limit_s: Seconds from the first byte of a request to its last.
+        idle_limit_s: Seconds that a connection may stay without a request.
+        slow_senders: Connections cut off so far.
+    """
+
+    body_limit_bytes: int = 4 * 1024 * 1024
+    head_limit_bytes: int = 16 * 1024
+    line_limit_bytes: int = 8 * 1024
+    send_limit_s: float = 10.0
+    idle_limit_s: float = 75.0
+    slow_senders: int = 0
+
+
+class BadRequestError(Exception):
+    """A request that can't be read; the connection is closed after it.
+
+    Attributes:
+        status: HTTP status.
+        refused: The refusal for the caller.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        detail: str,
+        reason: outcomes.Reason = outcomes.Reason.BAD_REQUEST,
+        not_run: bool = True,
+    ):
+        super().__init__(detail)
+        self.status = status
+        self.refused = outcomes.Refused(reason, not_run, detail)
+
+
+class DisconnectedError(Exception):
+    """The caller closed the connection in the middle of a request."""
+
+
+class Body(io.BytesIO):
+    """A body that was read completely, as eventlet's server expects it."""
+
+    chunked_input = False
+    content_length = 0
+    position = 0
+    headers_sent = None
+    should_send_hundred_continue = False
+
+
+class Headers(dict):
+    """Headers by lower-case name."""
+
+    def get(self, name: str, default=None):
+        """Returns a header by its name in any case."""
+        return dict.get(self, name.lower(), default)
+
+
+class Protocol(wsgi.HttpProtocol):
+    """Reads requests and hands them to the application.
+
+    Attributes:
+        limits: Set on a subclass by the server.
+    """
+
+    limits = Limits()
+
+    def handle_one_request(self):
+        """Reads and answers one request."""
+        self.raw_requestline = b""
+        self.requestline = self.command = self.request_version = ""
+        self.headers = Headers()
+        if not self._await_request():
+            self.close_connection = True
+            return
+        self.conn_state[2] = wsgi.STATE_REQUEST
+        guard = eventlet.hubs.get_hub().schedule_call_global(
+            self.limits.send_limit_s, self._cut_off
+        )
+        try:
+            self._read_head()
+            body = self._read_body()
+        except BadRequestError as error:
+            self._refuse(error)
+            return
+        except (DisconnectedError, OSError):
+            self.close_connection = True
+            return
+        finally:
+            guard.cancel()
+        self.environ = self._environ(body)
+        self.application = self.server.app
+        self.server.outstanding_requests += 1
+        try:
+            self.handle_one_response()
+        except OSError:
+            self.close_connection = True
+        finally:
+            self.server.outstanding_requests -= 1
+
+    def _await_request(self) -> bool:
+        """Waits for the first byte of a request."""
+        self.connection.settimeout(self.limits.idle_limit_s)
+        try:
+            return bool(self.rfile.peek(1))
+        except (OSError, ValueError):
+            return False
+        finally:
+            self.connection.settimeout(None)
+
+    def _cut_off(self) -> None:
+        """Ends the connection of a slow sender."""
+        self.limits.slow_senders += 1
+        greenio.shutdown_safe(self.connection)
+
+    def _read_head(self) -> None:
+        """Reads the request line and the headers."""
+        left = self.limits.head_limit_bytes
+        line = self._read_line(414)
+        left -= len(line)
+        self._parse_request_line(line)
+        while True:
+            line = self._read_line(431)
+            left -= len(line)
+            if left < 0:
+                text = f"headers exceed {self.limits.head_limit_bytes} bytes"
+                raise BadRequestError(431, text)
+            line = line.rstrip(b"\r\n")
+            if not line:
+                break
+            self._parse_header(line)
+        connection = self.headers.get("connection", "").lower()
+        if self.request_version == "HTTP/1.1":
+            self.close_connection = connection == "close"
+        else:
+            self.close_connection = connection != "keep-alive"
+
+    def _read_line(self, status: int) -> bytes:
+        """Returns one line of the head.
+
+        Args:
+            status: HTTP status if the line is too long.
+        """
+        limit = self.limits.line_limit_bytes
+        line = self.rfile.readline(limit + 1)
+        if len(line) > limit:
+            raise BadRequestError(status, f"a line exceeds {limit} bytes")
+        if not line.endswith(b"\n"):
+            raise DisconnectedError
+        return line
+
+    def _parse_request_line(self, line: bytes) -> None:
+        """Sets command, path and version."""
+        self.requestline = line.decode("latin-1").rstrip("\r\n")
+        words = self.requestline.split(" ")
+        if len(words) != 3 or not _TOKEN.fullmatch(words[0]):
+            raise BadRequestError(400, "the request line is not valid")
+        self.command, self.path, self.request_version = words
+        if self.request_version not in ("HTTP/1.1", "HTTP/1.0"):
+            raise BadRequestError(
+                400, "the version must be HTTP/1.1 or HTTP/1.0"
+            )
+        if not self.path.startswith("/"):
+            raise BadRequestError(400, "the request target must be a path")
+
+    def _parse_header(self, line: bytes) -> None:
+        """Adds one header; a repeated one is joined with a comma."""
+        name, separator, value = line.decode("latin-1").partition(":")
+        if not separator or not _TOKEN.fullmatch(name):
+            raise BadRequestError(400, "a header is not valid")
+        name = name.lower()
+        value = value.strip(" \t")
+        known = self.headers.get(name)
+        if known is None:
+            self.headers[name] = value
+        elif name not in ("content-length", "host") or known != value:
+            self.headers[name] = f"{known},{value}"
+
+    def _read_body(self) -> bytes:
+        """Returns the complete body."""
+        coding = self.headers.get("transfer-encoding")
+        length = self.headers.get("content-length")
+        if coding is None and length is None:
+            return b""
+        if coding is not None and length is not None:
+            raise BadRequestError(400, "length and transfer coding are given")
+        if coding is not None:
+            if coding.lower() != "chunked":
+                raise BadRequestError(501, "the transfer coding is not known")
+            self._send_continue()
+            return self._read_chunks()
+        if not (length.isascii() and length.isdigit()):
+            raise BadRequestError(400, "the content length is not valid")
+        size = int(length)
+        if size > self.limits.body_limit_bytes:
+            raise self._too_large()
+        self._send_continue()
+        body = self.rfile.read(size)
+        if len(body) < size:
+            raise DisconnectedError
+        return body
+
+    def _read_chunks(self) -> bytes:
+        """Returns a body in chunks; trailers are ignored."""
+        body = bytearray()
+        while True:
+            head = self._read_line(400).split(b";", 1)[0].strip()
+            if not re.fullmatch(rb"[0-9a-fA-F]{1,8}", head):
+                raise BadRequestError(400, "a chunk size is not valid")
+            size = int(head, 16)
+            if size == 0:
+                break
+            if len(body) + size > self.limits.body_limit_bytes:
+                raise self._too_large()
+            chunk = self.rfile.read(size)
+            if len(chunk) < size:
+                raise DisconnectedError
+            body += chunk
+            if self._read_line(400).strip():
+                raise BadRequestError(400, "a chunk is longer than its size")
+        left = self.limits.head_limit_bytes
+        while left > 0:
+            line = self._read_line(431)
+            left -= len(line)
+            if not line.strip():
+                return bytes(body)
+        raise BadRequestError(431, "the trailers are too large")
+
+    def _too_large(self) -> BadRequestError:
+        """Returns the refusal of a body above the limit.
+
+        The body may repeat a submission that ran, so a refusal with a key
+        does not claim that nothing ran.
+        """
+        return BadRequestError(
+            413,
+            f"the body exceeds {self.limits.body_limit_bytes} bytes",
+            outcomes.Reason.TOO_LARGE,
+            not_run="idempotency-key" not in self.headers,
+        )
+
+    def _send_continue(self) -> None:
+        """Asks for the body if the caller waits to be asked."""
+        if self.headers.get("expect", "").lower() == "100-continue":
+            self.connection.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _refuse(self, error: BadRequestError) -> None:
+        """Answers a request that can't be read, and closes."""
+        self.close_connection = True
+        if "idempotency-key" in self.headers:
+            error.refused = attrs.evolve(error.refused, not_run=False)
+        body = problems.document(error.refused, error.status)
+        head = (
+            f"HTTP/1.1 {values.status_line(error.status)}\r\n"
+            "Content-Type: application/problem+json\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            "Connection: close\r\n\r\n"
+        )
+        try:
+            self.connection.sendall(head.encode() + body)
+            self._discard()
+        except OSError:
+            return  # The caller is gone; there is nobody to tell.
+
+    def _discard(self) -> None:
+        """Reads what is still under way, so that the answer arrives.
+
+        Closing with unread bytes resets the connection, and the caller may
+        lose the answer (RFC 9112, section 9.6).
+        """
+        self.connection.shutdown(socket.SHUT_WR)
+        left = 2 * self.limits.body_limit_bytes
+        with eventlet.Timeout(self.limits.send_limit_s, False):
+            while left > 0:
+                data = self.connection.recv(_DISCARD_BYTES)
+                if not data:
+                    return
+                left -= len(data)
+
+    def _environ(self, body: bytes) -> dict:
+        """Returns the WSGI environment of the request."""
+        path, _, query = self.path.partition("?")
+        environ = {
+            "REQUEST_METHOD": self.command,
+            "SCRIPT_NAME": "",
+            "PATH_INFO": path,
+            "QUERY_STRING": query,
+            "SERVER_PROTOCOL": self.request_version,
+            "SERVER_NAME": self.server.address[0],
+            "SERVER_PORT": str(self.server.address[1]),
+            "REMOTE_ADDR": self.client_address[0],
+            "CONTENT_TYPE": self.headers.get("content-type", ""),
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.version": (1, 0),
+            "wsgi.url_scheme": "http",
+            "wsgi.errors": io.StringIO(),
+            "wsgi.multithread": True,
+            "wsgi.multiprocess": False,
+            "wsgi.run_once": False,
+            "eventlet.posthooks": [],
+        }
+        environ["wsgi.input"] = environ["eventlet.input"] = Body(body)
+        for name, value in self.headers.items():
+            if "_" in name:
+                continue  # Indistinguishable from one with a dash in WSGI.
+            environ["HTTP_" + name.upper().replace("-", "_")] = value
+        return environ
--- /dev/null
+++ b/trefoilgw/callers/server.py
@@ -0,0 +1,70 @@
+"""The listening server of the callers' interface."""
+
+from collections.abc import Callable
+
+import attrs
+import eventlet
+from eventlet import wsgi
+
+from trefoilgw.callers import protocol
+from trefoilgw.streams import core as streams
+
+# Open connections at once; the balancer keeps idle ones open.
+CONNECTIONS_LIMIT = 4096
+
+
+@attrs.define(eq=False)
+class HttpServer:
+    """Serves a WSGI application.
+
+    Attributes:
+        application: WSGI callable.
+        limits: Limits of requests.
+    """
+
+    application: Callable
+    limits: protocol.Limits = attrs.field(factory=protocol.Limits)
+    _sock: object | None = None
+    _thread: object | None = None
+    _pool: eventlet.GreenPool = attrs.field(
+        factory=lambda: eventlet.GreenPool(CONNECTIONS_LIMIT)
+    )
+
+    def listen(self, address: str) -> str:
+        """Starts serving; port 0 takes a free one.
+
+        Returns:
+            The address as ``ip:port``.
+
+        Raises:
+            OSError: The address can't be bound.
+        """
+        self._sock = eventlet.listen(
+            streams.parse_address(address), backlog=1024
+        )
+        host, port = self._sock.getsockname()[:2]
+        own = type("_Protocol", (protocol.Protocol,), {"limits": self.limits})
+        self._thread = eventlet.spawn(
+            wsgi.server,
+            self._sock,
+            self.application,
+            protocol=own,
+            custom_pool=self._pool,
+            log_output=False,
+            debug=False,
+        )
+        return f"{host}:{port}"
+
+    def stop(self, timeout_s: float) -> bool:
+        """Takes no new connections and waits for open requests.
+
+        Returns:
+            False if requests were still open after `timeout_s`.
+        """
+        if self._thread is None:
+            return True
+        self._thread.kill()
+        with eventlet.Timeout(timeout_s, False):
+            self._pool.waitall()
+            return True
+        return False
--- /dev/null
+++ b/trefoilgw/entry/admin.py
@@ -0,0 +1,112 @@
+"""WSGI application of the admin port: metrics, status and jobs."""
+
+import json
+import urllib.parse
+from collections.abc import Callable
+
+import attrs
+
+from trefoilgw.callers import values
+from trefoilgw.entry import metrics as entry_metrics
+from trefoilgw.metrics import core as metrics
+
+
+@attrs.define(eq=False)
+class Admin:
+    """Answers operators.
+
+    Attributes:
+        entry: The entry.
+        registry: Its metrics.
+    """
+
+    entry: object
+    registry: metrics.Registry = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        """Registers the metrics."""
+        self.registry = entry_metrics.make_registry(self.entry)
+
+    def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
+        """Answers one request."""
+        path = urllib.parse.unquote(environ["PATH_INFO"])
+        kind = "application/json"
+        status = 200
+        if environ["REQUEST_METHOD"] != "GET":
+            status, body = 405, b'{"detail": "only GET is allowed"}'
+        elif path == "/metrics":
+            kind, body = metrics.CONTENT_TYPE, self.registry.exposition()
+        elif path == "/admin/status":
+            body = json.dumps(status_of(self.entry)).encode()
+        elif path.startswith("/admin/jobs/"):
+            found = explain(self.entry, path[len("/admin/jobs/") :])
+            status = 200 if found else 404
+            body = json.dumps({"jobs": found}).encode()
+        else:
+            status, body = 404, b'{"detail": "there is nothing here"}'
+        headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
+        start_response(values.status_line(status), headers)
+        return [body]
+
+
+def status_of(entry) -> dict:
+    """Returns the state of an entry for operators."""
+    host = entry.host
+    config = entry.config
+    return {
+        "role": "entry",
+        "incarnation": host.incarnation,
+        "domain": host.domain,
+        "revision": config.revision,
+        "leaving": host.leaving,
+        "epoch": host.roster.epoch,
+        "roster": [attrs.asdict(item) for item in config.roster_entries()],
+        "jobs_running": len(host.table.running),
+        "jobs_queued": len(host.queued),
+        "records": len(host.table.records),
+        "free_credits": {
+            name: host.placement.free(name) for name in host.services
+        },
+        "agents": [_agent_row(s) for s in host.agents.values()],
+        "peers": [_peer_row(p) for p in host.peers.values()],
+    }
+
+
+def explain(entry, key: str) -> list[dict]:
+    """Returns what is known about the jobs of a key, one per customer."""
+    host = entry.host
+    now_s = host.now()
+    if ":" in key:
+        ids = [key]
+    else:
+        configuration = host.configuration
+        customers = configuration.customers if configuration else ()
+        ids = [f"{customer.name}:{key}" for customer in customers]
+    found = [host.table.explain(job_id, now_s) for job_id in ids]
+    return [attrs.asdict(item) for item in found if item is not None]
+
+
+def _agent_row(session) -> dict:
+    """Returns one agent for operators."""
+    return {
+        "agent": session.hello.agent,
+        "incarnation": session.agent,
+        "domain": session.hello.domain,
+        "services": list(session.hello.services),
+        "slots": session.hello.slots,
+        "admin_address": session.hello.admin_address,
+        "revision": session.revision,
+        "session": session.number,
+        "blocked": sorted(session.blocked),
+    }
+
+
+def _peer_row(peer) -> dict:
+    """Returns one peer for operators."""
+    return {
+        "incarnation": peer.entry.incarnation,
+        "admin_address": peer.entry.admin_address,
+        "revision": peer.revision,
+        "free_credits": peer.free_credits,
+        "leaving": peer.leaving,
+    }
--- /dev/null
+++ b/trefoilgw/entry/configuring.py
@@ -0,0 +1,157 @@
+"""The configuration in force at an entry and the roster, and their exchange.
+
+Whichever process is behind asks the other; a process takes only a higher
+revision.
+"""
+
+import logging
+from collections.abc import Callable
+from collections.abc import Mapping
+
+import attrs
+
+from trefoilgw.entry import host as hosts
+from trefoilgw.keys import core as keys
+from trefoilgw.messages import core as messages
+from trefoilgw.records import core as records
+
+# A roster read longer ago proves nothing about a missing entry.
+ROSTER_FRESH_S = 10.0
+# Incarnations remembered after they are gone from the history of the
+# platform's record; 9 hosts fail and 130 are replaced a day.
+SEEN_LIMIT = 10_000
+
+log = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Configuring:
+    """Configuration and roster of one entry.
+
+    Attributes:
+        host: State of this entry.
+        own: This entry in the roster.
+        document: Document in force, empty if none.
+        revision: Its revision, 0 if none.
+        entries: Roster entries of the current epoch.
+        roster_read_s: When the roster was read last, None if never.
+        seen: Incarnations that were ever in a roster seen here, as an
+            ordered set.
+        on_change: Called after a new configuration is in force.
+        on_roster_change: Called after the entries to announce changed.
+    """
+
+    host: hosts.Host
+    own: messages.RosterEntry
+    document: bytes = b""
+    revision: int = 0
+    entries: tuple[messages.RosterEntry, ...] = ()
+    roster_read_s: float | None = None
+    seen: dict = attrs.field(factory=dict)
+    on_change: Callable[[], None] = lambda: None
+    on_roster_change: Callable[[], None] = lambda: None
+
+    def offer(self, revision: int, document: bytes) -> bool:
+        """Takes a configuration if it is newer and valid.
+
+        Returns:
+            True if it is in force now.
+        """
+        if revision <= self.revision:
+            return False
+        parsed = records.parse_document(document)
+        if isinstance(parsed, tuple) or parsed.revision != revision:
+            log.error(
+                "configuration is not valid", extra={"revision": revision}
+            )
+            return False
+        host = self.host
+        self.document = document
+        self.revision = revision
+        host.configuration = parsed
+        host.admission.configure(parsed, host.read_clock())
+        for kind in parsed.kinds:
+            host.placement.declare(kind.name, kind.run_time_s)
+        log.info("configuration in force", extra={"revision": revision})
+        self._tell_agents()
+        self.on_change()
+        host.pump()
+        return True
+
+    def push(self, stream) -> None:
+        """Sends the configuration in force to one process."""
+        if self.revision:
+            self.host.send(
+                stream, messages.ConfigPush(self.revision, self.document)
+            )
+
+    def take_roster(
+        self,
+        epoch: int,
+        entries: tuple[messages.RosterEntry, ...],
+        history: Mapping[int, tuple[str, ...]],
+        read_s: float,
+    ) -> None:
+        """Takes a roster that was read from the platform.
+
+        Args:
+            epoch: Its epoch.
+            entries: The entries of the epoch.
+            history: Incarnations by epoch.
+            read_s: Monotonic time of the reading.
+        """
+        self.roster_read_s = read_s
+        host = self.host
+        if epoch < host.roster.epoch:
+            return
+        names = tuple(entry.incarnation for entry in entries)
+        for members in (*history.values(), names):
+            self.seen.update(dict.fromkeys(members))
+        while len(self.seen) > SEEN_LIMIT:
+            del self.seen[next(iter(self.seen))]
+        if epoch == host.roster.epoch:
+            return
+        host.roster = keys.RosterView(epoch, names, dict(history))
+        host.epochs.seen(epoch)
+        self.entries = entries
+        log.info("roster changed", extra={"epoch": epoch, "entries": names})
+        self.announce()
+
+    def roster_entries(self) -> tuple[messages.RosterEntry, ...]:
+        """Returns the entries that agents should know, this one included.
+
+        An entry that started while the platform is down is missing in the
+        roster, but agents can reach it.
+        """
+        known = {entry.incarnation: entry for entry in self.entries}
+        if not self.host.leaving:
+            known.setdefault(self.own.incarnation, self.own)
+        for name, peer in self.host.peers.items():
+            if not peer.leaving:
+                known.setdefault(name, peer.entry)
+        return tuple(known[name] for name in sorted(known))
+
+    def announce(self) -> None:
+        """Tells the agents which entries there are."""
+        message = messages.Roster(self.host.roster.epoch, self.roster_entries())
+        for session in self.host.agents.values():
+            self.host.send(session.stream, message)
+        self.on_roster_change()
+
+    def is_lost(self, incarnation: str, now_s: float) -> bool:
+        """Returns whether a home is gone for good.
+
+        It was a member once and is missing from a roster that was read within
+        the last 10 s. An incarnation never seen may be new instead.
+        """
+        if incarnation not in self.seen or self.roster_read_s is None:
+            return False
+        if now_s - self.roster_read_s > ROSTER_FRESH_S:
+            return False
+        return incarnation not in self.host.roster.entries
+
+    def _tell_agents(self) -> None:
+        """Pushes the configuration to the agents that are behind."""
+        for session in self.host.agents.values():
+            if session.revision < self.revision:
+                self.push(session.stream)
--- /dev/null
+++ b/trefoilgw/entry/exchange.py
@@ -0,0 +1,86 @@
+"""What passes through the filters of a home."""
+
+import attrs
+
+from trefoilgw.callers import values
+from trefoilgw.jobs import model as jobs
+from trefoilgw.keys import core as keys
+from trefoilgw.outcomes import core as outcomes
+
+
+@attrs.frozen
+class Submission:
+    """The decoded body of a submission.
+
+    Attributes:
+        kind: Name of the kind.
+        payloads: Request body of each task, JSON text in UTF-8.
+        deadline_s: Seconds until the deadline, None for that of the kind.
+        idempotent: None for the value of the kind.
+        digest: Hash of what was submitted.
+    """
+
+    kind: str
+    payloads: tuple[bytes, ...]
+    deadline_s: float | None
+    idempotent: bool | None
+    digest: bytes
+
+
+@attrs.frozen
+class Sending:
+    """A batch that has a place but was not sent yet.
+
+    Attributes:
+        job: The job.
+        agent: Incarnation of the agent.
+        lender: Entry that the credits were lent to first, or empty.
+        indices: Tasks of the batch.
+        concurrency: Credits that it spends.
+    """
+
+    job: jobs.Job
+    agent: str
+    lender: str
+    indices: tuple[int, ...]
+    concurrency: int
+
+
+@attrs.define(eq=False)
+class Exchange:
+    """One pass through the filters.
+
+    A pass without a caller's request places and sends work that waited.
+
+    Attributes:
+        request: The caller's request, None if there is none.
+        key: Parsed key.
+        customer: Name of the identified customer.
+        forwarded: True if a peer identified the customer.
+        submission: Decoded body, None if it is not valid.
+        kind: Record of the kind.
+        fault: Why the submission can't be accepted. Whether nothing ran
+            under the key is known only after `deduplicate`.
+        job: The job.
+        is_new: True if this pass made the job.
+        sendings: Batches to send.
+        reply: The answer; no further filter runs once it is set.
+    """
+
+    request: values.Request | None = None
+    key: keys.Key | None = None
+    customer: str = ""
+    forwarded: bool = False
+    submission: Submission | None = None
+    kind: object | None = None
+    fault: outcomes.Refused | None = None
+    job: jobs.Job | None = None
+    is_new: bool = False
+    sendings: list[Sending] = attrs.field(factory=list)
+    reply: values.Reply | None = None
+
+    @property
+    def is_submission(self) -> bool:
+        """True if the caller submits a job."""
+        request = self.request
+        return request is not None and request.action is values.Action.SUBMIT
--- /dev/null
+++ b/trefoilgw/entry/metrics.py
@@ -0,0 +1,69 @@
+"""Metrics of an entry, read from its counts and parts per scrape."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+from trefoilgw.metrics import core as metrics
+
+
+def make_registry(entry) -> metrics.Registry:
+    """Returns the registry of an entry."""
+    registry = metrics.Registry()
+    host = entry.host
+    counts = host.counts
+    labelled = (
+        ("messages_sent", "Messages sent", "type", counts.messages_sent),
+        (
+            "messages_received",
+            "Messages received",
+            "type",
+            counts.messages_received,
+        ),
+        ("messages_wasted", "Messages without use", "cause", counts.wasted),
+        ("jobs_ended", "Jobs with an answer", "state", counts.jobs_ended),
+        ("requests_refused", "Refused requests", "reason", counts.refusals),
+    )
+    for name, text, label, values in labelled:
+        registry.read_counter(name, text, _rows(values), label)
+    plain = (
+        ("tasks_sent", "Tasks sent to agents", lambda: counts.tasks_sent),
+        ("tasks_retried", "Tasks sent again", lambda: counts.tasks_retried),
+        ("requests_forwarded", "Requests forwarded", lambda: counts.forwarded),
+        ("pauses", "Pauses that ended jobs", lambda: counts.pauses),
+        (
+            "messages_foreign",
+            "Messages of closed sessions",
+            lambda: counts.foreign_messages,
+        ),
+        (
+            "outcomes_ignored",
+            "Late, doubled or foreign outcomes",
+            lambda: host.table.ignored_outcomes,
+        ),
+    )
+    for name, text, read in plain:
+        registry.read_counter(name, text, _single(read))
+    gauges = (
+        ("jobs_running", "Jobs running", lambda: len(host.table.running)),
+        ("jobs_queued", "Jobs waiting", lambda: len(host.queued)),
+        ("records", "Keys with a record", lambda: len(host.table.records)),
+        ("agents", "Agents connected", lambda: len(host.agents)),
+        ("peers", "Entries connected", lambda: len(host.peers)),
+        ("revision", "Configuration", lambda: entry.config.revision),
+        ("epoch", "Roster epoch", lambda: host.roster.epoch),
+    )
+    for name, text, read in gauges:
+        registry.read_gauge(name, text, _single(read))
+    return registry
+
+
+def _rows(values: dict) -> Callable[[], Iterable[metrics.Sample]]:
+    """Returns a reader of labelled counts."""
+    return lambda: [
+        metrics.Sample(value, (str(name),)) for name, value in values.items()
+    ]
+
+
+def _single(read: Callable[[], float]) -> Callable:
+    """Returns a reader of one value."""
+    return lambda: [metrics.Sample(read())]
--- /dev/null
+++ b/trefoilgw/entry/routing.py
@@ -0,0 +1,225 @@
+"""From a caller's request to the filters here or to the home elsewhere."""
+
+import json
+import logging
+
+import attrs
+
+from trefoilgw.callers import problems
+from trefoilgw.callers import values
+from trefoilgw.entry import answer
+from trefoilgw.entry import configuring
+from trefoilgw.entry import decode
+from trefoilgw.entry import exchange as exchanges
+from trefoilgw.entry import host as hosts
+from trefoilgw.entry import identify
+from trefoilgw.entry import peers
+from trefoilgw.keys import core as keys
+from trefoilgw.messages import core as messages
+from trefoilgw.outcomes import core as outcomes
+
+TICKETS_LIMIT = 1000
+NONCE_BITS = 64
+# Extra time for the home's answer, above what the caller waits.
+FORWARD_GRACE_S = 3.0
+
+log = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Router:
+    """Answers callers' requests and requests that peers forward.
+
+    Attributes:
+        host: State of this entry.
+        config: Configuration and roster.
+        peers: Streams to the other entries.
+        run: Runs an exchange through all filters.
+    """
+
+    host: hosts.Host
+    config: configuring.Configuring
+    peers: peers.Peers
+    run: object
+
+    def handle(self, request: values.Request) -> values.Reply:
+        """Answers one request of a caller."""
+        self.host.open_requests += 1
+        try:
+            reply = self._answer(request)
+        except Exception:
+            log.exception("request failed")
+            reply = problems.problem(
+                outcomes.Refused(outcomes.Reason.INTERNAL, not_run=False)
+            )
+        finally:
+            self.host.open_requests -= 1
+        return reply
+
+    def issue(self, count: int) -> list[str]:
+        """Returns new tickets of this entry."""
+        window = self.host.windows.current(self.host.read_clock())
+        return [
+            keys.format_key(
+                keys.Ticket(
+                    self.host.incarnation,
+                    window,
+                    f"{self.host.rng.getrandbits(NONCE_BITS):016x}",
+                )
+            )
+            for _ in range(count)
+        ]
+
+    def serve(self, peer: peers.Peer, forward: messages.Forward) -> None:
+        """Answers a request that a peer forwarded."""
+        try:
+            reply = self._serve(forward)
+        except Exception:
+            log.exception("forwarded request failed")
+            reply = problems.problem(
+                outcomes.Refused(outcomes.Reason.INTERNAL, not_run=False)
+            )
+        self.peers.reply(peer, forward.request, reply)
+
+    def _answer(self, request: values.Request) -> values.Reply:
+        """Answers one request."""
+        match request.action:
+            case values.Action.HEALTH:
+                return self._health()
+            case values.Action.EPOCH:
+                return _json(
+                    {
+                        "epoch": self.host.roster.epoch,
+                        "incarnation": self.host.incarnation,
+                    }
+                )
+            case values.Action.TICKETS:
+                return self._tickets(request)
+        return self._job_request(request)
+
+    def _job_request(self, request: values.Request) -> values.Reply:
+        """Answers a request about a job, here or through its home."""
+        if not request.key and request.action is values.Action.SUBMIT:
+            return self._run_here(request, keys.parse_key(self.issue(1)[0]))
+        key = keys.parse_key(request.key)
+        if isinstance(key, outcomes.Refused):
+            return problems.problem(key)
+        home = keys.home_of(key, self.host.roster)
+        if isinstance(home, outcomes.Refused):
+            return problems.problem(home, attempt_forwarded=False)
+        if home == self.host.incarnation:
+            return self._run_here(request, key)
+        return self._forward(request, key, home)
+
+    def _run_here(self, request: values.Request, key: keys.Key):
+        """Runs the filters for a request whose home this is."""
+        exchange = exchanges.Exchange(request=request, key=key)
+        self.run(exchange)
+        return exchange.reply
+
+    def _forward(
+        self, request: values.Request, key: keys.Key, home: str
+    ) -> values.Reply:
+        """Has the home answer a request."""
+        customer = identify.customer_of(self.host, request.token)
+        if isinstance(customer, outcomes.Refused):
+            return problems.problem(attrs.evolve(customer, not_run=False))
+        text = keys.format_key(key)
+        peer = self.peers.reachable(home)
+        if peer is None:
+            return self._without_home(request, text, home)
+        reply = self.peers.forward(
+            peer,
+            messages.Forward(
+                request=0,
+                customer=customer,
+                action=str(request.action),
+                key=text,
+                body=request.body,
+                wait_s=request.wait_s,
+            ),
+            request.wait_s + FORWARD_GRACE_S,
+        )
+        if reply is None:
+            return _unreachable(forwarded=True)
+        return reply
+
+    def _without_home(
+        self, request: values.Request, key: str, home: str
+    ) -> values.Reply:
+        """Answers a request whose home can't be reached."""
+        if not self.config.is_lost(home, self.host.read_clock()):
+            return _unreachable(forwarded=False)
+        tasks = None
+        if request.action is values.Action.SUBMIT:
+            tasks = decode.count_tasks(request.body)
+        return answer.lost(key, tasks)
+
+    def _serve(self, forward: messages.Forward) -> values.Reply:
+        """Returns the answer to a forwarded request."""
+        request = values.Request(
+            values.Action(forward.action),
+            key=forward.key,
+            body=forward.body,
+            wait_s=forward.wait_s,
+        )
+        key = keys.parse_key(forward.key)
+        if isinstance(key, outcomes.Refused):
+            return problems.problem(key)
+        home = keys.home_of(key, self.host.roster)
+        if home != self.host.incarnation:
+            # Never passed on, so that two rosters make no loop.
+            return _unreachable(forwarded=True)
+        exchange = exchanges.Exchange(
+            request=request,
+            key=key,
+            customer=forward.customer,
+            forwarded=True,
+        )
+        self.run(exchange)
+        return exchange.reply
+
+    def _health(self) -> values.Reply:
+        """Answers the balancer."""
+        if self.host.leaving:
+            return _json({"status": "leaving"}, 503)
+        if self.host.configuration is None:
+            return _json({"status": "no_configuration"}, 503)
+        return _json({"status": "ok"})
+
+    def _tickets(self, request: values.Request) -> values.Reply:
+        """Issues tickets."""
+        customer = identify.customer_of(self.host, request.token)
+        if isinstance(customer, outcomes.Refused):
+            return problems.problem(customer)
+        if self.host.leaving:
+            return problems.problem(identify.LEAVING)
+        count = decode.read_count(request.body, TICKETS_LIMIT)
+        if count is None:
+            return problems.problem(
+                outcomes.Refused(
+                    outcomes.Reason.BAD_REQUEST,
+                    not_run=True,
+                    detail='the body must be {"count": n} with n from 1 to '
+                    f"{TICKETS_LIMIT}",
+                )
+            )
+        return _json({"tickets": self.issue(count)})
+
+
+def _json(fields: dict, status: int = 200) -> values.Reply:
+    """Returns a reply with a JSON object."""
+    return values.Reply(status, json.dumps(fields).encode())
+
+
+def _unreachable(forwarded: bool) -> values.Reply:
+    """Returns the refusal for a home that gives no answer."""
+    return problems.problem(
+        outcomes.Refused(
+            outcomes.Reason.HOME_UNREACHABLE,
+            not_run=False,
+            detail="the entry that this key belongs to gives no answer",
+            retry_after_s=1.0,
+        ),
+        attempt_forwarded=forwarded,
+    )
--- a/trefoilgw/jobs/core.py
+++ b/trefoilgw/jobs/core.py
@@ -62,6 +62,7 @@
         deadline_s: float,
         idempotent: bool,
         now_s: float,
+        digest: bytes = b"",
     ) -> model.Accepted | model.Existing | fates.Refused:
         """Takes a submission whose home this is.
 
@@ -73,27 +74,23 @@
             deadline_s: Seconds from now until the deadline.
             idempotent: False if the work must run at most once.
             now_s: Monotonic time.
+            digest: Hash of the submission as the caller made it; empty for
+                one over the arguments. Defaults may change in between.
 
         Returns:
             The job, new or known, or a refusal.
         """
+        digest = digest or model.digest(
+            kind.name, payloads, deadline_s, idempotent
+        )
+        known = self.known(key, customer, digest, now_s)
+        if known is not None:
+            return known
         text = keys.format_key(key)
         job_id = f"{customer}:{text}"
-        digest = model.digest(kind.name, payloads, deadline_s, idempotent)
-        record = self.records.get(job_id)
-        if record is not None and record.state is not model.State.REFUSED:
-            return rules.resubmitted(record, digest)
-        refusal = self.kept.refusal(key, now_s)
-        full = len(self.records) >= self.records_limit
-        if refusal is None and record is None and full:
-            refusal = fates.Refused(
-                fates.Reason.OVERLOAD,
-                not_run=True,
-                detail="the table of keys is full",
-                retry_after_s=keys.WINDOW_S,
-            )
-        if refusal is not None:
-            return refusal
+        is_first = job_id not in self.records
+        if is_first and len(self.records) >= self.records_limit:
+            return rules.TABLE_FULL
         job = model.Job(
             id=job_id,
             key=text,
@@ -105,12 +102,21 @@
             digest=digest,
             accepted_s=now_s,
         )
-        if record is None:
+        if is_first:
             self.kept.keep(key, job_id)
         self.records[job_id] = self.running[job_id] = job
         self.due_times.watch(job_id, job.deadline_s)
         return model.Accepted(job)
 
+    def known(
+        self, key: keys.Key, customer: str, digest: bytes, now_s: float
+    ) -> model.Existing | fates.Refused | None:
+        """Returns what a key already stands for, None if it is free."""
+        record = self.records.get(f"{customer}:{keys.format_key(key)}")
+        if record is not None and record.state is not model.State.REFUSED:
+            return rules.resubmitted(record, digest)
+        return self.kept.refusal(key, now_s)
+
     def find(
         self, key: keys.Key, customer: str, now_s: float
     ) -> model.Job | fates.Refused:
@@ -285,14 +291,11 @@
 
     def explain(self, key: str, now_s: float = 0.0) -> model.Explanation | None:
         """Returns what is known about a job, by its id ``customer:key``."""
-        customer, _, text = key.rpartition(":")
         match self.records.get(key):
             case model.Job() as job:
                 return rules.explain(job, self.batches.targets(job), now_s)
             case model.Tombstone(state=state):
-                return model.Explanation(
-                    text, customer, state, "", "", 0.0, 0.0, 0, 0, (), ()
-                )
+                return rules.explain_tombstone(key, state)
         return None
 
     def _apply(self, batch: model.Batch, found: list, now_s: float):
@@ -351,7 +354,9 @@
         )
 
     def _past_deadline(self, job: model.Job, now_s: float):
-        """Returns what follows for a job whose deadline has passed."""
+        """Returns what follows for a job whose deadline may have passed."""
+        if now_s < job.deadline_s:
+            return None  # Set for a refused job of the same key.
         if now_s >= job.deadline_s + END_AFTER_DEADLINE_S:
             return self._cut(job, fates.Reason.DEADLINE, now_s)
         self.due_times.watch(job.id, job.deadline_s + END_AFTER_DEADLINE_S)
--- a/trefoilgw/jobs/rules.py
+++ b/trefoilgw/jobs/rules.py
@@ -1,6 +1,7 @@
 """Rules of the job table that need no table."""
 
 from trefoilgw.jobs import model
+from trefoilgw.keys import core as keys
 from trefoilgw.outcomes import core as outcomes
 
 # A task struck for one of these reasons is not sent again.
@@ -12,6 +13,13 @@
     }
 )
 
+TABLE_FULL = outcomes.Refused(
+    outcomes.Reason.OVERLOAD,
+    not_run=True,
+    detail="the table of keys is full",
+    retry_after_s=keys.WINDOW_S,
+)
+
 
 def resubmitted(
     record: model.Job | model.Tombstone, digest: bytes
@@ -80,3 +88,11 @@
             for fate in job.fates
         ),
     )
+
+
+def explain_tombstone(job_id: str, state: model.State) -> model.Explanation:
+    """Returns what is known about a job whose answer is gone."""
+    customer, _, key = job_id.rpartition(":")
+    return model.Explanation(
+        key, customer, state, "", "", 0.0, 0.0, 0, 0, (), ()
+    )
--- /dev/null
+++ b/trefoilgw/jobs/tests/test_core.py
@@ -0,0 +1,480 @@
+import unittest
+
+import attrs
+
+from trefoilgw.jobs import core as jobs
+from trefoilgw.jobs import model
+from trefoilgw.jobs import retention
+from trefoilgw.keys import core as keys
+from trefoilgw.messages import core as messages
+from trefoilgw.outcomes import core as outcomes
+
+HOME = "e" * 16
+AGENT, OTHER = "a" * 16, "b" * 16
+STRUCK = outcomes.NotRun(outcomes.Reason.LEAVING)
+FAILED = outcomes.Failed(outcomes.Reason.TARGET_ERROR)
+UNKNOWN = outcomes.Unknown(outcomes.Reason.AGENT_LOST)
+Reason = outcomes.Reason
+State = model.State
+
+
+@attrs.frozen
+class Kind:
+    name: str = "preview"
+
+
+def ticket(number=0, window=0):
+    return keys.Ticket(HOME, window, f"{number:016x}")
+
+
+def wire(fates):
+    """Returns wire outcomes for a dict of index to fate."""
+    return tuple(messages.fate_to_wire(i, fate) for i, fate in fates.items())
+
+
+def ok(index):
+    return outcomes.Completed(b"%d" % index)
+
+
+class TableTestCase(unittest.TestCase):
+    def setUp(self):
+        self.epochs = keys.AcceptedEpochs()
+        self.kept = retention.Retention(keys.Windows(0.0), self.epochs)
+        self.table = jobs.JobTable(self.kept, records_limit=100)
+
+    def submit(self, key=None, tasks=1, now_s=0.0, customer="cobre", **fields):
+        fields = {
+            "kind": Kind(),
+            "payloads": tuple(b"%d" % i for i in range(tasks)),
+            "deadline_s": 10.0,
+            "idempotent": True,
+        } | fields
+        return self.table.submit(
+            key or ticket(), customer, now_s=now_s, **fields
+        )
+
+    def running(self, *batches, **fields):
+        """Returns a job whose tasks were sent in batches of given sizes."""
+        job = self.submit(tasks=sum(batches), **fields).job
+        first = 0
+        for number, size in enumerate(batches, 1):
+            indices = tuple(range(first, first + size))
+            self.table.sent(job, number, AGENT, 1, indices)
+            first += size
+        return job
+
+    def report(
+        self, batch, fates, final=True, job=None, agent=AGENT, session=1
+    ):
+        known = self.table.batches.by_number.get(batch)
+        job_id = job or (known.job.id if known else "cobre:gone")
+        origin = model.Origin(job_id, agent, session)
+        return self.table.outcomes(batch, wire(fates), final, 1.0, origin)
+
+
+class SubmitTest(TableTestCase):
+    def test_same_submission_is_one_job(self):
+        """A job believed lost must not start twice."""
+        first = self.submit()
+        for _ in range(2):
+            again = self.submit(now_s=1.0)
+            self.assertIsInstance(again, model.Existing)
+            self.assertIs(first.job, again.job)
+
+    def test_another_body_under_a_key(self):
+        """The refusal must not claim that nothing ran: the first body did."""
+        cases = (
+            {"payloads": (b"9",)},
+            {"payloads": (b"0", b"0")},
+            {"payloads": (b"",)},
+            {"kind": Kind("proof")},
+            {"deadline_s": 11.0},
+            {"idempotent": False},
+        )
+        self.submit()
+        for fields in cases:
+            with self.subTest(fields):
+                refused = self.submit(**fields)
+                self.assertEqual(Reason.KEY_REUSED, refused.reason)
+                self.assertFalse(refused.not_run)
+
+    def test_keys_belong_to_customers(self):
+        """Customers that choose the same key must not share a job."""
+        first = self.submit()
+        other = self.submit(customer="bluebonnet")
+        self.assertIsInstance(other, model.Accepted)
+        self.assertNotEqual(first.job.id, other.job.id)
+        found = self.table.find(ticket(5), "cobre", 0.0)
+        self.assertEqual(Reason.NOT_FOUND, found.reason)
+
+    def test_default_may_change_between_submissions(self):
+        """A new default of the kind must not look like another body."""
+        first = self.submit(digest=b"same")
+        again = self.submit(digest=b"same", deadline_s=20.0)
+        self.assertIs(first.job, again.job)
+
+    def test_full_table_refuses_new_keys(self):
+        """Dropping a tombstone early would allow a second start."""
+        self.table.records_limit = 2
+        first = self.submit(ticket(1)).job
+        self.submit(ticket(2))
+        self.table.withdraw(
+            first, outcomes.Refused(Reason.QUOTA, not_run=True), 0.0
+        )
+        refused = self.submit(ticket(3))
+        self.assertEqual(Reason.OVERLOAD, refused.reason)
+        self.assertTrue(refused.not_run)
+        self.assertIsInstance(self.submit(ticket(2)), model.Existing)
+        # A refused job has its record already.
+        self.assertIsInstance(self.submit(ticket(1)), model.Accepted)
+
+    def test_keys_that_are_not_accepted(self):
+        """Only a key that never had a record may be refused as not run."""
+        self.epochs.seen(7)
+        now_s = 3 * keys.WINDOW_S
+        cases = (
+            (ticket(window=0), Reason.EXPIRED_KEY, False),
+            (ticket(window=4), Reason.BAD_REQUEST, True),
+            (keys.OwnKey(3, "a"), Reason.EXPIRED_KEY, False),
+            (keys.OwnKey(8, "a"), Reason.HOME_UNREACHABLE, False),
+        )
+        for key, reason, not_run in cases:
+            with self.subTest(key=key):
+                refused = self.submit(key, now_s=now_s)
+                self.assertEqual(reason, refused.reason)
+                self.assertEqual(not_run, refused.not_run)
+        for key in (ticket(window=1), ticket(window=3), keys.OwnKey(4, "a")):
+            accepted = self.submit(key, now_s=now_s)
+            self.assertIsInstance(accepted, model.Accepted)
+
+
+class OutcomesTest(TableTestCase):
+    def test_results_stand_in_the_order_of_the_tasks(self):
+        """Outcomes arrive in any order; the answer must not."""
+        job = self.running(2, 1, 2)
+        self.assertIsNone(self.report(3, {4: ok(4), 3: ok(3)}))
+        self.assertIsNone(self.report(1, {1: ok(1)}, final=False))
+        self.assertIsNone(self.report(2, {2: ok(2)}))
+        ended = self.report(1, {0: ok(0)})
+        self.assertEqual(model.JobEnded(job), ended)
+        self.assertEqual(State.COMPLETE, job.state)
+        self.assertEqual(
+            [b"0", b"1", b"2", b"3", b"4"], [fate.result for fate in job.fates]
+        )
+
+    def test_foreign_messages_change_nothing(self):
+        """An answer must never reach another job or count twice."""
+        cases = (
+            ("wrong agent", {"agent": OTHER}),
+            ("older session", {"session": 0}),
+            ("newer session", {"session": 2}),
+            ("wrong job", {"job": "cobre:other"}),
+            ("wrong customer", {"job": "bluebonnet:" + "x"}),
+        )
+        job = self.running(1)
+        for name, fields in cases:
+            with self.subTest(name):
+                self.assertIsNone(self.report(1, {0: ok(9)}, **fields))
+                self.assertEqual([None], job.fates)
+        self.assertIsNone(self.report(7, {0: ok(9)}, job=job.id))
+        self.assertIsNone(self.report(1, {5: ok(9)}))
+        self.assertEqual([None], job.fates)
+        self.assertEqual(len(cases) + 2, self.table.ignored_outcomes)
+
+    def test_doubled_and_reordered_messages(self):
+        """A repeated or late message must change neither fate nor count."""
+        job = self.running(3)
+        self.assertIsNone(self.report(1, {2: ok(2)}, final=True))
+        self.assertIsNone(self.report(1, {2: FAILED}, final=True))
+        self.assertIsNone(self.report(1, {0: ok(0)}, final=False))
+        self.assertIsNone(self.report(1, {0: STRUCK}, final=False))
+        self.assertIsInstance(self.report(1, {1: ok(1)}), model.JobEnded)
+        self.assertIsNone(self.report(1, {1: FAILED}, job=job.id))
+        self.assertEqual([ok(0), ok(1), ok(2)], job.fates)
+
+    def test_task_twice_in_one_message(self):
+        """A task struck and completed in one message must not run again."""
+        job = self.running(2)
+        outcomes_ = wire({0: STRUCK}) * 2 + wire({0: ok(0)})
+        result = self.table.outcomes(
+            1, outcomes_, False, 1.0, model.Origin(job.id, AGENT, 1)
+        )
+        self.assertEqual(model.RetryTasks(job, (0,)), result)
+        self.assertEqual([0], job.waiting)
+
+    def test_one_bad_task_fails_the_job(self):
+        """A partial answer would break the promise to callers."""
+        for bad, reason in (
+            (FAILED, Reason.TARGET_ERROR),
+            (UNKNOWN, Reason.AGENT_LOST),
+        ):
+            with self.subTest(reason):
+                self.setUp()
+                job = self.running(1, 2)
+                strike = self.report(1, {0: bad})
+                target = model.BatchTarget(2, AGENT)
+                expected = model.StrikeBatches(
+                    job, (target,), Reason.SIBLING_FAILED
+                )
+                self.assertEqual(expected, strike)
+                struck = outcomes.NotRun(Reason.SIBLING_FAILED)
+                ended = self.report(2, {1: ok(1), 2: struck})
+                self.assertEqual(model.JobEnded(job), ended)
+                self.assertEqual(State.FAILED, job.state)
+                self.assertEqual(reason, job.doomed)
+                self.assertEqual([bad, ok(1), struck], job.fates)
+
+    def test_bad_task_ends_those_that_wait(self):
+        """Tasks of a failed job that were never sent must stay unsent."""
+        job = self.submit(tasks=3).job
+        self.table.sent(job, 1, AGENT, 1, (0,))
+        ended = self.report(1, {0: FAILED})
+        self.assertEqual(model.JobEnded(job), ended)
+        struck = outcomes.NotRun(Reason.SIBLING_FAILED)
+        self.assertEqual([FAILED, struck, struck], job.fates)
+
+    def test_only_not_run_is_retried(self):
+        """A task that may have started must never start again."""
+        job = self.running(2, 1)
+        retry = self.report(1, {0: ok(0), 1: STRUCK})
+        self.assertEqual(model.RetryTasks(job, (1,)), retry)
+        self.assertEqual([1], job.waiting)
+        self.assertEqual({AGENT}, job.refusers)
+        self.table.sent(job, 9, OTHER, 4, (1,))
+        self.assertIsNone(self.report(2, {2: ok(2)}))
+        ended = self.report(9, {1: ok(1)}, agent=OTHER, session=4)
+        self.assertEqual(State.COMPLETE, ended.job.state)
+
+    def test_message_of_the_first_attempt_after_the_retry(self):
+        """A late word of the agent that refused must not end the retry."""
+        job = self.running(1)
+        self.report(1, {0: STRUCK})
+        self.table.sent(job, 2, OTHER, 4, (0,))
+        self.assertIsNone(self.report(1, {0: FAILED}, job=job.id))
+        self.assertIsNone(self.report(2, {0: FAILED}, agent=AGENT))
+        self.assertEqual([None], job.fates)
+
+    def test_reasons_that_are_not_retried(self):
+        """Work that was struck on purpose must not come back."""
+        for reason in (
+            Reason.CANCELLED,
+            Reason.DEADLINE,
+            Reason.SIBLING_FAILED,
+        ):
+            with self.subTest(reason):
+                self.setUp()
+                job = self.running(1)
+                self.report(1, {0: outcomes.NotRun(reason)})
+                self.assertEqual(State.FAILED, job.state)
+
+    def test_retry_given_up(self):
+        """A spent retry budget ends the job instead of leaving it open."""
+        job = self.running(1, 1)
+        self.report(1, {0: STRUCK})
+        result = self.table.settle(job, (0,), Reason.CAPACITY, 1.0)
+        self.assertIsInstance(result, model.StrikeBatches)
+        self.report(2, {1: ok(1)})
+        self.assertEqual(State.FAILED, job.state)
+        self.assertEqual(outcomes.NotRun(Reason.CAPACITY), job.fates[0])
+
+    def test_message_that_never_left(self):
+        """A closed stream proves that nothing was sent."""
+        job = self.running(2)
+        retry = self.table.not_sent(1, 0.0)
+        self.assertEqual(model.RetryTasks(job, (0, 1)), retry)
+        self.assertEqual((), self.table.open_batches(AGENT))
+
+
+class AgentTest(TableTestCase):
+    def test_lost_agent(self):
+        """Tasks at an agent that is gone may have run."""
+        job = self.running(1, 2)
+        self.report(2, {1: ok(1)}, final=False)
+        results = self.table.agent_lost(AGENT, 1.0)
+        self.assertEqual(model.JobEnded(job), results[-1])
+        self.assertEqual([UNKNOWN, ok(1), UNKNOWN], job.fates)
+        self.assertEqual((), self.table.agent_lost(AGENT, 1.0))
+
+    def test_reconnect(self):
+        """After a reconnect only the newer session may report."""
+        job = self.running(1, 2)
+        self.report(2, {1: ok(1)}, final=False)
+        self.assertEqual(
+            (
+                messages.BatchRef(1, job.id, (0,)),
+                messages.BatchRef(2, job.id, (2,)),
+            ),
+            self.table.open_batches(AGENT),
+        )
+        self.table.reconnected(AGENT, 2)
+        self.assertIsNone(self.report(1, {0: FAILED}, session=1))
+        self.report(1, {0: ok(0)}, session=2)
+        self.report(2, {2: ok(2)}, session=2)
+        self.assertEqual(State.COMPLETE, job.state)
+
+
+class CancelTest(TableTestCase):
+    def test_cancel_and_outcomes_race(self):
+        """The answer must say what happened, whichever came first."""
+        struck = outcomes.NotRun(Reason.CANCELLED)
+        cases = (
+            ("all completed", {0: ok(0), 1: ok(1)}, State.COMPLETE),
+            ("one struck", {0: ok(0), 1: struck}, State.FAILED),
+            ("one failed", {0: FAILED, 1: struck}, State.FAILED),
+        )
+        for name, fates, state in cases:
+            with self.subTest(name):
+                self.setUp()
+                job = self.running(2)
+                cancelled = self.table.cancel(ticket(), "cobre", 1.0)
+                targets = (model.BatchTarget(1, AGENT),)
+                self.assertEqual(model.Cancelled(job, targets), cancelled)
+                self.assertFalse(job.ended)
+                self.report(1, fates)
+                self.assertEqual(state, job.state)
+
+    def test_cancel_before_anything_was_sent(self):
+        """The key stays taken, so that a resubmission starts nothing."""
+        job = self.submit(tasks=2).job
+        self.table.cancel(ticket(), "cobre", 1.0)
+        self.assertEqual(State.FAILED, job.state)
+        self.assertIsInstance(self.submit(tasks=2), model.Existing)
+
+    def test_cancel_of_an_ended_job(self):
+        """A late cancellation must not change the answer."""
+        job = self.running(1)
+        self.report(1, {0: ok(0)})
+        cancelled = self.table.cancel(ticket(), "cobre", 1.0)
+        self.assertEqual(model.Cancelled(job, ()), cancelled)
+        self.assertEqual(State.COMPLETE, job.state)
+
+    def test_cancel_of_another_customers_job(self):
+        """A customer must not reach another customer's job."""
+        self.running(1)
+        refused = self.table.cancel(ticket(), "bluebonnet", 1.0)
+        self.assertEqual(Reason.NOT_FOUND, refused.reason)
+
+
+class ExpiryTest(TableTestCase):
+    def test_deadline_of_a_sent_job(self):
+        """A job ends at its deadline + 2 s at the latest."""
+        job = self.running(1, 1)
+        self.report(1, {0: ok(0)})
+        self.assertEqual((), self.table.expire(9.9))
+        (strike,) = self.table.expire(10.2)
+        self.assertEqual(Reason.DEADLINE, strike.reason)
+        self.assertEqual((), self.table.expire(11.3))
+        (ended,) = self.table.expire(11.8)
+        self.assertEqual((model.BatchTarget(2, AGENT),), ended.strike)
+        self.assertEqual(State.FAILED, job.state)
+        self.assertEqual([ok(0), outcomes.Unknown(Reason.DEADLINE)], job.fates)
+        self.assertIsNone(self.report(2, {1: ok(1)}, job=job.id))
+        self.assertIsInstance(job.fates[1], outcomes.Unknown)
+
+    def test_deadline_of_a_job_that_waits(self):
+        """Work that was never sent is refused as not run."""
+        job = self.submit().job
+        (ended,) = self.table.expire(10.2)
+        self.assertIs(job, ended.job)
+        self.assertEqual(State.REFUSED, job.state)
+        self.assertTrue(job.refused.not_run)
+
+    def test_resubmission_after_a_refusal(self):
+        """The timer of the refused job must not end the new one early."""
+        first = self.submit().job
+        self.table.withdraw(
+            first, outcomes.Refused(Reason.OVERLOAD, not_run=True), 1.0
+        )
+        second = self.submit(now_s=5.0)
+        self.assertIsInstance(second, model.Accepted)
+        self.assertEqual((), self.table.expire(10.2))
+        self.assertFalse(second.job.ended)
+        self.assertEqual(1, len(self.table.expire(15.2)))
+
+    def test_late_call_finds_all(self):
+        """A loop that was held up must not skip deadlines."""
+        for number in range(5):
+            self.submit(ticket(number), deadline_s=1.0 + number)
+        self.table.expire(0.0)
+        self.assertEqual(5, len(self.table.expire(1e6)))
+
+    def test_records_outlive_the_acceptance_of_their_keys(self):
+        """A key without its record could start again."""
+        self.epochs.seen(1)
+        key = keys.OwnKey(1, "a")
+        for used in (ticket(), key):
+            self.table.cancel(used, "cobre", 0.0)
+            job = self.submit(used).job
+            self.table.cancel(used, "cobre", 0.0)
+            self.assertTrue(job.ended)
+        just_before_s = 3 * keys.WINDOW_S - 0.1
+        self.epochs.seen(4)
+        self.table.expire(just_before_s)
+        self.assertEqual(2, len(self.table.records))
+        self.epochs.seen(5)
+        self.table.expire(3 * keys.WINDOW_S)
+        self.assertEqual({}, self.table.records)
+        for used in (ticket(), key):
+            refused = self.submit(used, now_s=3 * keys.WINDOW_S)
+            self.assertEqual(Reason.EXPIRED_KEY, refused.reason)
+            self.assertFalse(refused.not_run)
+
+    def test_running_job_keeps_its_record(self):
+        """A job may run longer than its ticket is accepted."""
+        job = self.running(1, deadline_s=2000.0)
+        self.table.expire(1000.0)
+        self.assertIs(job, self.table.find(ticket(), "cobre", 1000.0))
+        self.report(1, {0: ok(0)})
+        self.table.expire(1000.1)
+        self.assertEqual({}, self.table.records)
+
+    def test_dropped_answer_leaves_a_tombstone(self):
+        """Memory for answers is bounded; protection from restarts is not."""
+        self.table.answers.limit_bytes = 10
+        job = self.running(1)
+        self.report(1, {0: ok(0)})
+        self.table.expire(2.0)
+        self.assertIs(job, self.table.find(ticket(), "cobre", 2.0))
+        self.table.expire(1.0 + retention.ANSWER_KEPT_S)
+        for answer in (
+            self.table.find(ticket(), "cobre", 20.0),
+            self.submit(now_s=20.0),
+        ):
+            self.assertEqual(Reason.EXPIRED_KEY, answer.reason)
+            self.assertFalse(answer.not_run)
+        self.assertEqual(
+            Reason.KEY_REUSED, self.submit(tasks=2, now_s=20.0).reason
+        )
+        self.assertEqual("complete", self.table.explain(job.id, 20.0).state)
+
+
+class PauseTest(TableTestCase):
+    def test_pause_ends_all_running_jobs(self):
+        """After a long pause peers may have given this home up."""
+        job = self.submit(tasks=3).job
+        self.table.sent(job, 1, AGENT, 1, (0, 1))
+        self.report(1, {0: ok(0)}, final=False)
+        (ended,) = self.table.paused(20.0)
+        self.assertEqual((model.BatchTarget(1, AGENT),), ended.strike)
+        paused = Reason.HOME_PAUSED
+        self.assertEqual(
+            [ok(0), outcomes.Unknown(paused), outcomes.NotRun(paused)],
+            job.fates,
+        )
+        self.assertEqual(State.FAILED, job.state)
+        self.assertEqual((), self.table.paused(20.0))
+        self.assertIsNone(self.report(1, {1: ok(1)}, job=job.id))
+
+
+class ExplainTest(TableTestCase):
+    def test_open_job(self):
+        """An operator must see where the tasks of a job are."""
+        job = self.submit(tasks=2).job
+        self.table.sent(job, 1, AGENT, 1, (0,))
+        found = self.table.explain(job.id, 4.0)
+        self.assertEqual(("open", "open"), found.fates)
+        self.assertEqual((model.BatchTarget(1, AGENT),), found.open_batches)
+        self.assertEqual(
+            (1, 4.0, 6.0), (found.waiting, found.age_s, found.deadline_in_s)
+        )
+        self.assertIsNone(self.table.explain("cobre:none", 4.0))
