Add records in the schemas 1 and 2 and their document

Operators control the system through these records, so a faulty document must be refused with all its faults. Checks run on plain JSON values before records are built; one wrong field hides none of the others.

Tested: table of 36 fault cases with their places, ten faults give ten findings, a 2 MB document is refused, schemas side by side, any JSON ends in findings (hypothesis), round trip keeps schema 1.

--- /dev/null
+++ b/trefoilgw/records/__init__.py
@@ -0,0 +1,27 @@
+"""Records of customers, services and kinds, and their document."""
+
+from trefoilgw.records.core import Change
+from trefoilgw.records.core import Configuration
+from trefoilgw.records.core import Customer
+from trefoilgw.records.core import difference
+from trefoilgw.records.core import DOCUMENT_LIMIT_BYTES
+from trefoilgw.records.core import document_revision
+from trefoilgw.records.core import encode_document
+from trefoilgw.records.core import Kind
+from trefoilgw.records.core import parse_document
+from trefoilgw.records.core import plain
+from trefoilgw.records.core import Service
+
+__all__ = [
+    "DOCUMENT_LIMIT_BYTES",
+    "Change",
+    "Configuration",
+    "Customer",
+    "Kind",
+    "Service",
+    "difference",
+    "document_revision",
+    "encode_document",
+    "parse_document",
+    "plain",
+]
--- /dev/null
+++ b/trefoilgw/records/core.py
@@ -0,0 +1,262 @@
+"""The configuration document: customers, services and kinds of work.
+
+This module turns a document into records and back. It does not decide which
+revision is in force; see the package `rollout`.
+"""
+
+import hashlib
+import json
+from collections.abc import Iterable
+
+import attrs
+import cattrs
+
+from trefoilgw.findings import core as findings
+from trefoilgw.records import documents
+from trefoilgw.records import schemas
+
+# The platform stores values up to 1 MB.
+DOCUMENT_LIMIT_BYTES = documents.DOCUMENT_LIMIT_BYTES
+
+
+@attrs.frozen
+class Customer:
+    """A customer with its quota.
+
+    Attributes:
+        name: Unique among the customers.
+        schema: Schema in which the record is written, 1 or 2.
+        token_sha256: SHA-256 of the bearer token in hex.
+        weight: Share under overload, relative to other customers.
+        starts_s: Quota of task starts per second over all entries.
+        running_limit_tasks: Tasks that may run at once over all entries.
+        status: ``active`` or ``departed``; a departed customer is served on
+            the same terms until its record is removed.
+        contact: Remark for operators; no process acts on it.
+    """
+
+    name: str
+    schema: int
+    token_sha256: str
+    weight: float
+    starts_s: float
+    running_limit_tasks: int
+    status: str
+    contact: str = ""
+
+
+@attrs.frozen
+class Service:
+    """A service that targets offer.
+
+    Attributes:
+        name: Unique among the services.
+        schema: Schema in which the record is written, 1 or 2.
+    """
+
+    name: str
+    schema: int
+
+
+@attrs.frozen
+class Kind:
+    """A kind of work.
+
+    Attributes:
+        name: Unique among the kinds.
+        schema: Schema in which the record is written, 1 or 2.
+        service: Service that runs the tasks.
+        customers: Customers that may submit this kind.
+        urgency: ``urgent``, ``normal`` or ``background``.
+        weight: Share under overload, relative to the customer's other kinds.
+        deadline_s: Seconds from acceptance to the end of a job, if the
+            request asks for no other deadline.
+        run_time_s: First guess of a task's run time in seconds.
+        idempotent: Whether a repeated run is harmless, if the request does
+            not say.
+    """
+
+    name: str
+    schema: int
+    service: str
+    customers: tuple[str, ...]
+    urgency: str
+    weight: float
+    deadline_s: float
+    run_time_s: float
+    idempotent: bool
+
+
+@attrs.frozen
+class Configuration:
+    """One revision of the configuration.
+
+    Attributes:
+        revision: Grows by one with each write; 0 for a draft.
+        write_id: Unique id of the write, to find it after a lost answer.
+        author: Who wrote it.
+        reason: Why.
+        written_at: When, UTC in ISO 8601.
+        customers: Customer records.
+        services: Service records.
+        kinds: Kind records.
+        draining: Names of the agents that take no new work.
+    """
+
+    revision: int
+    write_id: str
+    author: str
+    reason: str
+    written_at: str
+    customers: tuple[Customer, ...]
+    services: tuple[Service, ...]
+    kinds: tuple[Kind, ...]
+    draining: tuple[str, ...] = ()
+    _by_digest: dict = attrs.field(init=False, eq=False, repr=False)
+    _by_kind: dict = attrs.field(init=False, eq=False, repr=False)
+
+    def __attrs_post_init__(self):
+        """Builds the indexes, since both are used for every request."""
+        by_digest = {item.token_sha256: item for item in self.customers}
+        by_kind = {item.name: item for item in self.kinds}
+        object.__setattr__(self, "_by_digest", by_digest)
+        object.__setattr__(self, "_by_kind", by_kind)
+
+    def customer_by_token(self, token: str) -> Customer | None:
+        """Returns the customer that a bearer token belongs to."""
+        data = token.encode("utf-8", "surrogatepass")
+        return self._by_digest.get(hashlib.sha256(data).hexdigest())
+
+    def kind(self, name: str) -> Kind | None:
+        """Returns a kind of work by its name."""
+        return self._by_kind.get(name)
+
+
+@attrs.frozen
+class Change:
+    """One changed field between two configurations.
+
+    Attributes:
+        record: Such as ``customers/bluebonnet`` or ``draining``.
+        field: Name of the field.
+        old: Value before, None if the record is new.
+        new: Value after, None if the record was removed.
+    """
+
+    record: str
+    field: str
+    old: object
+    new: object
+
+
+_RECORD_CLASSES = {"customers": Customer, "services": Service, "kinds": Kind}
+_CONVERTER = cattrs.Converter(forbid_extra_keys=True)
+
+
+def parse_document(
+    data: bytes,
+) -> Configuration | tuple[findings.Finding, ...]:
+    """Returns the configuration in a document.
+
+    Args:
+        data: JSON text in UTF-8, at most 1 MB.
+
+    Returns:
+        The configuration with upgraded records, or every finding with
+        ``record/field`` as its place.
+    """
+    checked = documents.check(data)
+    if not isinstance(checked, documents.Checked):
+        return checked
+    values = dict(checked.fields)
+    for section, record_class in _RECORD_CLASSES.items():
+        upgraded = (
+            schemas.upgrade(section, x) for x in checked.records[section]
+        )
+        values[section] = tuple(
+            _CONVERTER.structure(record, record_class) for record in upgraded
+        )
+    values["draining"] = tuple(values["draining"])
+    return Configuration(**values)
+
+
+def document_revision(data: bytes) -> int:
+    """Returns the revision of a document without checking the rest.
+
+    Returns:
+        The revision; 0 if the document can't be read.
+    """
+    values = documents.load(data)
+    revision = values.get("revision", 0) if isinstance(values, dict) else 0
+    return revision if type(revision) is int and revision > 0 else 0
+
+
+def encode_document(
+    configuration: Configuration,
+) -> bytes | tuple[findings.Finding, ...]:
+    """Returns the document of a configuration.
+
+    Records of schema 1 are written in schema 1 again.
+
+    Returns:
+        JSON text in UTF-8, or the finding that it exceeds 1 MB.
+    """
+    data = json.dumps(plain(configuration), separators=(",", ":")).encode()
+    if len(data) > DOCUMENT_LIMIT_BYTES:
+        return (documents.too_large(len(data)),)
+    return data
+
+
+def plain(configuration: Configuration) -> dict:
+    """Returns a configuration as JSON values, each record in its schema."""
+    values = {
+        name: getattr(configuration, name) for name in schemas.DOCUMENT_FIELDS
+    }
+    values["draining"] = list(configuration.draining)
+    for section in _RECORD_CLASSES:
+        records = getattr(configuration, section)
+        values[section] = [
+            schemas.downgrade(section, _CONVERTER.unstructure(record))
+            for record in records
+        ]
+    return values
+
+
+def difference(
+    old: Configuration | None, new: Configuration
+) -> tuple[Change, ...]:
+    """Returns the changed fields from one configuration to another.
+
+    Revision, author and the like are left out.
+
+    Args:
+        old: None stands for an empty configuration.
+        new: The later configuration.
+    """
+    changes: list[Change] = []
+    for section in _RECORD_CLASSES:
+        before = {x.name: x for x in getattr(old, section, ())}
+        after = {x.name: x for x in getattr(new, section)}
+        for name in sorted(before.keys() | after.keys()):
+            changes += _record_changes(
+                f"{section}/{name}", before.get(name), after.get(name)
+            )
+    before = set(getattr(old, "draining", ()))
+    for name in sorted(before.symmetric_difference(new.draining)):
+        drained = name in before
+        changes.append(Change("draining", name, drained, not drained))
+    return tuple(changes)
+
+
+def _record_changes(place: str, old, new) -> Iterable[Change]:
+    """Yields the changed fields of one record; None means absent."""
+    for field in attrs.fields(type(new if old is None else old)):
+        before = getattr(old, field.name, None)
+        after = getattr(new, field.name, None)
+        if before != after and field.name != "name":
+            yield Change(place, field.name, _listed(before), _listed(after))
+
+
+def _listed(value):
+    """Returns a tuple as a list, as JSON has it."""
+    return list(value) if isinstance(value, tuple) else value
