--- /dev/null
+++ b/trefoilgw/admission/sharing.py
@@ -0,0 +1,47 @@
+"""Split of a customer's quota among the entries, without a coordinator.
+
+Every entry computes the same split from the demands that all reported.
+"""
+
+from collections.abc import Mapping
+
+
+def own_part(quota: float, own: str, demands: Mapping[str, float]) -> float:
+    """Returns one entry's part of a quota.
+
+    Args:
+        quota: Quota of the whole customer, starts/s or tasks.
+        own: The entry.
+        demands: Demand of every entry, in the unit of the quota; `own` must
+            be in it.
+
+    Returns:
+        At least ``quota / (2 * entries)``.
+
+    Notes:
+        In proportion to demand, but never less than half an even part, so
+        that an entry whose demand begins can serve it before its peers know.
+        An entry below that part uses what it demands, and the others share
+        the rest. So the demands of the last second get at most the quota;
+        a change of demand can exceed it by half a quota for one second.
+    """
+    least = quota / (2 * len(demands))
+    total = sum(demands.values())
+    if total <= 0.0:
+        return quota / len(demands)
+    large = dict(demands)
+    rest = quota
+    while True:
+        wanted = sum(large.values())
+        small = [
+            entry
+            for entry, demand in large.items()
+            if rest * demand < least * wanted
+        ]
+        if not small:
+            break
+        for entry in small:
+            rest -= min(large.pop(entry), least)
+    if own not in large:
+        return least
+    return rest * large[own] / wanted
--- a/trefoilgw/admission/tests/test_core.py
+++ b/trefoilgw/admission/tests/test_core.py
@@ -95,6 +95,9 @@
 
     def test_late_work(self):
         """Work that can't meet its deadline wastes slots."""
+        self.gate.offer(item("first"), 0.0)
+        self.gate.next(8, 8, 0.0, "s")
+        self.gate.started("first", 1, 0.0)
         refused = self.gate.offer(item("j", deadline_s=0.3), 0.0)
         self.assertEqual(outcomes.Reason.DEADLINE, refused.reason)
         self.gate.offer(item("j", deadline_s=1.0), 0.0)
