--- a/trefoilgw/admission/refusing.py
+++ b/trefoilgw/admission/refusing.py
@@ -1,5 +1,7 @@
 """Which work is refused, and why."""
 
+import attrs
+
 from trefoilgw.admission import flows
 from trefoilgw.admission import work
 from trefoilgw.outcomes import core as outcomes
