--- /dev/null
+++ b/tools/central_queue.py
@@ -0,0 +1,33 @@
+"""Model of one central queue in front of all slots, as a baseline.
+
+No messages, no processes: a task starts on the first slot that gets free, in
+order of arrival. What a dispatcher of several processes adds to the response
+times shows against it.
+"""
+
+import heapq
+
+from trefoilgw.load import arrivals
+from trefoilgw.load import results
+
+
+def simulate(
+    plan: tuple[arrivals.Arrival, ...], slots: int
+) -> results.FlowResult:
+    """Returns the response times of a plan under a central queue.
+
+    Args:
+        plan: Arrivals in order of time.
+        slots: Slots of the whole fleet.
+    """
+    free_at_s = [0.0] * slots
+    measured = results.FlowResult("model", "central-queue", False)
+    for arrival in plan:
+        ended_s = arrival.at_s
+        for run_ms in arrival.run_ms:
+            start_s = max(arrival.at_s, heapq.heappop(free_at_s))
+            heapq.heappush(free_at_s, start_s + run_ms / 1000)
+            ended_s = max(ended_s, start_s + run_ms / 1000)
+        measured.add_time(ended_s - arrival.at_s, arrival.ideal_s(slots))
+        measured.counts["complete"] += 1
+    return measured
--- a/tools/standins/target.py
+++ b/tools/standins/target.py
@@ -264,11 +264,18 @@
     parser.add_argument("--address", default="127.0.0.1:0")
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument(
+        "--count", type=int, default=1, help="targets in this process"
+    )
     arguments = parser.parse_args()
-    target = Target(arguments.slots, random.Random(arguments.seed))
-    address = target.serve(arguments.address)
-    print(json.dumps({"ready": True, "http": address}), flush=True)
-    target.wait()
+    targets = [
+        Target(arguments.slots, random.Random(arguments.seed + number))
+        for number in range(arguments.count)
+    ]
+    addresses = [target.serve(arguments.address) for target in targets]
+    line = {"ready": True, "http": addresses[0], "all": addresses}
+    print(json.dumps(line), flush=True)
+    targets[0].wait()
     return 0
 
 
