--- a/tools/figures.py
+++ b/tools/figures.py
@@ -203,9 +203,7 @@
     """
     document = sample.document()
     document["customers"][0]["weight"] = 2.0
-    revision = max(
-        fleet.status(process)["revision"] for process in fleet.entries()
-    )
+    revision = fleet.applied_revision
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
         waiting = pool.submit(_in_force_s, fleet, revision + 1)
         fleet.apply(document, "figures: change of a weight")
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -9,6 +9,7 @@
 import json
 import pathlib
 import re
+import sys
 import tempfile
 import time
 import urllib.error
@@ -111,6 +112,8 @@
         directory: Holds settings and logs; removed at the end.
         launcher: Starts and ends the processes.
         kv_address: Address of the key-value stand-in.
+        applied_revision: Revision of the configuration applied last; only the
+            launcher writes.
     """
 
     sizes: Sizes = attrs.field(factory=Sizes)
@@ -119,6 +122,7 @@
     )
     launcher: processes.Launcher = attrs.field(init=False)
     kv_address: str = ""
+    applied_revision: int = 0
 
     def __attrs_post_init__(self):
         self.launcher = processes.Launcher(pathlib.Path(self.directory.name))
@@ -267,6 +271,7 @@
         if command.wait(SETTLE_TIMEOUT_S) != 0:
             text = command.output.read_text() + command.log.read_text()
             raise FleetError(f"the configuration was not applied:\n{text}")
+        self.applied_revision += 1
 
     def status(self, process: processes.Process) -> dict:
         """Returns ``/admin/status`` of an entry or agent."""
@@ -319,8 +324,8 @@
                 status = self.status(process)
             except (urllib.error.URLError, OSError, ValueError) as error:
                 return f"{process.name}: {error}"
-            if not status.get("revision"):
-                return f"{process.name} has no configuration"
+            if status.get("revision", 0) < self.applied_revision:
+                return f"{process.name} lacks the configuration"
             if len(status.get("agents", ())) < agents:
                 return f"{process.name} lacks agents"
             if len(status.get("peers", ())) < len(entries) - 1:
@@ -331,3 +336,23 @@
 def _http(ready: dict) -> str:
     """Returns the HTTP address of a stand-in's ready line."""
     return ready.get("http") or ready["address"]
+
+
+def main() -> int:
+    """Keeps a fleet up until it is interrupted."""
+    processes.exit_on_terminate()
+    with Fleet() as fleet:
+        for process in fleet.entries():
+            print(f"{process.name} {process.ready['http']}")
+        for customer, token in sample.tokens().items():
+            print(f"token of {customer}: {token}", flush=True)
+        try:
+            while all(process.running() for process in fleet.entries()):
+                time.sleep(POLL_S)
+        except KeyboardInterrupt:
+            return 0
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/load_runs.py
+++ b/tools/load_runs.py
@@ -22,7 +22,11 @@
 
 
 def run(
-    fleet: fleets.Fleet, scenario_name: str, parts: int = 1, policy: str = ""
+    fleet: fleets.Fleet,
+    scenario_name: str,
+    parts: int = 1,
+    policy: str = "",
+    tokens: dict[str, str] | None = None,
 ) -> results.Results:
     """Runs a scenario and merges the results of all load processes.
 
@@ -31,15 +35,21 @@
         scenario_name: Shipped scenario or path of a TOML file.
         parts: Load processes that share the arrivals.
         policy: Baseline that bypasses the product, or empty.
+        tokens: By customer; those of the sample configuration if None.
 
     Raises:
         LoadError: A process failed.
     """
-    return finish(start(fleet, scenario_name, parts, policy), scenario_name)
+    started = start(fleet, scenario_name, parts, policy, tokens)
+    return finish(started, scenario_name)
 
 
 def start(
-    fleet: fleets.Fleet, scenario_name: str, parts: int = 1, policy: str = ""
+    fleet: fleets.Fleet,
+    scenario_name: str,
+    parts: int = 1,
+    policy: str = "",
+    tokens: dict[str, str] | None = None,
 ) -> list[processes.Process]:
     """Starts the load processes; `finish` waits for them."""
     arguments = [
@@ -52,7 +62,9 @@
         "--run-id",
         secrets.token_hex(6),
     ]
-    for customer, token in sample.tokens().items():
+    if tokens is None:
+        tokens = sample.tokens()
+    for customer, token in tokens.items():
         arguments += ["--token", f"{customer}={token}"]
     if policy:
         arguments += ["--direct", policy]
--- a/tools/measures.py
+++ b/tools/measures.py
@@ -12,7 +12,7 @@
 
 SENT = "trefoilgw_messages_sent_total"
 RECEIVED = "trefoilgw_messages_received_total"
-WASTED = "trefoilgw_wasted_messages_total"
+WASTED = "trefoilgw_messages_wasted_total"
 BYTES_SENT = "trefoilgw_stream_bytes_sent_total"
 BYTES_RECEIVED = "trefoilgw_stream_bytes_received_total"
 # Messages that do not grow with the tasks.
--- a/tools/sample.py
+++ b/tools/sample.py
@@ -30,6 +30,21 @@
     return merged
 
 
+def many_customers(count: int) -> dict:
+    """Returns a document with `count` customers that share one kind."""
+    model = document()
+    customer, kind = model["customers"][0], model["kinds"][0]
+    names = [f"customer-{number}" for number in range(count)]
+    model["customers"] = []
+    for name in names:
+        token = hashlib.sha256(token_of(name).encode()).hexdigest()
+        model["customers"].append(
+            customer | {"name": name, "token_sha256": token}
+        )
+    model["kinds"] = [kind | {"customers": names}]
+    return model
+
+
 def tokens() -> dict[str, str]:
     """Returns the tokens by customer."""
     names = [customer["name"] for customer in document()["customers"]]
--- a/trefoilgw/load/results.py
+++ b/trefoilgw/load/results.py
@@ -138,9 +138,16 @@
                 total.merge(flow)
         return total
 
+    def counts(self) -> collections.Counter:
+        """Returns the counts of all flows, without the histograms."""
+        counts = collections.Counter()
+        for flow in self.flows.values():
+            counts.update(flow.counts)
+        return counts
+
     def faults(self) -> dict[str, int]:
         """Returns the faults that were seen, empty if there were none."""
-        counts = self.total().counts
+        counts = self.counts()
         return {name: counts[name] for name in FAULTS if counts[name]}
 
 
--- a/trefoilgw/load/runner.py
+++ b/trefoilgw/load/runner.py
@@ -69,7 +69,7 @@
         """Reports the state once a second; spawn it as a greenthread."""
         while True:
             eventlet.sleep(PROGRESS_INTERVAL_S)
-            counts = self.measured.total().counts
+            counts = self.measured.counts()
             now_s = time.monotonic() - self._start_s
             report(
                 f"{now_s:6.1f} s  sent {self.sent}/{len(self.plan)}"
--- /dev/null
+++ b/trefoilgw/load/tests/test_main.py
@@ -0,0 +1,55 @@
+"""Options of the command and its text report."""
+
+import unittest
+
+from trefoilgw.load import main
+from trefoilgw.load import report
+from trefoilgw.load import results
+from trefoilgw.load import scenario as scenarios
+
+
+class OptionsTest(unittest.TestCase):
+    def test_faulty_options(self):
+        """A run with a missing token would measure refusals."""
+        scenario = scenarios.load("cobre-calco")
+        tokens = {"cobre-calco": "t"}
+        good = main.Options(("127.0.0.1:1",), (), tokens)
+        cases = (
+            ("", good),
+            ("no token", main.Options(good.entries, (), {})),
+            ("no address", main.Options((), (), tokens)),
+            ("N/M", main.Options(good.entries, (), tokens, 2, 2)),
+            ("must be one of", main.Options((), ("a:1",), {}, policy="x")),
+            ("needed with", main.Options((), (), {}, policy="random")),
+        )
+        for expected, options in cases:
+            with self.subTest(expected):
+                found = main.check_options(scenario, options)
+                text = " ".join(item.text for item in found)
+                self.assertIn(expected, text)
+                self.assertEqual(not expected, not found)
+
+    def test_tokens(self):
+        self.assertEqual({"a": "b=c"}, main.parse_tokens(["a=b=c"]))
+        with self.assertRaises(ValueError):
+            main.parse_tokens(["a"])
+
+
+class ReportTest(unittest.TestCase):
+    def test_faults_are_shown(self):
+        """A fault must not vanish between the numbers."""
+        run = results.Results()
+        flow = run.flow("c", "k", True)
+        flow.counts.update({"planned": 4, "complete": 3, "refused": 1})
+        flow.reasons["refused:overload"] += 1
+        flow.add_time(0.2, 0.1)
+        self.assertIn("faults: none", report.text(run))
+        flow.counts["double_start"] += 2
+        text = report.text(run)
+        self.assertIn("double_start 2", text)
+        self.assertIn("1 x refused:overload", text)
+        self.assertIn("k (flood)", text)
+
+
+if __name__ == "__main__":
+    unittest.main()
