--- a/trefoilgw/agent/connections.py
+++ b/trefoilgw/agent/connections.py
@@ -70,6 +70,7 @@
         on_message: Called with a link and each message.
         on_closed: Called with a link whose stream closed.
         rng: Source of jitter.
+        now: Monotonic clock in seconds.
         epoch: Epoch of the roster.
         roster: Entries of the newest roster; empty if none is known.
         links: By address.
@@ -86,6 +87,7 @@
     on_message: Callable
     on_closed: Callable
     rng: random.Random
+    now: Callable[[], float] = time.monotonic
     epoch: int = 0
     roster: tuple[messages.RosterEntry, ...] = ()
     links: dict[str, Link] = attrs.field(factory=dict)
@@ -234,12 +236,16 @@
     def _dial(self, link: Link) -> bool:
         """Returns True if a stream was opened and started."""
         self.dials += 1
-        began_s = time.monotonic()
+        began_s = self.now()
         try:
             stream = streams.dial(link.address, self.key, self.hello())
         except streams.DialError as error:
             self._dial_failed(link, str(error))
             return False
+        except Exception as error:  # A peer's faults must not end dialing.
+            log.exception("dial raised")
+            self._dial_failed(link, str(error))
+            return False
         welcome = stream.welcome
         self.learn_roster(welcome.epoch, welcome.entries)
         link.entry = welcome.incarnation
@@ -269,7 +275,7 @@
             former.stream = None
             older.close("replaced by a newer session")
         link.stream = stream
-        link.opened_s = time.monotonic()
+        link.opened_s = self.now()
         link.closing = False
         stream.outbox_limit_bytes = OUTBOX_LIMIT_BYTES
         log.info(
@@ -292,7 +298,7 @@
         if link.stream is not stream:
             return
         link.stream = None
-        lived_s = time.monotonic() - link.opened_s
+        lived_s = self.now() - link.opened_s
         link.failures = link.failures + 1 if lived_s < REDIAL_LIMIT_S else 0
         log.info("disconnected", extra={"entry": link.entry, "reason": reason})
         self.on_closed(link)
--- a/trefoilgw/agent/core.py
+++ b/trefoilgw/agent/core.py
@@ -7,11 +7,13 @@
 import logging
 import random
 import time
+from collections.abc import Callable
 
 import attrs
 import eventlet
 from eventlet import event
 
+from trefoilgw.agent import admin
 from trefoilgw.agent import configuration as configuration_module
 from trefoilgw.agent import connections as connections_module
 from trefoilgw.ledger import core as ledger_core
@@ -48,7 +50,7 @@
         rng: Source of the incarnation and of jitter.
         admin_address: Bound admin address, or empty.
         incarnation: 16 hex digits, new at every start.
-        started_s: Monotonic time of the start.
+        now: Monotonic clock in seconds.
         timers: The timer service of the process.
         ledger: Start ledger.
         slots: Batches on the target's slots.
@@ -56,14 +58,13 @@
         configuration: Configuration in force.
         connections: Streams to the entries.
         resumed_s: End of the last pause of the process.
-        calls: Tasks that are being sent or answered now.
     """
 
     settings: settings_core.AgentSettings
     rng: random.Random = attrs.field(factory=random.SystemRandom)
     admin_address: str = ""
     incarnation: str = ""
-    started_s: float = attrs.field(factory=time.monotonic)
+    now: Callable[[], float] = time.monotonic
     timers: timers_core.TimerService = attrs.field(
         factory=timers_core.TimerService
     )
@@ -76,6 +77,7 @@
     connections: connections_module.Connections = attrs.field(init=False)
     resumed_s: float = 0.0
     _left_s: float | None = None
+    _admin: admin.Admin | None = None
     _stopped: event.Event = attrs.field(factory=event.Event)
 
     def __attrs_post_init__(self):
@@ -84,7 +86,9 @@
         book = credits.CreditBook(self.incarnation, usable)
         self.slots = slots_core.Slots(self.ledger, book)
         host, port = streams.parse_address(self.settings.target_address)
-        self.target = targets.Client(host, port, self.settings.connections)
+        self.target = targets.Client(
+            host, port, self.settings.connections, now=self.now
+        )
         self.connections = connections_module.Connections(
             agent=self.incarnation,
             key=bytes.fromhex(self.settings.stream_key),
@@ -95,13 +99,21 @@
             on_message=self._message,
             on_closed=self._closed,
             rng=self.rng,
+            now=self.now,
         )
 
     def start(self) -> None:
-        """Starts the timers and dials the entries."""
-        self.timers.on_pause(self._resumed)
-        self.timers.every(CHECK_INTERVAL_S, self._check)
-        self.timers.every(PING_INTERVAL_S, self._tick)
+        """Starts the timers and dials the entries.
+
+        Raises:
+            OSError: The admin address can't be bound.
+        """
+        if self.settings.admin_address:
+            self._admin = admin.Admin(self)
+            self.admin_address = self._admin.listen(self.settings.admin_address)
+        self.timers.on_pause(self.resumed)
+        self.timers.every(CHECK_INTERVAL_S, self.check)
+        self.timers.every(PING_INTERVAL_S, self.tick)
         eventlet.spawn_n(self.timers.run)
         self.connections.update()
 
@@ -110,7 +122,7 @@
         if self._left_s is not None:
             return
         log.info("leaving", extra={"running": self.slots.running})
-        self._left_s = time.monotonic()
+        self._left_s = self.now()
         self._perform(self.slots.leave(self._left_s))
         for link in self.connections.open_links():
             link.closing = True
@@ -124,6 +136,8 @@
         self.timers.stop()
         self.connections.close("the agent stopped")
         self.target.close_idle(everything=True)
+        if self._admin is not None:
+            self._admin.close()
         if not self._stopped.ready():
             self._stopped.send()
 
@@ -154,7 +168,7 @@
 
     def _opened(self, link: connections_module.Link) -> None:
         """Lends credits on a new stream."""
-        now_s = time.monotonic()
+        now_s = self.now()
         welcome = link.stream.welcome
         self._expect(now_s)
         self._perform(self.slots.connect(link.entry, now_s))
@@ -163,13 +177,13 @@
 
     def _closed(self, link: connections_module.Link) -> None:
         """Takes back the credits of a closed stream."""
-        now_s = time.monotonic()
+        now_s = self.now()
         self.ledger.session_closed(link.entry, link.session)
         self._perform(self.slots.disconnect(link.entry, now_s))
 
     def _message(self, link: connections_module.Link, message) -> None:
         """Handles one message of an entry."""
-        now_s = time.monotonic()
+        now_s = self.now()
         match message:
             case messages.Pong():
                 self._pong(link, message, now_s)
@@ -271,13 +285,12 @@
                 action.ref.entry,
                 action.session,
                 action.deadline_s,
-                time.monotonic(),
+                self.now(),
             )
 
         call = targets.Call(
             job=action.job,
             index=action.ref.index,
-            customer=action.customer,
             service=action.service,
             payload=action.payload,
             deadline_s=action.deadline_s,
@@ -288,16 +301,16 @@
         except Exception as error:
             log.exception("call of the target failed")
             fate = outcomes.Unknown(outcomes.Reason.INTERNAL, str(error)[:200])
-        now_s = time.monotonic()
+        now_s = self.now()
         self._perform(self.slots.task_finished(action.ref, fate, now_s))
 
     def _stop_task(self, action: actions.StopTask) -> None:
         """Asks the target to stop a task."""
-        self.target.stop(action.job, action.ref.index, action.customer)
+        self.target.stop(action.job, action.ref.index)
 
-    def _check(self) -> None:
+    def check(self) -> None:
         """Acts on deadlines and lapsed leases."""
-        now_s = time.monotonic()
+        now_s = self.now()
         self._perform(self.slots.check(now_s))
         if self._left_s is not None and self._may_exit(now_s):
             for link in self.connections.open_links():
@@ -313,9 +326,9 @@
             return False
         return waited_s >= LEAVE_ACKS_S or not self.ledger.records
 
-    def _tick(self) -> None:
+    def tick(self) -> None:
         """Pings, closes silent streams and grants free credits."""
-        now_s = time.monotonic()
+        now_s = self.now()
         self._perform(self.slots.tick(now_s))
         self.target.close_idle()
         for link in self.connections.open_links():
@@ -348,9 +361,9 @@
             elif not self.slots.serves(link.entry):
                 link.stream.close("no longer assigned")
 
-    def _resumed(self, gap_s: float) -> None:
+    def resumed(self, gap_s: float) -> None:
         """Strikes what lost its authority while the process was paused."""
-        now_s = time.monotonic()
+        now_s = self.now()
         self.resumed_s = now_s
         log.warning("resumed after a pause", extra={"gap_s": round(gap_s, 3)})
         self._perform(self.slots.check(now_s))
--- /dev/null
+++ b/trefoilgw/agent/metrics.py
@@ -0,0 +1,94 @@
+"""Counters and state of an agent for operators."""
+
+import attrs
+
+from trefoilgw.metrics import core as metrics
+
+
+def make_registry(agent) -> metrics.Registry:
+    """Returns the registry of an agent; values are read per scrape."""
+    registry = metrics.Registry()
+    registry.read_counter(
+        "agent_events",
+        "Batches and tasks by event",
+        lambda: _fields(agent.slots.counters),
+        "event",
+    )
+    registry.read_counter(
+        "target_calls",
+        "Requests and connections to the target by event",
+        lambda: _fields(agent.target.counters),
+        "event",
+    )
+    plain = (
+        ("dials", "Streams dialed", lambda: agent.connections.dials),
+        (
+            "dial_failures",
+            "Dials that failed",
+            lambda: agent.connections.dial_failures,
+        ),
+    )
+    for name, text, read in plain:
+        registry.read_counter(name, text, _single(read))
+    gauges = (
+        ("running", "Occupied slots", lambda: agent.slots.running),
+        ("slots", "Slots of the target", lambda: agent.slots.book.total),
+        ("free_credits", "Credits not lent", lambda: agent.slots.book.free),
+        ("start_marks", "Start marks", lambda: len(agent.ledger.marks)),
+        ("records", "Batch records", lambda: len(agent.ledger.records)),
+        (
+            "result_bytes",
+            "Results kept for reconciliation",
+            lambda: agent.ledger.records.result_bytes,
+        ),
+        ("revision", "Configuration", lambda: agent.configuration.revision),
+        (
+            "entries",
+            "Entries connected",
+            lambda: len(agent.connections.open_links()),
+        ),
+    )
+    for name, text, read in gauges:
+        registry.read_gauge(name, text, _single(read))
+    return registry
+
+
+def status_of(agent) -> dict:
+    """Returns the state of an agent for operators."""
+    return {
+        "role": "agent",
+        "agent": agent.settings.name,
+        "incarnation": agent.incarnation,
+        "domain": agent.settings.domain,
+        "revision": agent.configuration.revision,
+        "leaving": agent.slots.left,
+        "epoch": agent.connections.epoch,
+        "slots": agent.slots.book.total,
+        "running": agent.slots.running,
+        "stragglers": len(agent.slots.stragglers),
+        "batches": len(agent.slots.open),
+        "start_marks": len(agent.ledger.marks),
+        "records": len(agent.ledger.records),
+        "entries": [
+            {
+                "incarnation": link.entry,
+                "address": link.address,
+                "session": link.session,
+                "credits": agent.slots.held(link.entry),
+            }
+            for link in agent.connections.open_links()
+        ],
+    }
+
+
+def _fields(counters) -> list[metrics.Sample]:
+    """Returns the counters of an attrs class with their names."""
+    return [
+        metrics.Sample(value, (name,))
+        for name, value in attrs.asdict(counters).items()
+    ]
+
+
+def _single(read):
+    """Returns a reader of one value without labels."""
+    return lambda: [metrics.Sample(read())]
--- a/trefoilgw/agent/program.py
+++ b/trefoilgw/agent/program.py
@@ -12,7 +12,7 @@
 from trefoilgw.logs import core as logs
 from trefoilgw.settings import core as settings_core
 
-EXIT_BAD_SETTINGS = 2
+EXIT_CANNOT_START = 2
 
 
 def run(arguments: list[str] | None = None) -> int:
@@ -22,7 +22,8 @@
         arguments: Command line without the program; None for the process's.
 
     Returns:
-        0 after a graceful leave, 2 if the settings file has findings.
+        0 after a graceful leave, 2 if the settings file has findings or the
+        admin address can't be bound.
     """
     parser = argparse.ArgumentParser("trefoilgw-agent")
     parser.add_argument("--settings", required=True, metavar="FILE")
@@ -30,12 +31,16 @@
     settings = settings_core.load_agent(options.settings)
     if not isinstance(settings, settings_core.AgentSettings):
         print(findings.render(settings), file=sys.stderr)
-        return EXIT_BAD_SETTINGS
+        return EXIT_CANNOT_START
     agent = core.Agent(settings)
     logs.configure("agent", incarnation=agent.incarnation, name=settings.name)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: _leave_soon(agent))
-    agent.start()
+    try:
+        agent.start()
+    except OSError as error:
+        print(f"can't listen: {error}", file=sys.stderr)
+        return EXIT_CANNOT_START
     ready = {
         "ready": True,
         "agent": settings.name,
--- a/trefoilgw/slots/actions.py
+++ b/trefoilgw/slots/actions.py
@@ -27,8 +27,7 @@
     Attributes:
         ref: The task.
         session: Session with the authority to start it.
-        job: Key of the job.
-        customer: Name of the customer.
+        job: Name of the job as the home gave it.
         service: Service at the target.
         payload: Request body.
         deadline_s: Deadline on the monotonic clock.
@@ -38,7 +37,6 @@
     ref: TaskRef
     session: int
     job: str
-    customer: str
     service: str
     payload: bytes
     deadline_s: float
@@ -51,7 +49,6 @@
 
     ref: TaskRef
     job: str
-    customer: str
 
 
 @attrs.frozen
--- a/trefoilgw/slots/batches.py
+++ b/trefoilgw/slots/batches.py
@@ -92,7 +92,6 @@
             ref=actions.TaskRef(self.entry, self.number, task.index),
             session=self.session,
             job=self.message.job,
-            customer=self.message.customer,
             service=self.message.service,
             payload=task.payload,
             deadline_s=self.deadline_s,
@@ -104,7 +103,6 @@
         return actions.StopTask(
             ref=actions.TaskRef(self.entry, self.number, index),
             job=self.message.job,
-            customer=self.message.customer,
         )
 
 
--- a/trefoilgw/targets/core.py
+++ b/trefoilgw/targets/core.py
@@ -38,10 +38,8 @@
     """One task for the target.
 
     Attributes:
-        job: Key of the job.
+        job: Name of the job as the home gave it.
         index: Position in the job.
-        customer: Name of the customer; the same key of two customers names
-            two jobs.
         service: Service at the target.
         payload: JSON text in UTF-8.
         deadline_s: Deadline on the monotonic clock.
@@ -51,7 +49,6 @@
 
     job: str
     index: int
-    customer: str
     service: str
     payload: bytes
     deadline_s: float
@@ -144,7 +141,7 @@
             self.busy -= 1
             self._release(connection)
 
-    def stop(self, job: str, index: int, customer: str) -> bool:
+    def stop(self, job: str, index: int) -> bool:
         """Asks the target to stop a task.
 
         Returns:
@@ -160,8 +157,7 @@
                 connection = self._connection(reuse=True)
                 self.counters.stops += 1
                 path = f"/run/{_quote(job)}/{index}"
-                headers = {"Trefoilgw-Customer": _quote(customer)}
-                _send(connection, "DELETE", path, None, headers)
+                _send(connection, "DELETE", path, None, {})
                 _read_body(connection.getresponse())
                 return True
         except _ERRORS:
@@ -261,7 +257,6 @@
     """Returns the headers of a task's request."""
     return {
         "Content-Type": "application/json",
-        "Trefoilgw-Customer": _quote(call.customer),
         "Trefoilgw-Deadline-Ms": str(int(remaining_s * 1000)),
         "Trefoilgw-Idempotent": "true" if call.idempotent else "false",
         "Trefoilgw-Task": f"{_quote(call.job)}/{call.index}",
