--- a/trefoilgw/agent/connections.py
+++ b/trefoilgw/agent/connections.py
@@ -96,7 +96,10 @@
     _stopped: bool = False
 
     def update(self) -> None:
-        """Dials what is wanted and has no stream, and forgets the rest."""
+        """Dials what is wanted and has no stream, and forgets the rest.
+
+        Links of seeds stay: they tell where a seed leads to.
+        """
         if self._stopped:
             return
         wanted = self._wanted()
@@ -106,8 +109,8 @@
                 link.dialing = True
                 eventlet.spawn_n(self._dial_until_open, link)
         for address in list(self.links):
-            link = self.links[address]
-            if address not in wanted and link.stream is None:
+            idle = self.links[address].stream is None
+            if idle and address not in wanted and address not in self.seeds:
                 del self.links[address]
 
     def stop(self) -> None:
@@ -145,6 +148,20 @@
         self.roster = entries
         return True
 
+    def expected(self) -> tuple[str, ...]:
+        """Returns names of the entries that share this agent's slots.
+
+        Without a roster these are the seeds that were not reached yet, by
+        their addresses.
+        """
+        if self.roster:
+            return tuple(entry.incarnation for entry in self.assigned())
+        reached = {
+            address for address, link in self.links.items() if link.entry
+        }
+        unreached = [seed for seed in self.seeds if seed not in reached]
+        return tuple(unreached[: choice.ENTRIES_PER_AGENT])
+
     def assigned(self) -> tuple[messages.RosterEntry, ...]:
         """Returns the entries of the roster that this agent serves."""
         unreachable = frozenset(
@@ -247,9 +264,10 @@
             self._dial_failed(link, str(error))
             return False
         welcome = stream.welcome
-        self.learn_roster(welcome.epoch, welcome.entries)
         link.entry = welcome.incarnation
         link.session = welcome.session
+        if self.learn_roster(welcome.epoch, welcome.entries):
+            self.update()
         if self._stopped or not self._serves(link):
             stream.close("not assigned")
             link.failures += 1
--- a/trefoilgw/agent/core.py
+++ b/trefoilgw/agent/core.py
@@ -249,10 +249,7 @@
 
     def _expect(self, now_s: float) -> None:
         """Tells the slots which entries share them."""
-        expected = tuple(
-            entry.incarnation for entry in self.connections.assigned()
-        )
-        self._perform(self.slots.expect(expected, now_s))
+        self.slots.expect(self.connections.expected(), now_s)
 
     def _perform(self, found: tuple[actions.Action, ...]) -> None:
         """Carries out actions of the slots."""
--- a/trefoilgw/slots/core.py
+++ b/trefoilgw/slots/core.py
@@ -84,12 +84,9 @@
         account = self.book.accounts.get(entry)
         return account.held if account else 0
 
-    def expect(
-        self, entries: tuple[str, ...], now_s: float
-    ) -> tuple[actions.Action, ...]:
+    def expect(self, entries: tuple[str, ...], now_s: float) -> None:
         """Sets the entries that are to share the slots."""
         self.book.expect(entries, now_s)
-        return tuple(self.execution.grants(now_s))
 
     def connect(self, entry: str, now_s: float) -> tuple[actions.Action, ...]:
         """Opens an entry's account after its newest session was accepted.
