--- /dev/null
+++ b/trefoilgw/agent/tests/test_program.py
@@ -0,0 +1,109 @@
+"""The agent's process: ready line, findings, SIGTERM."""
+
+import contextlib
+import io
+import json
+import logging
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import unittest
+
+import eventlet
+
+from trefoilgw.agent import program
+from trefoilgw.agent.tests import scenes
+from trefoilgw.messages import core as messages
+
+SETTINGS = """
+name = "agent-1"
+domain = "d1"
+target_address = "{target}"
+services = ["preview"]
+entries = ["{entry}"]
+stream_key = "{key}"
+admin_address = "{admin}"
+"""
+
+
+class ProgramTest(unittest.TestCase):
+    def setUp(self):
+        limit = eventlet.Timeout(4 * scenes.TIMEOUT_S)
+        self.addCleanup(limit.cancel)
+        root = logging.getLogger()
+        self.addCleanup(setattr, root, "handlers", root.handlers[:])
+        self.addCleanup(root.setLevel, root.level)
+        self.addCleanup(setattr, sys, "excepthook", sys.excepthook)
+        self.addCleanup(logging.captureWarnings, False)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+        self.output = io.StringIO()
+        self.errors = io.StringIO()
+
+    def run_program(self, **fields):
+        values = {
+            "target": "127.0.0.1:1",
+            "entry": "127.0.0.1:1",
+            "key": scenes.KEY,
+            "admin": "",
+        }
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "agent.toml")
+            path.write_text(SETTINGS.format(**(values | fields)))
+            with (
+                contextlib.redirect_stdout(self.output),
+                contextlib.redirect_stderr(self.errors),
+            ):
+                return program.run(["--settings", str(path)])
+
+    def test_ready_line_and_graceful_leave(self):
+        """SIGTERM must finish what runs and end with 0."""
+        target, entry = scenes.Target(held=True), scenes.Entry("e")
+        self.addCleanup(target.sock.close)
+        self.addCleanup(entry.stop)
+        running = eventlet.spawn(
+            self.run_program,
+            target=target.address,
+            entry=entry.address,
+            admin="127.0.0.1:0",
+        )
+        entry.next(messages.CreditGrant)
+        ready = json.loads(self.output.getvalue())
+        hello = entry.hellos.get(timeout=scenes.TIMEOUT_S)
+        self.assertTrue(ready["ready"])
+        self.assertEqual(hello.incarnation, ready["incarnation"])
+        self.assertEqual(hello.admin_address, ready["admin"])
+        entry.send(scenes.batch(tasks=2, concurrency=1))
+        target.starts.get(timeout=scenes.TIMEOUT_S)
+        os.kill(os.getpid(), signal.SIGTERM)
+        entry.next(messages.Leaving)
+        entry.acked = (1,)
+        target.release()
+        fates = entry.outcomes(1)
+        self.assertEqual(
+            ["completed", "not_run"], [fates[0].fate, fates[1].fate]
+        )
+        self.assertEqual(0, running.wait())
+
+    def test_faulty_settings(self):
+        """Every finding must be told, and nothing started."""
+        code = self.run_program(key="short", entry="nowhere")
+        self.assertEqual(program.EXIT_CANNOT_START, code)
+        self.assertIn("agent.toml:6", self.errors.getvalue())
+        self.assertIn("agent.toml:7", self.errors.getvalue())
+        self.assertEqual("", self.output.getvalue())
+
+    def test_admin_address_in_use(self):
+        """A process that can't serve its operators must say so."""
+        taken = eventlet.listen(("127.0.0.1", 0), reuse_port=False)
+        self.addCleanup(taken.close)
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        code = self.run_program(admin=address)
+        self.assertEqual(program.EXIT_CANNOT_START, code)
+        self.assertIn("can't listen", self.errors.getvalue())
+
+
+if __name__ == "__main__":
+    unittest.main()
