--- a/trefoilgw/callers/problems.py
+++ b/trefoilgw/callers/problems.py
@@ -73,4 +73,5 @@
         status_of(refused),
         document(refused, **members),
         refused.retry_after_s,
+        str(refused.reason),
     )
--- a/trefoilgw/callers/values.py
+++ b/trefoilgw/callers/values.py
@@ -66,11 +66,13 @@
         status: HTTP status.
         body: JSON text in UTF-8.
         retry_after_s: Seconds after which a new attempt makes sense, or None.
+        reason: Stable code if the request is refused, for the metrics.
     """
 
     status: int
     body: bytes
     retry_after_s: float | None = None
+    reason: str = ""
 
 
 def status_line(status: int) -> str:
--- a/trefoilgw/entry/gather.py
+++ b/trefoilgw/entry/gather.py
@@ -34,7 +34,9 @@
     now_s = host.read_clock()
     agent = session.agent
     batch = host.in_flight.get(done.batch)
-    if batch is not None and batch.agent == agent:
+    if batch is None or batch.agent != agent:
+        host.counts.foreign_messages += 1
+    else:
         _learn(host, batch, done, now_s)
     if done.credits:
         host.placement.credits_granted(agent, done.credits)
@@ -45,7 +47,7 @@
         now_s,
         jobs.Origin(done.job, agent, session.number),
     )
-    if done.batch not in host.table.batches.by_number:
+    if done.final and done.batch not in host.table.batches.by_number:
         session.acked.append(done.batch)
     host.follow(result, now_s)
     host.pump()
--- a/trefoilgw/entry/routing.py
+++ b/trefoilgw/entry/routing.py
@@ -54,6 +54,8 @@
             )
         finally:
             self.host.open_requests -= 1
+        if reply.reason:
+            self.host.counts.refused(reply.reason)
         return reply
 
     def issue(self, count: int) -> list[str]:
