--- /dev/null
+++ b/trefoilgw/platform/tests/test_core.py
@@ -0,0 +1,198 @@
+"""Contract of the client, run against the stand-in."""
+
+import unittest
+
+import eventlet
+
+from tools.standins import kv
+from trefoilgw import platform
+
+# Long enough that no call that is answered reaches it on a loaded machine.
+TIMEOUT_S = 60.0
+# Each write of the client, as a call with a client and a granted lease.
+WRITES = {
+    "put": lambda client, _: client.put(platform.Put("/a", b"1")),
+    "txn": lambda client, _: client.txn(
+        [platform.Compare("/a", 0)], [platform.Put("/a", b"1")]
+    ),
+    "grant": lambda client, _: client.grant_lease(5),
+    "keep_alive": lambda client, lease: client.keep_alive(lease),
+    "revoke": lambda client, lease: client.revoke(lease),
+}
+READS = {
+    "get": lambda client: client.get("/a"),
+    "range": lambda client: client.range(platform.Read("/", prefix=True)),
+    "read_all": lambda client: client.read_all([platform.Read("/a")]),
+}
+# Fault: (switches, whether a write may have taken effect). A client can't
+# tell a connection cut before the effect from one cut after it.
+FAULTS = {
+    "down": ({"down": True}, True),
+    "answer lost": ({"lose_answer": 1}, True),
+    "request lost": ({"lose_request": 1}, True),
+    "limit": ({"writes_s": 0.5, "reads_s": 0.5}, False),
+}
+HEAD = b"HTTP/1.1 200 OK\r\n"
+# Answers of a service that does not follow the protocol.
+ODD_ANSWERS = {
+    "empty": b"",
+    "not HTTP": b"\xff\xff\xff\xff\r\n\r\n",
+    "not JSON": HEAD + b"Content-Length: 3\r\n\r\n{{{",
+    "a list": HEAD + b"Content-Length: 2\r\n\r\n[]",
+    "no header": HEAD + b"Content-Length: 2\r\n\r\n{}",
+    "cut body": HEAD + b"Content-Length: 99\r\n\r\n{}",
+    "server error": b"HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\n{}",
+    "redirect": b"HTTP/1.1 307 X\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n",
+}
+
+
+class ClientTest(unittest.TestCase):
+    def setUp(self):
+        self.server = kv.Server()
+        self.client = platform.Client(self.server.serve(), TIMEOUT_S)
+        self.addCleanup(self.server.close)
+        self.addCleanup(self.client.close)
+
+    def test_write_and_read(self):
+        committed = self.client.put(platform.Put("/a", b"\x00\xff"))
+        self.assertIsInstance(committed, platform.Committed)
+        expected = platform.Value(b"\x00\xff", committed.revision, "/a")
+        self.assertEqual(expected, self.client.get("/a"))
+        self.assertEqual(platform.Missing(), self.client.get("/b"))
+        self.client.put(platform.Put("/b", b""))
+        page = self.client.range(
+            platform.Read("/", prefix=True, newest_first=True, limit=1)
+        )
+        self.assertEqual(
+            (["/b"], True), ([x.key for x in page.items], page.more)
+        )
+        whole, names = self.client.read_all(
+            [
+                platform.Read("/a"),
+                platform.Read("/", prefix=True, keys_only=True),
+            ]
+        )
+        self.assertEqual(b"\x00\xff", whole.items[0].data)
+        self.assertEqual([b"", b""], [item.data for item in names.items])
+        self.assertEqual(self.server.store.revision, names.revision)
+
+    def test_compare_and_swap(self):
+        """A lost update would drop another operator's change."""
+        put = platform.Put("/a", b"1")
+        first = self.client.txn([platform.Compare("/a", 0)], [put])
+        self.assertIsInstance(first, platform.Committed)
+        again = self.client.txn([platform.Compare("/a", 0)], [put])
+        self.assertEqual(first.revision, again.value.mod_revision)
+        compares = [
+            platform.Compare("/a", first.revision),
+            platform.Compare("/b", 7),
+        ]
+        mixed = self.client.txn(compares, [platform.Delete("/a")])
+        self.assertEqual(platform.Missing(), mixed.values[1])
+        gone = self.client.txn(compares[:1], [platform.Delete("/a")])
+        self.assertIsInstance(gone, platform.Committed)
+        self.assertEqual(platform.Missing(), self.client.get("/a"))
+
+    def test_leases(self):
+        lease = self.client.grant_lease(60)
+        self.client.put(platform.Put("/l", b"1", lease.number))
+        self.assertEqual(lease, self.client.keep_alive(lease))
+        self.assertEqual(lease.number, self.client.get("/l").lease)
+        self.server.store.expire(force=True)
+        self.assertEqual(platform.Missing(), self.client.get("/l"))
+        self.assertEqual(platform.Missing(), self.client.keep_alive(lease))
+        self.assertEqual(platform.Missing(), self.client.revoke(lease))
+        refused = self.client.put(platform.Put("/l", b"1", lease.number))
+        self.assertEqual(5, refused.code)
+
+    def test_refused_values(self):
+        """A refusal must not be taken for a service that is down."""
+        result = self.client.put(platform.Put("/a", b"x" * 2_000_000))
+        self.assertIsInstance(result, platform.Rejected)
+
+    def test_faults_at_writes(self):
+        """Taking a lost answer for no effect would repeat the write."""
+        lease = self.client.grant_lease(600)
+        for fault, (switches, may_have) in FAULTS.items():
+            for name, call in WRITES.items():
+                with self.subTest(fault=fault, call=name):
+                    self.server.switch(**switches)
+                    result = call(self.client, lease)
+                    self.assertIsInstance(result, platform.Unavailable)
+                    self.assertEqual(may_have, result.may_have_taken_effect)
+
+    def test_faults_at_reads(self):
+        for fault in ("down", "limit"):
+            for name, call in READS.items():
+                with self.subTest(fault=fault, call=name):
+                    self.server.switch(**FAULTS[fault][0])
+                    result = call(self.client)
+                    self.assertIsInstance(result, platform.Unavailable)
+                    self.assertFalse(result.may_have_taken_effect)
+
+    def test_lost_answer_took_effect(self):
+        """The stand-in must show the case that the callers resolve."""
+        self.server.switch(lose_answer=1)
+        WRITES["put"](self.client, None)
+        self.assertEqual(b"1", self.client.get("/a").data)
+        self.assertEqual(1, self.server.calls["put"])
+
+    def test_slow_service(self):
+        """A write that times out may still take effect later."""
+        self.client.get("/a")  # Opens the connection that is used next.
+        self.server.switch(slow_s=3600.0)
+        self.client.timeout_s = 0.05
+        result = WRITES["put"](self.client, None)
+        self.assertTrue(result.may_have_taken_effect)
+        self.assertEqual(1, self.client.failures)
+
+    def test_nothing_listens(self):
+        self.server.close()
+        client = platform.Client(self.server.address, TIMEOUT_S)
+        result = WRITES["put"](client, None)
+        self.assertFalse(result.may_have_taken_effect)
+
+
+class OddServiceTest(unittest.TestCase):
+    def serve(self, handle):
+        sock = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(sock.close)
+
+        def accept():
+            connection, _ = sock.accept()
+            connection.recv(65536)
+            handle(connection)
+            connection.close()
+
+        thread = eventlet.spawn(accept)
+        self.addCleanup(thread.kill)
+        host, port = sock.getsockname()
+        return platform.Client(f"{host}:{port}", TIMEOUT_S)
+
+    def test_odd_answers(self):
+        """A proxy's page must neither raise nor pass for an answer."""
+        for name, data in ODD_ANSWERS.items():
+            with self.subTest(name):
+                client = self.serve(lambda sock, data=data: sock.sendall(data))
+                result = WRITES["txn"](client, None)
+                self.assertIsInstance(result, platform.Unavailable)
+                self.assertTrue(result.may_have_taken_effect)
+
+    def test_answer_without_end(self):
+        """A service that sends byte by byte must not hold a caller."""
+        clock = iter(range(0, 10_000, 20))
+
+        def drip(sock):
+            sock.sendall(HEAD + b"Content-Length: 1000000\r\n\r\n")
+            while True:
+                sock.sendall(b" ")
+                eventlet.sleep(0)
+
+        client = self.serve(drip)
+        client.now = lambda: next(clock)
+        result = READS["get"](client)
+        self.assertIn("too long", result.detail)
+
+
+if __name__ == "__main__":
+    unittest.main()
