--- a/trefoilgw/entry/admit.py
+++ b/trefoilgw/entry/admit.py
@@ -23,9 +23,16 @@
 
 
 def offer(
-    host: hosts.Host, job: jobs.Job, now_s: float
+    host: hosts.Host, job: jobs.Job, now_s: float, retry: bool = False
 ) -> outcomes.Refused | None:
-    """Queues the waiting tasks of a job; returns why not, if refused."""
+    """Queues the waiting tasks of a job; returns why not, if refused.
+
+    Args:
+        host: State of this entry.
+        job: The job.
+        now_s: Monotonic time.
+        retry: True for tasks that were accepted before.
+    """
     if job.id in host.queued:
         return None
     kind = job.kind
@@ -41,7 +48,7 @@
         deadline_s=job.deadline_s,
         run_time_s=host.placement.run_time_s(kind.name) or kind.run_time_s,
     )
-    answer = host.admission.offer(item, now_s)
+    answer = host.admission.offer(item, now_s, retry)
     if isinstance(answer, outcomes.Refused):
         return answer
     host.queued[job.id] = item.tasks
--- a/trefoilgw/entry/configuring.py
+++ b/trefoilgw/entry/configuring.py
@@ -14,6 +14,7 @@
 from trefoilgw.keys import core as keys
 from trefoilgw.messages import core as messages
 from trefoilgw.records import core as records
+from trefoilgw.rollout import core as rollouts
 
 # A roster read longer ago proves nothing about a missing entry.
 ROSTER_FRESH_S = 10.0
@@ -31,8 +32,7 @@
     Attributes:
         host: State of this entry.
         own: This entry in the roster.
-        document: Document in force, empty if none.
-        revision: Its revision, 0 if none.
+        rollout: Revision and document in force.
         entries: Roster entries of the current epoch.
         roster_read_s: When the roster was read last, None if never.
         seen: Incarnations that were ever in a roster seen here, as an
@@ -43,31 +43,39 @@
 
     host: hosts.Host
     own: messages.RosterEntry
-    document: bytes = b""
-    revision: int = 0
+    rollout: rollouts.Rollout = attrs.field(factory=rollouts.Rollout)
     entries: tuple[messages.RosterEntry, ...] = ()
     roster_read_s: float | None = None
     seen: dict = attrs.field(factory=dict)
     on_change: Callable[[], None] = lambda: None
     on_roster_change: Callable[[], None] = lambda: None
 
+    @property
+    def revision(self) -> int:
+        """Revision in force, 0 if none."""
+        return self.rollout.revision
+
     def offer(self, revision: int, document: bytes) -> bool:
         """Takes a configuration if it is newer and valid.
 
         Returns:
             True if it is in force now.
         """
-        if revision <= self.revision:
-            return False
+        if self.rollout.behind(revision):
+            return self._put_in_force(revision, document)
+        self.rollout.offer(revision, document)  # Counts a conflict.
+        return False
+
+    def _put_in_force(self, revision: int, document: bytes) -> bool:
+        """Takes a newer configuration if it is valid."""
         parsed = records.parse_document(document)
         if isinstance(parsed, tuple) or parsed.revision != revision:
             log.error(
                 "configuration is not valid", extra={"revision": revision}
             )
             return False
+        self.rollout.offer(revision, document)
         host = self.host
-        self.document = document
-        self.revision = revision
         host.configuration = parsed
         host.admission.configure(parsed, host.read_clock())
         for kind in parsed.kinds:
@@ -82,7 +90,8 @@
         """Sends the configuration in force to one process."""
         if self.revision:
             self.host.send(
-                stream, messages.ConfigPush(self.revision, self.document)
+                stream,
+                messages.ConfigPush(self.revision, self.rollout.document),
             )
 
     def take_roster(
--- a/trefoilgw/entry/core.py
+++ b/trefoilgw/entry/core.py
@@ -31,6 +31,7 @@
 from trefoilgw.entry import identify
 from trefoilgw.entry import peers as peer_streams
 from trefoilgw.entry import place
+from trefoilgw.entry import reclaim
 from trefoilgw.entry import routing
 from trefoilgw.jobs import core as jobs
 from trefoilgw.jobs import deadlines
@@ -241,6 +242,7 @@
         """Looks at waiting work."""
         if self.host.queued:
             self.pump()
+            reclaim.apply(self.host)
 
     def _welcome(self, hello):
         """Answers the hello of an agent or another entry."""
--- a/trefoilgw/entry/followups.py
+++ b/trefoilgw/entry/followups.py
@@ -46,7 +46,7 @@
     now_s = host.read_clock()
     if job.ended or not job.waiting:
         return
-    refused = admit.offer(host, job, now_s)
+    refused = admit.offer(host, job, now_s, retry=True)
     if refused is not None:
         follow(host, host.table.withdraw(job, refused, now_s), now_s)
     host.pump()
--- /dev/null
+++ b/trefoilgw/entry/reclaim.py
@@ -0,0 +1,31 @@
+"""Takes credits back from large batches for work below its share."""
+
+from trefoilgw.entry import host as hosts
+from trefoilgw.messages import core as messages
+
+
+def apply(host: hosts.Host) -> None:
+    """Lowers the concurrency of batches as admission asks for."""
+    now_s = host.read_clock()
+    for wish in host.admission.reclaim(now_s):
+        job = host.table.running.get(wish.job)
+        if job is not None:
+            _shrink(host, job.open_batches, wish.credits, now_s)
+
+
+def _shrink(host: hosts.Host, batches: set, credits: int, now_s: float) -> None:
+    """Takes credits from the batches of one job, the largest first.
+
+    Each batch keeps one, so that it goes on. The credits count as given back
+    at once; they arrive as tasks of the batch end.
+    """
+    held = [(n, host.in_flight[n]) for n in batches if n in host.in_flight]
+    held.sort(key=lambda item: -item[1].credits)
+    for number, batch in held:
+        count = min(credits, batch.credits - 1)
+        session = host.agents.get(batch.agent)
+        if count <= 0 or session is None:
+            continue
+        credits -= count
+        host.release(number, count, 0.0, now_s)
+        host.send(session.stream, messages.Resize(number, batch.credits))
