Test entries with streams: forwarding, lost homes, leaving, seeds

Two entries and fake agents on loopback ports: a key submitted at both at once starts once, a home that is gone is unreachable and later lost, configuration spreads over peers and agents, a planned stop finishes job and request.

--- a/trefoilgw/callers/server.py
+++ b/trefoilgw/callers/server.py
@@ -61,10 +61,15 @@
         Returns:
             False if requests were still open after `timeout_s`.
         """
-        if self._thread is None:
-            return True
-        self._thread.kill()
+        self.close()
         with eventlet.Timeout(timeout_s, False):
             self._pool.waitall()
             return True
         return False
+
+    def close(self) -> None:
+        """Takes no new connections and ends idle ones."""
+        if self._thread is not None:
+            self._thread.kill()
+            self._sock.close()
+            self._thread = None
--- a/trefoilgw/entry/core.py
+++ b/trefoilgw/entry/core.py
@@ -15,7 +15,7 @@
 from trefoilgw.admission import core as admission
 from trefoilgw.callers import core as callers
 from trefoilgw.callers import server as servers
-from trefoilgw.entry import admin
+from trefoilgw.entry import admin as admin_port
 from trefoilgw.entry import admit
 from trefoilgw.entry import agents as agent_sessions
 from trefoilgw.entry import answer
@@ -110,6 +110,7 @@
         agents: Sessions of agents.
         peers: Streams to other entries.
         router: Answers requests.
+        admin: Answers operators.
         addresses: Bound addresses by listener, after `start`.
         stopped: True once the entry has left.
     """
@@ -126,6 +127,7 @@
     agents: agent_sessions.Agents = attrs.field(init=False)
     peers: peer_streams.Peers = attrs.field(init=False)
     router: routing.Router = attrs.field(init=False)
+    admin: admin_port.Admin = attrs.field(init=False)
     addresses: dict = attrs.field(factory=dict)
     stopped: bool = False
     _http: servers.HttpServer = attrs.field(init=False)
@@ -159,7 +161,8 @@
                 self.router.handle, lambda: self.host.roster.epoch
             )
         )
-        self._admin = servers.HttpServer(admin.Admin(self))
+        self.admin = admin_port.Admin(self)
+        self._admin = servers.HttpServer(self.admin)
         self._listener = streams.Listener(key, self._welcome, self._accepted)
 
     def start(self) -> None:
@@ -213,10 +216,20 @@
         for session in list(host.agents.values()):
             host.send(session.stream, messages.Leaving())
         self._http.stop(LEAVE_NOTICE_S)
-        self._close_streams()
-        self.timers.stop()
+        for stream in self._streams():
+            stream.flush()
+        self.close()
         self.stopped = True
 
+    def close(self) -> None:
+        """Closes all listeners and streams at once."""
+        self.timers.stop()
+        self._http.close()
+        self._admin.close()
+        self._listener.close()
+        for stream in self._streams():
+            stream.close("this entry stops")
+
     def _subscribe(self) -> None:
         """Subscribes the parts to the timer service."""
         every = self.timers.every
@@ -261,10 +274,7 @@
             case messages.PeerHello():
                 self.peers.accepted(stream)
 
-    def _close_streams(self) -> None:
-        """Closes all streams after what is queued was written."""
-        self._listener.close()
-        sessions = [item.stream for item in self.host.agents.values()]
-        for stream in sessions + [p.stream for p in self.host.peers.values()]:
-            stream.flush()
-            stream.close("this entry leaves")
+    def _streams(self) -> list[streams.Stream]:
+        """Returns all open streams."""
+        parts = [*self.host.agents.values(), *self.host.peers.values()]
+        return [part.stream for part in parts]
--- /dev/null
+++ b/trefoilgw/entry/tests/cluster.py
@@ -0,0 +1,156 @@
+"""Entries on loopback ports, callers and agents for tests with streams."""
+
+import http.client
+import json
+import time
+
+import attrs
+import eventlet
+from eventlet import queue
+
+from trefoilgw.entry import core
+from trefoilgw.entry.tests import rig
+from trefoilgw.messages import core as messages
+from trefoilgw.streams import core as streams
+
+# Only a run that fails waits this long.
+PATIENCE_S = 30.0
+
+
+def until(condition):
+    """Lets greenthreads run until a condition holds."""
+    give_up_s = time.monotonic() + PATIENCE_S
+    while not condition():
+        if time.monotonic() > give_up_s:
+            raise AssertionError("the condition did not come true")
+        eventlet.sleep(0.002)
+
+
+@attrs.define(eq=False, slots=False)
+class FakeAgent:
+    """An agent that queues what it is sent; answers batches if told to."""
+
+    entry: core.Entry
+    incarnation: str = "a" * 16
+    slots: int = 8
+    answers: bool = True
+    inbox: queue.Queue = attrs.field(factory=queue.Queue)
+    batches: list = attrs.field(factory=list)
+
+    def connect(self, credits=None):
+        hello = messages.AgentHello(
+            1,
+            "target",
+            self.incarnation,
+            "scl-1",
+            ("proof",),
+            self.slots,
+            64,
+            0,
+            "",
+        )
+        key = bytes.fromhex(rig.STREAM_KEY)
+        address = self.entry.addresses["stream"]
+        self.stream = streams.dial(address, key, hello)
+        self.stream.start(self._received, lambda stream, reason: None)
+        self.stream.send(messages.CreditGrant(credits or self.slots))
+        eventlet.spawn_n(self._ping, self.stream)
+        until(lambda: self.entry.host.placement.free("proof"))
+        return self
+
+    def next(self, cls):
+        """Returns the next message of a class."""
+        while True:
+            message = self.inbox.get(timeout=PATIENCE_S)
+            if isinstance(message, cls):
+                return message
+
+    def complete(self, batch):
+        """Answers a batch with the index of each task."""
+        found = tuple(
+            messages.fate_to_wire(task.index, rig.completed(task.index))
+            for task in batch.tasks
+        )
+        self.stream.send(
+            messages.BatchDone(
+                batch.batch, batch.job, found, batch.concurrency, True
+            )
+        )
+
+    def _received(self, stream, message):
+        if isinstance(message, messages.RunBatch):
+            self.batches.append(message)
+            if self.answers:
+                self.complete(message)
+        self.inbox.put(message)
+
+    def _ping(self, stream):
+        while not stream.closed:
+            stream.send(messages.Ping(time.monotonic(), 1, 0, 0))
+            eventlet.sleep(0.3)
+
+
+class Caller:
+    """Sends requests to one entry."""
+
+    def __init__(self, entry, token=rig.TOKEN):
+        self.address = entry.addresses["http"]
+        self.token = token
+
+    def request(self, method, path, body=None, key=""):
+        """Returns status, JSON document and headers of an answer."""
+        headers = {"Authorization": f"Bearer {self.token}"}
+        if key:
+            headers["Idempotency-Key"] = key
+        connection = http.client.HTTPConnection(
+            self.address, timeout=PATIENCE_S
+        )
+        try:
+            connection.request(method, path, body, headers)
+            answer = connection.getresponse()
+            return answer.status, json.loads(answer.read()), answer.headers
+        finally:
+            connection.close()
+
+    def submit(self, key="", tasks=1, wait_s=20):
+        """Returns status and document of a submission."""
+        path = f"/v1/jobs?wait_s={wait_s}"
+        return self.request("POST", path, rig.submission(tasks), key)[:2]
+
+    def ticket(self):
+        """Returns a new ticket."""
+        return self.request("POST", "/v1/tickets")[1]["tickets"][0]
+
+
+def start_entries(case, count, configured=True, **fields):
+    """Returns started entries that know each other by a roster."""
+    entries = []
+    for _ in range(count):
+        entry = core.Entry(rig.settings(**fields))
+        entry.start()
+        case.addCleanup(entry.close)
+        entries.append(entry)
+    entries.sort(key=lambda entry: entry.incarnation)
+    if configured:
+        for entry in entries:
+            entry.config.offer(1, rig.document())
+    set_roster(entries, 1, entries)
+    return entries
+
+
+def set_roster(entries, epoch, members, history=()):
+    """Tells entries a roster."""
+    own = tuple(member.config.own for member in members)
+    names = tuple(entry.incarnation for entry in own)
+    known = dict(history) | {epoch: names}
+    for entry in entries:
+        entry.config.take_roster(epoch, own, known, entry.host.now())
+
+
+def connected(entries):
+    """Waits until all entries have a stream to all others."""
+    until(
+        lambda: all(
+            len(entry.host.peers) == len(entries) - 1 for entry in entries
+        )
+    )
--- /dev/null
+++ b/trefoilgw/entry/tests/test_core.py
@@ -0,0 +1,306 @@
+import unittest
+
+import eventlet
+
+from trefoilgw.entry import core
+from trefoilgw.entry import routing
+from trefoilgw.entry.tests import cluster
+from trefoilgw.entry.tests import rig
+from trefoilgw.keys import core as keys
+from trefoilgw.messages import core as messages
+
+
+class OneEntryTest(unittest.TestCase):
+    def setUp(self):
+        (self.entry,) = cluster.start_entries(self, 1)
+        self.agent = cluster.FakeAgent(self.entry).connect()
+        self.caller = cluster.Caller(self.entry)
+
+    def test_whole_answer(self):
+        """The path from the caller to the agent and back must hold."""
+        status, found = self.caller.submit(tasks=310)
+        self.assertEqual((200, "complete"), (status, found["state"]))
+        self.assertEqual(list(range(310)), found["results"])
+
+    def test_caller_waits_for_the_end(self):
+        """A waiting request must get the answer, not the state before it."""
+        self.agent.answers = False
+        key = self.caller.ticket()
+        status, found = self.caller.submit(key, wait_s=0)
+        self.assertEqual((202, "running"), (status, found["state"]))
+        waiting = [
+            eventlet.spawn(self.caller.submit, key),
+            eventlet.spawn(
+                self.caller.request, "GET", f"/v1/jobs/{key}?wait_s=20"
+            ),
+        ]
+        cluster.until(lambda: self.entry.host.open_requests == 2)
+        self.agent.complete(self.agent.next(messages.RunBatch))
+        for thread in waiting:
+            status, found = thread.wait()[:2]
+            self.assertEqual((200, "complete"), (status, found["state"]))
+        self.assertEqual(1, len(self.agent.batches))
+
+    def test_leave_under_load(self):
+        """A planned stop must interrupt neither jobs nor requests."""
+        self.agent.answers = False
+        waiting = eventlet.spawn(self.caller.submit, tasks=20)
+        batch = self.agent.next(messages.RunBatch)
+        leaving = eventlet.spawn(self.entry.leave)
+        cluster.until(lambda: self.entry.host.leaving)
+        status, found, _ = self.caller.request("GET", "/healthz")
+        self.assertEqual((503, "leaving"), (status, found["status"]))
+        status, found = self.caller.submit()
+        self.assertEqual(
+            (503, "leaving", True), (status, found["reason"], found["not_run"])
+        )
+        self.agent.answers = True
+        self.agent.complete(batch)
+        status, found = waiting.wait()
+        self.assertEqual((200, list(range(20))), (status, found["results"]))
+        self.agent.next(messages.Leaving)
+        leaving.wait()
+        self.assertTrue(self.entry.stopped)
+        with self.assertRaises(OSError):
+            self.caller.submit()
+
+    def test_admin(self):
+        """Operators must see state, metrics and jobs."""
+        self.caller.submit()
+        admin = cluster.Caller(self.entry)
+        admin.address = self.entry.addresses["admin"]
+        _, status, _ = admin.request("GET", "/admin/status")
+        self.assertEqual(1, status["revision"])
+        self.assertEqual(["target"], [row["agent"] for row in status["agents"]])
+        key = self.caller.ticket()
+        self.caller.submit(key)
+        _, found, _ = admin.request("GET", f"/admin/jobs/{key}")
+        self.assertEqual("complete", found["jobs"][0]["state"])
+        self.assertEqual(404, admin.request("GET", "/admin/jobs/x")[0])
+        text = self.entry.admin.registry.exposition().decode()
+        for line in (
+            'trefoilgw_messages_sent_total{type="RunBatch"} 2.0',
+            'trefoilgw_messages_received_total{type="BatchDone"} 2.0',
+            'trefoilgw_jobs_ended_total{state="complete"} 2.0',
+            "trefoilgw_agents 1.0",
+        ):
+            self.assertIn(line, text)
+
+
+class PeersTest(unittest.TestCase):
+    def setUp(self):
+        self.entries = cluster.start_entries(self, 2)
+        self.first, self.second = self.entries
+        cluster.connected(self.entries)
+        self.agents = [
+            cluster.FakeAgent(entry, incarnation=digit * 16).connect()
+            for entry, digit in zip(self.entries, "ab", strict=True)
+        ]
+        self.callers = [cluster.Caller(entry) for entry in self.entries]
+
+    def own_key_of(self, home):
+        """Returns an own key of the current epoch with a given home."""
+        for number in range(1000):
+            key = keys.OwnKey(1, f"n{number}")
+            if keys.home_of(key, home.host.roster) == home.incarnation:
+                return keys.format_key(key)
+        raise AssertionError("no key has this home")
+
+    def started(self):
+        """Returns how many tasks the agents got."""
+        return sum(
+            len(batch.tasks) for agent in self.agents for batch in agent.batches
+        )
+
+    def test_one_stream_per_pair(self):
+        """Doubled streams would double heartbeats and lose answers."""
+        for entry in self.entries:
+            (peer,) = entry.host.peers.values()
+            self.assertEqual(self.first.incarnation, peer.dialled_by)
+
+    def test_request_at_another_entry(self):
+        """A caller may reach any entry through the balancer."""
+        for key in (
+            self.callers[1].ticket(),
+            self.own_key_of(self.second),
+            self.own_key_of(self.first),
+        ):
+            with self.subTest(key=key):
+                before = self.started()
+                status, found = self.callers[0].submit(key, tasks=3)
+                self.assertEqual((200, [0, 1, 2]), (status, found["results"]))
+                path = f"/v1/jobs/{key}"
+                for caller in self.callers:
+                    self.assertEqual(found, caller.request("GET", path)[1])
+                self.assertEqual(before + 3, self.started())
+
+    def test_same_key_at_both_entries_at_once(self):
+        """Resubmission through another entry must not start tasks again."""
+        for key in (self.callers[0].ticket(), self.own_key_of(self.second)):
+            with self.subTest(key=key):
+                before = self.started()
+                threads = [
+                    eventlet.spawn(caller.submit, key, 5)
+                    for caller in self.callers * 3
+                ]
+                answers = [thread.wait() for thread in threads]
+                self.assertEqual([answers[0]] * 6, answers)
+                self.assertEqual(list(range(5)), answers[0][1]["results"])
+                self.assertEqual(before + 5, self.started())
+
+    def test_refusals_of_the_home(self):
+        """The home alone knows what ran under a key."""
+        key = self.callers[1].ticket()
+        self.callers[0].submit(key)
+        status, found = self.callers[0].submit(key, tasks=2)
+        self.assertEqual(
+            (409, "key_reused", False),
+            (status, found["reason"], found["not_run"]),
+        )
+        other = cluster.Caller(self.first, rig.OTHER_TOKEN)
+        status, found, _ = other.request("GET", f"/v1/jobs/{key}")
+        self.assertEqual((404, "not_found"), (status, found["reason"]))
+        status, found, _ = self.callers[0].request(
+            "POST", "/v1/jobs", b"{", self.callers[1].ticket()
+        )
+        self.assertEqual((400, True), (status, found["not_run"]))
+
+    def test_cancel_at_another_entry(self):
+        """A cancellation must reach the home."""
+        self.agents[1].answers = False
+        key = self.callers[1].ticket()
+        self.callers[0].submit(key, wait_s=0)
+        batch = self.agents[1].next(messages.RunBatch)
+        self.callers[0].request("DELETE", f"/v1/jobs/{key}")
+        strike = self.agents[1].next(messages.Strike)
+        self.assertEqual((batch.batch,), strike.batches)
+
+    def test_home_that_is_gone(self):
+        """An unreachable home may come back; a lost one never does."""
+        path = "/v1/jobs?wait_s=1"
+        ticket, own = self.callers[1].ticket(), self.own_key_of(self.second)
+        self.second.close()
+        cluster.until(lambda: not self.first.host.peers)
+        for key in (ticket, own):
+            status, found = self.callers[0].submit(key, 2, wait_s=1)
+            self.assertEqual(
+                (503, "home_unreachable", False, False),
+                (
+                    status,
+                    found["reason"],
+                    found["not_run"],
+                    found["attempt_forwarded"],
+                ),
+            )
+        history = dict(self.first.host.roster.history)
+        cluster.set_roster([self.first], 2, [self.first], history)
+        for key in (ticket, own):
+            status, found = self.callers[0].submit(key, 2, wait_s=1)
+            self.assertEqual(
+                (200, "failed", "home_lost"),
+                (status, found["state"], found["reason"]),
+            )
+            self.assertEqual(
+                ["unknown"] * 2, [row["fate"] for row in found["fates"]]
+            )
+        stale_s = self.first.host.now() - 11.0
+        self.first.config.roster_read_s = stale_s
+        status, found = self.callers[0].submit(ticket, 2, wait_s=1)
+        self.assertEqual("home_unreachable", found["reason"])
+        unseen = f"t1.{'0' * 16}.0.{'0' * 16}"
+        self.first.config.roster_read_s = self.first.host.now()
+        status, found, _ = self.callers[0].request(
+            "POST", path, rig.submission(), unseen
+        )
+        self.assertEqual("home_unreachable", found["reason"])
+
+    def test_home_that_goes_while_a_request_waits(self):
+        """The home may have started the work, and the answer says so."""
+        self.agents[1].answers = False
+        key = self.callers[1].ticket()
+        waiting = eventlet.spawn(self.callers[0].submit, key)
+        self.agents[1].next(messages.RunBatch)
+        self.second.close()
+        status, found = waiting.wait()
+        self.assertEqual(
+            (503, "home_unreachable", False, True),
+            (
+                status,
+                found["reason"],
+                found["not_run"],
+                found["attempt_forwarded"],
+            ),
+        )
+
+    def test_unknown_epoch(self):
+        """Only the home could know what ran under a key of this epoch."""
+        for epoch in (0, 2):
+            status, found = self.callers[0].submit(f"k1.{epoch}.a")
+            self.assertEqual(
+                (503, "home_unreachable", False),
+                (status, found["reason"], found["not_run"]),
+            )
+
+    def test_configuration_spreads_without_the_platform(self):
+        """Peers and agents carry a configuration in both directions."""
+        self.second.config.offer(2, rig.document(2))
+        cluster.until(lambda: self.first.config.revision == 2)
+        pushed = self.agents[0].next(messages.ConfigPush)
+        while pushed.revision != 2:
+            pushed = self.agents[0].next(messages.ConfigPush)
+        self.assertEqual(rig.document(2), pushed.document)
+
+
+class SeedsTest(unittest.TestCase):
+    def test_entry_that_starts_without_the_platform(self):
+        """It learns peers and configuration from its seed addresses."""
+        (old,) = cluster.start_entries(self, 1)
+        address = old.addresses["stream"]
+        new = core.Entry(rig.settings(peers=(address,)))
+        new.start()
+        self.addCleanup(new.close)
+        caller = cluster.Caller(new)
+        cluster.until(lambda: new.config.revision == 1)
+        cluster.connected([old, new])
+        cluster.FakeAgent(new).connect()
+        self.assertEqual(200, caller.submit()[0])
+        ticket = caller.ticket()
+        status, _ = cluster.Caller(old).submit(ticket)
+        self.assertEqual(200, status)
+
+    def test_no_configuration(self):
+        """Work is refused as not run until a configuration is known."""
+        (entry,) = cluster.start_entries(self, 1, configured=False)
+        status, found = cluster.Caller(entry).submit()
+        self.assertEqual(
+            (503, "no_configuration", True),
+            (status, found["reason"], found["not_run"]),
+        )
+
+    def test_own_address_among_the_seeds(self):
+        """A balancer's address may lead back to the entry itself."""
+        entry = core.Entry(rig.settings())
+        entry.start()
+        self.addCleanup(entry.close)
+        entry.peers.seeds = (entry.addresses["stream"],)
+        cluster.until(
+            lambda: any(
+                redial.incarnation == entry.incarnation
+                for redial in entry.peers.redials.values()
+            )
+        )
+        self.assertEqual({}, entry.host.peers)
+
+
+class ForwardTest(unittest.TestCase):
+    def test_answer_too_large_for_a_frame(self):
+        """A frame above the limit must not tear the peers' stream down."""
+        entries = cluster.start_entries(self, 2)
+        cluster.connected(entries)
+        peer = entries[0].host.peers[entries[1].incarnation]
+        big = routing.values.Reply(200, b"x" * (9 * 1024 * 1024))
+        entries[1].router.run = lambda exchange: setattr(exchange, "reply", big)
+        key = cluster.Caller(entries[1]).ticket()
+        status, found = cluster.Caller(entries[0]).submit(key)
+        self.assertEqual((500, False), (status, found["not_run"]))
+        self.assertFalse(peer.stream.closed)
