Add the registry: lease, roster and watch of an entry

Entries find each other and the configuration through the platform, which may be down, slow, or lose its answer after a write. Each roster write is a compare-and-swap on what was read; a lost answer is resolved by reading the roster. A poll every 5 s guards against a watch that is silent.

Measured: a quiet poll costs two calls.

--- a/tools/standins/kv.py
+++ b/tools/standins/kv.py
@@ -47,6 +47,7 @@
         lose_answer: The next writes, this many, take effect, but the
             connection is cut instead of an answer.
         lose_request: The next writes, this many, are cut without effect.
+        lose_kinds: Kinds of writes that the two apply to; empty for all.
         silent_watches: Watches stay open and deliver nothing.
         writes_s: Writes per second above which calls are refused; 0 for no
             limit.
@@ -57,6 +58,7 @@
     slow_s: float = 0.0
     lose_answer: int = 0
     lose_request: int = 0
+    lose_kinds: tuple[str, ...] = ()
     silent_watches: bool = False
     writes_s: float = 500.0
     reads_s: float = 2000.0
@@ -244,12 +246,13 @@
         kind, handler = self._handlers[path]
         writes = kv_wire.is_write(kind, request)
         self._admit(kind, writes)
-        if writes and self.switches.lose_request:
+        losable = writes and kind in (self.switches.lose_kinds or (kind,))
+        if losable and self.switches.lose_request:
             self._count_down("lose_request")
             raise _CutError
         self.store.expire()
         answer = handler(request)
-        if writes and self.switches.lose_answer:
+        if losable and self.switches.lose_answer:
             self._count_down("lose_answer")
             raise _CutError
         return answer
--- /dev/null
+++ b/trefoilgw/registry/__init__.py
@@ -0,0 +1,29 @@
+"""The roster of entries and the keys under which records are kept.
+
+`Registry` itself stands in `trefoilgw.registry.core`: it loads eventlet, which
+the operator's command does without.
+"""
+
+from trefoilgw.registry.paths import audit_key
+from trefoilgw.registry.paths import AUDIT_PREFIX
+from trefoilgw.registry.paths import CONFIG_KEY
+from trefoilgw.registry.paths import ENTRIES_PREFIX
+from trefoilgw.registry.paths import entry_key
+from trefoilgw.registry.paths import PREFIX
+from trefoilgw.registry.paths import ROSTER_KEY
+from trefoilgw.registry.rosters import encode_roster
+from trefoilgw.registry.rosters import parse_roster
+from trefoilgw.registry.rosters import Roster
+
+__all__ = [
+    "AUDIT_PREFIX",
+    "CONFIG_KEY",
+    "ENTRIES_PREFIX",
+    "PREFIX",
+    "ROSTER_KEY",
+    "Roster",
+    "audit_key",
+    "encode_roster",
+    "entry_key",
+    "parse_roster",
+]
--- /dev/null
+++ b/trefoilgw/registry/paths.py
@@ -0,0 +1,19 @@
+"""Keys at the platform's key-value service."""
+
+PREFIX = "/trefoilgw/"
+CONFIG_KEY = PREFIX + "config"
+ROSTER_KEY = PREFIX + "roster"
+AUDIT_PREFIX = PREFIX + "audit/"
+ENTRIES_PREFIX = PREFIX + "entries/"
+# Audit keys sort by revision as text.
+REVISION_DIGITS = 12
+
+
+def audit_key(revision: int) -> str:
+    """Returns the key of the audit entry of a revision."""
+    return f"{AUDIT_PREFIX}{revision:0{REVISION_DIGITS}}"
+
+
+def entry_key(incarnation: str) -> str:
+    """Returns the lease key of an entry."""
+    return ENTRIES_PREFIX + incarnation
--- /dev/null
+++ b/trefoilgw/registry/tests/test_core.py
@@ -0,0 +1,347 @@
+"""An entry's lease, roster and configuration under faults of the platform."""
+
+import json
+import random
+import unittest
+
+import eventlet
+from eventlet import queue
+
+from tools.standins import kv
+from trefoilgw import platform
+from trefoilgw import registry
+from trefoilgw.messages import core as messages
+from trefoilgw.registry import core
+from trefoilgw.registry import leases
+from trefoilgw.registry import members
+from trefoilgw.timers import core as timers
+
+TIMEOUT_S = 60.0
+
+
+class HookedClient(platform.Client):
+    """Lets something happen before a write or after a read, once."""
+
+    before_txn = None
+    after_read = None
+
+    def txn(self, *args):
+        hook, self.before_txn = self.before_txn, None
+        if hook:
+            hook()
+        return super().txn(*args)
+
+    def read_all(self, reads):
+        pages = super().read_all(reads)
+        hook, self.after_read = self.after_read, None
+        if hook:
+            hook()
+        return pages
+
+
+class RegistryTest(unittest.TestCase):
+    def setUp(self):
+        self.now_s = 1000.0
+        self.server = kv.Server()
+        self.server.store.now = self.clock
+        self.operator = platform.Client(self.server.serve(), TIMEOUT_S)
+        self.addCleanup(self.server.close)
+        self.addCleanup(self.operator.close)
+        self.silent = set()
+        self.configurations = queue.Queue()
+        self.rosters = queue.Queue()
+
+    def clock(self):
+        return self.now_s
+
+    def entry(self, name):
+        """Returns a registry that polls when the test says so."""
+        own = messages.RosterEntry(name * 16, "10.0.0.1:1", "10.0.0.1:2", "d1")
+        client = HookedClient(self.server.address, TIMEOUT_S)
+        self.addCleanup(client.close)
+        made = core.Registry(
+            client,
+            own,
+            timers.TimerService(now=self.clock),
+            lambda revision, data: self.configurations.put(revision),
+            lambda roster, read_s: self.rosters.put(roster),
+            lambda name: name in self.silent,
+            random.Random(1),
+            self.clock,
+            lambda _: eventlet.sleep(0),
+        )
+        self.addCleanup(made.stop)
+        return made
+
+    def stored(self):
+        value = self.operator.get(registry.ROSTER_KEY)
+        return registry.parse_roster(value.data)
+
+    def names(self):
+        return [name[0] for name in self.stored().incarnations]
+
+    def configure(self, revision):
+        data = json.dumps({"revision": revision}).encode()
+        self.operator.put(platform.Put(registry.CONFIG_KEY, data))
+
+    def lease_names(self):
+        page = self.operator.range(
+            platform.Read(registry.ENTRIES_PREFIX, prefix=True)
+        )
+        return [item.key[-1] for item in page.items]
+
+    def test_entries_join(self):
+        first, second = self.entry("a"), self.entry("b")
+        self.assertTrue(first.poll())
+        self.assertTrue(second.poll())
+        self.assertEqual((["a", "b"], 2), (self.names(), self.stored().epoch))
+        self.assertTrue(first.poll())
+        self.assertEqual(second.roster, first.roster)
+        self.assertEqual(["a", "b"], self.lease_names())
+
+    def test_quiet_poll_costs_two_calls(self):
+        """Each entry polls every 5 s, so calls add up at the platform."""
+        entry = self.entry("a")
+        entry.poll()
+        entry.poll()
+        self.server.calls.clear()
+        self.assertTrue(entry.poll())
+        calls = {"keepalive": 1, "txn": 1}
+        self.assertEqual(calls, dict(self.server.calls))
+
+    def test_entries_that_join_at_once(self):
+        """Each one must get in, whoever wins a race."""
+        entries = [self.entry(name) for name in "abcdef"]
+
+        def join(entry):
+            while not entry.poll():
+                eventlet.sleep(0)
+
+        for thread in [eventlet.spawn(join, entry) for entry in entries]:
+            thread.wait()
+        self.assertEqual(list("abcdef"), self.names())
+        self.assertEqual(6, self.stored().epoch)
+
+    def test_lost_race(self):
+        """Writing over another entry's join would drop it."""
+        first, second = self.entry("a"), self.entry("b")
+        second.client.before_txn = first.poll
+        self.assertTrue(second.poll())
+        self.assertEqual(1, second.counts.lost_races)
+        self.assertEqual((["a", "b"], 2), (self.names(), self.stored().epoch))
+
+    def test_watch_overtakes_a_read(self):
+        """An answer that is older than an event must not undo it."""
+        first, second = self.entry("a"), self.entry("b")
+        first.poll()
+        seen = []
+
+        def join():
+            second.poll()
+            while not seen or seen[-1].epoch < 2:
+                seen.append(self.rosters.get(timeout=TIMEOUT_S))
+            while first.roster.epoch < 2:
+                eventlet.sleep(0)
+
+        first.client.after_read = join
+        with self.assertNoLogs("trefoilgw.registry.members", "ERROR"):
+            self.assertTrue(first.poll())
+        self.assertEqual(2, first.roster.epoch)
+
+    def test_unanswered_join(self):
+        """A join that took effect must not make a second epoch."""
+        epoch = 0
+        for name, switch in (("a", "lose_answer"), ("b", "lose_request")):
+            with self.subTest(switch):
+                entry = self.entry(name)
+                self.server.switch(**{switch: 1}, lose_kinds=("txn",))
+                self.assertFalse(entry.poll())
+                self.assertTrue(entry.poll())
+                self.assertEqual(1, entry.counts.lost_answers)
+                epoch += 1
+                self.assertEqual(epoch, self.stored().epoch)
+                self.assertIn(name, self.names())
+
+    def test_unanswered_lease_calls(self):
+        for name, kind in (("a", "grant"), ("b", "put")):
+            with self.subTest(kind):
+                entry = self.entry(name)
+                self.server.switch(lose_answer=1, lose_kinds=(kind,))
+                entry.poll()
+                self.assertTrue(entry.poll())
+                self.assertIn(name, self.lease_names())
+
+    def test_deleted_lease_key_is_written_again(self):
+        """Without its key, a live entry would look as if its lease lapsed."""
+        entry = self.entry("a")
+        entry.poll()
+        key = registry.entry_key(entry.own.incarnation)
+        self.operator.txn([], [platform.Delete(key)])
+        self.assertTrue(entry.poll())
+        self.assertEqual(["a"], self.lease_names())
+
+    def test_removal_needs_all_signs(self):
+        """A peer that only lost its link or its lease is still the home."""
+        cases = {
+            "lease and stream": (True, True, False, True),
+            "lease only": (True, False, False, False),
+            "stream only": (False, True, False, False),
+            "judge just resumed": (True, True, True, False),
+        }
+        for case, (lapsed, silent, paused, removed) in cases.items():
+            with self.subTest(case):
+                peer, judge = self.entry("p"), self.entry("j")
+                peer.poll()
+                judge.poll()
+                self.now_s += members.SILENCE_S
+                if lapsed:
+                    self.operator.revoke(peer._lease.lease)
+                self.silent = {peer.own.incarnation} if silent else set()
+                if paused:
+                    judge.paused(60.0)
+                self.assertTrue(judge.poll())
+                self.assertEqual(removed, "p" not in self.names())
+                self.assertEqual(removed, judge.counts.removed_entries == 1)
+
+    def test_stale_list_of_leases_removes_nobody(self):
+        """A pause between reading and judging must not cost a peer."""
+        peer, judge = self.entry("p"), self.entry("j")
+        peer.poll()
+        judge.poll()
+        self.now_s += members.SILENCE_S
+        self.silent = {peer.own.incarnation}
+        keeper = judge._members
+        self.assertTrue(keeper.repair(set(), self.now_s - 60.0))
+        self.assertEqual(["j", "p"], self.names())
+        self.assertTrue(keeper.repair(set(), self.now_s))
+        self.assertEqual(["j"], self.names())
+
+    def test_lease_lapsed_while_paused(self):
+        """A resumed entry must come back, also if it was removed."""
+        paused, judge = self.entry("p"), self.entry("j")
+        paused.poll()
+        judge.poll()
+        self.now_s += leases.LEASE_TTL_S - 1
+        judge.poll()
+        self.now_s += 2
+        self.server.store.expire()
+        self.assertEqual(["j"], self.lease_names())
+        self.silent = {paused.own.incarnation}
+        judge.poll()
+        self.assertEqual(["j"], self.names())
+        paused.paused(17.0)
+        self.assertTrue(paused.poll())
+        self.assertEqual(1, paused.counts.lost_leases)
+        self.assertEqual(["j", "p"], self.lease_names())
+        self.assertEqual((["j", "p"], 4), (self.names(), self.stored().epoch))
+
+    def test_platform_down(self):
+        """An outage must leave roster and configuration as they are."""
+        entry = self.entry("a")
+        entry.poll()
+        roster, read_s = entry.roster, entry.roster_read_s
+        self.now_s += 60.0
+        for fault in ({"down": True}, {"writes_s": 0.1, "reads_s": 0.1}):
+            with self.subTest(fault=fault):
+                self.server.switch(**fault)
+                self.assertFalse(entry.poll())
+                known = (entry.roster, entry.roster_read_s)
+                self.assertEqual((roster, read_s), known)
+        self.server.switch()
+        self.assertTrue(entry.poll())
+        self.assertEqual(self.now_s, entry.roster_read_s)
+        self.assertEqual(["a"], self.lease_names())
+
+    def test_configuration_by_watch_and_by_poll(self):
+        self.configure(1)
+        entry = self.entry("a")
+        entry.poll()
+        self.assertEqual(1, self.configurations.get(timeout=TIMEOUT_S))
+        self.configure(2)
+        self.assertEqual(2, self.configurations.get(timeout=TIMEOUT_S))
+        entry.poll()
+        self.assertTrue(self.configurations.empty())
+
+    def test_silent_watch(self):
+        """A watch that stopped without a sign would freeze a revision."""
+        entry = self.entry("a")
+        entry.poll()
+        self.server.switch(silent_watches=True)
+        self.configure(1)
+        for _ in range(2):
+            self.assertEqual(0, entry.counts.silent_watches)
+            self.now_s += core.POLL_S
+            entry.poll()
+        self.assertEqual(1, self.configurations.get(timeout=TIMEOUT_S))
+        self.now_s += core.POLL_S
+        entry.poll()
+        self.assertEqual(1, entry.counts.silent_watches)
+        self.server.switch()
+        self.configure(2)
+        self.assertEqual(2, self.configurations.get(timeout=TIMEOUT_S))
+
+    def test_lost_watch_is_opened_again(self):
+        entry = self.entry("a")
+        entry.poll()
+        first = entry._watch
+        self.server.switch(down=True)
+        first._thread.wait()
+        self.assertEqual(1, entry.counts.lost_watches)
+        self.server.switch()
+        self.configure(1)
+        entry.poll()
+        self.assertIsNot(first, entry._watch)
+        self.assertEqual(1, self.configurations.get(timeout=TIMEOUT_S))
+
+    def test_roster_that_can_not_be_read(self):
+        """An entry must not write over what it does not understand."""
+        self.operator.put(platform.Put(registry.ROSTER_KEY, b"{"))
+        entry = self.entry("a")
+        with self.assertLogs("trefoilgw.registry.members", "ERROR"):
+            self.assertFalse(entry.poll())
+        self.assertEqual(b"{", self.operator.get(registry.ROSTER_KEY).data)
+        self.assertIsNone(entry.roster_read_s)
+
+    def test_epochs_go_on_after_the_roster_was_lost(self):
+        entry = self.entry("a")
+        entry.poll()
+        self.operator.txn([], [platform.Delete(registry.ROSTER_KEY)])
+        self.assertTrue(entry.poll())
+        self.assertEqual(2, self.stored().epoch)
+
+    def test_leaving(self):
+        """A planned stop must not wait for the lease to lapse."""
+        faults = {
+            "none": {},
+            "answer lost": {"lose_answer": 1, "lose_kinds": ("txn",)},
+            "request lost": {"lose_request": 1, "lose_kinds": ("txn",)},
+        }
+        for case, switches in faults.items():
+            with self.subTest(case):
+                entry = self.entry("a")
+                entry.poll()
+                epoch = self.stored().epoch
+                self.server.switch(**switches)
+                self.assertTrue(entry.leave())
+                self.assertEqual([], self.names())
+                self.assertEqual(epoch + 1, self.stored().epoch)
+                entry.poll()
+                self.assertEqual([], self.names())
+                self.assertEqual([], self.lease_names())
+
+    def test_leaving_while_the_platform_is_down(self):
+        entry = self.entry("a")
+        entry.poll()
+        self.server.switch(down=True)
+        self.assertFalse(entry.leave())
+
+    def test_started_registry_joins(self):
+        entry = self.entry("a")
+        entry.start()
+        roster = self.rosters.get(timeout=TIMEOUT_S)
+        self.assertEqual((entry.own,), roster.entries)
+        self.assertTrue(entry.leave())
+
+
+if __name__ == "__main__":
+    unittest.main()
