Join the roster through the registry; refused keys stay refused

The record of a refused key now stays, and above half of the table refusals claim nothing instead. Records are kept by period, so a refused submission without a key leaves nothing behind.

--- a/trefoilgw/entry/admin.py
+++ b/trefoilgw/entry/admin.py
@@ -63,7 +63,7 @@
         "roster": [attrs.asdict(item) for item in config.roster_entries()],
         "jobs_running": len(host.table.running),
         "jobs_queued": len(host.queued),
-        "records": len(host.table.records),
+        "records": host.table.records.size,
         "free_credits": {
             name: host.placement.free(name) for name in host.services
         },
--- a/trefoilgw/entry/admit.py
+++ b/trefoilgw/entry/admit.py
@@ -19,7 +19,7 @@
         host.budget.first_attempt(job.customer, now_s, len(job.fates))
         return
     host.follow(host.table.withdraw(job, refused, now_s), now_s)
-    exchange.reply = problems.problem(refused, key=job.key)
+    exchange.reply = problems.problem(job.refused)
 
 
 def offer(
--- a/trefoilgw/entry/agents.py
+++ b/trefoilgw/entry/agents.py
@@ -120,6 +120,7 @@
 
     def _closed(self, stream: streams.Stream, reason: str) -> None:
         """Books the end of a session; the agent may come back."""
+        self.host.counts.closed("agent", stream)
         agent = stream.hello.incarnation
         session = self.host.agents.get(agent)
         if session is None or session.stream is not stream:
--- a/trefoilgw/entry/answer.py
+++ b/trefoilgw/entry/answer.py
@@ -23,13 +23,14 @@
     """Returns the answer for a job as it stands."""
     match job.state:
         case jobs.State.RUNNING:
+            job.announced = True
             return values.Reply(ACCEPTED, _running(job))
         case jobs.State.COMPLETE:
             return values.Reply(OK, _complete(job))
         case jobs.State.FAILED:
             return values.Reply(OK, _failed(job))
         case jobs.State.REFUSED:
-            return problems.problem(job.refused, key=job.key)
+            return problems.problem(job.refused)
     raise ValueError(f"unknown state {job.state!r}")
 
 
--- a/trefoilgw/entry/core.py
+++ b/trefoilgw/entry/core.py
@@ -12,6 +12,7 @@
 import attrs
 import eventlet
 
+from trefoilgw import platform
 from trefoilgw.admission import core as admission
 from trefoilgw.callers import core as callers
 from trefoilgw.callers import server as servers
@@ -41,6 +42,7 @@
 from trefoilgw.membership import outliers
 from trefoilgw.messages import core as messages
 from trefoilgw.placement import core as placement
+from trefoilgw.registry import core as registry_core
 from trefoilgw.retries import core as retries
 from trefoilgw.settings import core as settings_core
 from trefoilgw.streams import core as streams
@@ -112,6 +114,7 @@
         router: Answers requests.
         admin: Answers operators.
         addresses: Bound addresses by listener, after `start`.
+        registry: Connection to the platform.
         stopped: True once the entry has left.
     """
 
@@ -129,6 +132,7 @@
     router: routing.Router = attrs.field(init=False)
     admin: admin_port.Admin = attrs.field(init=False)
     addresses: dict = attrs.field(factory=dict)
+    registry: registry_core.Registry | None = None
     stopped: bool = False
     _http: servers.HttpServer = attrs.field(init=False)
     _admin: servers.HttpServer = attrs.field(init=False)
@@ -183,6 +187,17 @@
         )
         self._subscribe()
         eventlet.spawn_n(self.timers.run)
+        self.registry = registry_core.Registry(
+            client=platform.Client(settings.platform_address),
+            own=self.config.own,
+            timers=self.timers,
+            on_configuration=self.config.offer,
+            on_roster=self._take_roster,
+            is_silent=self.peers.is_silent,
+            rng=self.host.rng,
+            now=self.host.now,
+        )
+        self.registry.start()
         self.addresses["http"] = self._http.listen(settings.http_address)
 
     def run(self, exchange: exchanges.Exchange) -> None:
@@ -215,6 +230,8 @@
             eventlet.sleep(LEAVE_POLL_S)
         for session in list(host.agents.values()):
             host.send(session.stream, messages.Leaving())
+        if self.registry is not None:
+            self.registry.leave()
         self._http.stop(LEAVE_NOTICE_S)
         for stream in self._streams():
             stream.flush()
@@ -224,6 +241,8 @@
     def close(self) -> None:
         """Closes all listeners and streams at once."""
         self.timers.stop()
+        if self.registry is not None:
+            self.registry.stop()
         self._http.close()
         self._admin.close()
         self._listener.close()
@@ -240,11 +259,18 @@
         every(PEER_PING_S, self.peers.tell_usage)
         every(MAINTAIN_S, self.peers.maintain)
         every(PUMP_S, self._pump_waiting)
+        self.timers.on_pause(lambda gap_s: self.host.read_clock())
 
     def _follow(self, result, now_s: float) -> None:
         """Carries out a result of the job table."""
         followups.follow(self.host, result, now_s)
 
+    def _take_roster(self, roster, read_s: float) -> None:
+        """Takes a roster that was read from the platform."""
+        self.config.take_roster(
+            roster.epoch, roster.entries, roster.history, read_s
+        )
+
     def _expire(self) -> None:
         """Enforces deadlines."""
         now_s = self.host.read_clock()
--- a/trefoilgw/entry/counters.py
+++ b/trefoilgw/entry/counters.py
@@ -19,6 +19,8 @@
         forwarded: Requests forwarded to their home.
         foreign_messages: Messages that no open session may send.
         pauses: Pauses of this process that ended its jobs.
+        bytes_sent: Bytes of closed streams by the role of the other side.
+        bytes_received: Likewise.
     """
 
     messages_sent: dict = attrs.field(factory=dict)
@@ -31,6 +33,8 @@
     forwarded: int = 0
     foreign_messages: int = 0
     pauses: int = 0
+    bytes_sent: dict = attrs.field(factory=dict)
+    bytes_received: dict = attrs.field(factory=dict)
 
     def sent(self, message) -> None:
         """Counts a message that was sent."""
@@ -40,6 +44,11 @@
         """Counts a message that arrived."""
         _count(self.messages_received, type(message).__name__)
 
+    def closed(self, role: str, stream) -> None:
+        """Keeps the bytes of a stream that closed."""
+        _count(self.bytes_sent, role, stream.sent_bytes)
+        _count(self.bytes_received, role, stream.received_bytes)
+
     def waste(self, cause: str, messages: int = 1) -> None:
         """Counts messages that were of no use."""
         _count(self.wasted, cause, messages)
--- a/trefoilgw/entry/deduplicate.py
+++ b/trefoilgw/entry/deduplicate.py
@@ -64,6 +64,7 @@
         _or_default(submission.idempotent, kind.idempotent),
         now_s,
         digest,
+        announced=bool(exchange.request.key),
     )
     match accepted:
         case jobs.Accepted(job=job):
--- a/trefoilgw/entry/metrics.py
+++ b/trefoilgw/entry/metrics.py
@@ -25,6 +25,16 @@
     )
     for name, text, label, values in labelled:
         registry.read_counter(name, text, _rows(values), label)
+    for name, text, closed, field in (
+        ("stream_bytes_sent", "Bytes sent", counts.bytes_sent, "sent_bytes"),
+        (
+            "stream_bytes_received",
+            "Bytes received",
+            counts.bytes_received,
+            "received_bytes",
+        ),
+    ):
+        registry.read_counter(name, text, _bytes(host, closed, field), "peer")
     plain = (
         ("tasks_sent", "Tasks sent to agents", lambda: counts.tasks_sent),
         ("tasks_retried", "Tasks sent again", lambda: counts.tasks_retried),
@@ -46,7 +56,7 @@
     gauges = (
         ("jobs_running", "Jobs running", lambda: len(host.table.running)),
         ("jobs_queued", "Jobs waiting", lambda: len(host.queued)),
-        ("records", "Keys with a record", lambda: len(host.table.records)),
+        ("records", "Keys with a record", lambda: host.table.records.size),
         ("agents", "Agents connected", lambda: len(host.agents)),
         ("peers", "Entries connected", lambda: len(host.peers)),
         ("revision", "Configuration", lambda: entry.config.revision),
@@ -57,6 +67,23 @@
     return registry
 
 
+def _bytes(host, closed: dict, field: str) -> Callable:
+    """Returns a reader of bytes by the role of the other side."""
+
+    def read() -> list[metrics.Sample]:
+        parts = {"agent": host.agents.values(), "entry": host.peers.values()}
+        return [
+            metrics.Sample(
+                closed.get(role, 0)
+                + sum(getattr(part.stream, field) for part in open_parts),
+                (role,),
+            )
+            for role, open_parts in parts.items()
+        ]
+
+    return read
+
+
 def _rows(values: dict) -> Callable[[], Iterable[metrics.Sample]]:
     """Returns a reader of labelled counts."""
     return lambda: [
--- a/trefoilgw/entry/peers.py
+++ b/trefoilgw/entry/peers.py
@@ -83,6 +83,7 @@
         serve: Called in a greenthread of its own with each peer and
             `Forward`.
         redials: State by address.
+        last_heard: When entries without a stream were heard last.
     """
 
     host: hosts.Host
@@ -91,6 +92,7 @@
     seeds: tuple[str, ...] = ()
     serve: Callable = lambda peer, forward: None
     redials: dict = attrs.field(factory=dict)
+    last_heard: dict = attrs.field(factory=dict)
     _requests: itertools.count = attrs.field(factory=lambda: itertools.count(1))
 
     def welcome(
@@ -126,6 +128,9 @@
             if now_s - peer.heard_s > SILENCE_LIMIT_S:
                 peer.stream.close("silent for too long")
         own = self.host.incarnation
+        members = self.host.roster.entries
+        for name in [n for n in self.last_heard if n not in members]:
+            del self.last_heard[name]
         for entry in self.config.entries:
             name = entry.incarnation
             if name == own or name in self.host.peers:
@@ -169,6 +174,20 @@
         silent_s = self.host.now() - peer.heard_s
         return peer if silent_s <= SUSPICION_S else None
 
+    def is_silent(self, incarnation: str) -> bool:
+        """Returns whether an entry was not heard for `SILENCE_LIMIT_S`.
+
+        One that never had a stream to this entry counts from the time at
+        which this is asked for the first time.
+        """
+        now_s = self.host.now()
+        peer = self.host.peers.get(incarnation)
+        if peer is not None:
+            heard_s = peer.heard_s
+        else:
+            heard_s = self.last_heard.setdefault(incarnation, now_s)
+        return now_s - heard_s >= SILENCE_LIMIT_S
+
     def forward(
         self, peer: Peer, forward: messages.Forward, timeout_s: float
     ) -> values.Reply | None:
@@ -275,6 +294,7 @@
             return
         peer = Peer(entry, stream, dialler, self.host.now(), revision=revision)
         self.host.peers[name] = peer
+        self.last_heard.pop(name, None)
         if old is not None:
             old.stream.close("replaced by a newer stream")
             self._end_pending(old)
@@ -291,10 +311,12 @@
     def _closed(self, peer: Peer, reason: str) -> None:
         """Books the end of a stream."""
         self._end_pending(peer)
+        self.host.counts.closed("entry", peer.stream)
         name = peer.entry.incarnation
         if self.host.peers.get(name) is not peer:
             return
         del self.host.peers[name]
+        self.last_heard[name] = peer.heard_s
         self.host.admission.peer_left(name)
         self.host.placement.entry_left(name)
         log.info("peer disconnected", extra={"peer": name, "reason": reason})
--- a/trefoilgw/entry/tests/rig.py
+++ b/trefoilgw/entry/tests/rig.py
@@ -98,6 +98,8 @@
     welcome: object = None
     sent: list = attrs.field(factory=list)
     closed: bool = False
+    sent_bytes: int = 0
+    received_bytes: int = 0
 
     def send(self, message):
         if not self.closed:
--- a/trefoilgw/jobs/core.py
+++ b/trefoilgw/jobs/core.py
@@ -1,7 +1,7 @@
 """The job table of a home: one record per key, from acceptance to its end.
 
-The table decides whether a submission is new, which outcomes count, what may
-be sent again and when a job ends. It sends nothing and chooses no agent.
+It decides whether a submission is new, which outcomes count, what may be sent
+again and when a job ends. It sends nothing and chooses no agent.
 
 Notes:
     Only the home starts the tasks of a key, and only a key without a record
@@ -13,7 +13,9 @@
 
 from trefoilgw.jobs import batches as open_batches
 from trefoilgw.jobs import deadlines
+from trefoilgw.jobs import explaining
 from trefoilgw.jobs import model
+from trefoilgw.jobs import records as key_records
 from trefoilgw.jobs import retention
 from trefoilgw.jobs import rules
 from trefoilgw.keys import core as keys
@@ -25,6 +27,9 @@
 END_AFTER_DEADLINE_S = 1.5
 # About 300 bytes each; 15 minutes at 1,100 jobs a second.
 RECORDS_LIMIT = 1_000_000
+# Above this share of the limit, refused submissions leave no record and are
+# not told "not run", so that a flood of refusals can't fill the table.
+CROWDED_SHARE = 0.5
 
 
 @attrs.define(eq=False)
@@ -34,7 +39,7 @@
     Attributes:
         kept: Acceptance of keys and retention of records.
         records_limit: Records beyond which new keys are refused.
-        records: Job or tombstone by job id.
+        records: Jobs and tombstones by key.
         running: Jobs without an answer, by id.
         batches: Batches that agents have to account for.
         answers: Ended jobs whose results are held.
@@ -44,7 +49,7 @@
 
     kept: retention.Retention
     records_limit: int = RECORDS_LIMIT
-    records: dict = attrs.field(factory=dict)
+    records: key_records.Records = attrs.field(factory=key_records.Records)
     running: dict = attrs.field(factory=dict)
     batches: open_batches.OpenBatches = attrs.field(
         factory=open_batches.OpenBatches
@@ -63,6 +68,7 @@
         idempotent: bool,
         now_s: float,
         digest: bytes = b"",
+        announced: bool = True,
     ) -> model.Accepted | model.Existing | fates.Refused:
         """Takes a submission whose home this is.
 
@@ -71,11 +77,11 @@
             customer: Name of the customer.
             kind: Record of the kind, with a `name`.
             payloads: Request body of each task.
-            deadline_s: Seconds from now until the deadline.
+            deadline_s: Seconds from now.
             idempotent: False if the work must run at most once.
             now_s: Monotonic time.
-            digest: Hash of the submission as the caller made it; empty for
-                one over the arguments. Defaults may change in between.
+            digest: Hash of what the caller sent; by default of the arguments.
+            announced: False if no caller knows the key yet.
 
         Returns:
             The job, new or known, or a refusal.
@@ -86,14 +92,13 @@
         known = self.known(key, customer, digest, now_s)
         if known is not None:
             return known
-        text = keys.format_key(key)
-        job_id = f"{customer}:{text}"
-        is_first = job_id not in self.records
-        if is_first and len(self.records) >= self.records_limit:
+        if self.records.size >= self.records_limit:
             return rules.TABLE_FULL
+        text = keys.format_key(key)
         job = model.Job(
-            id=job_id,
+            id=f"{customer}:{text}",
             key=text,
+            period=key_records.period_of(key),
             customer=customer,
             kind=kind,
             payloads=payloads,
@@ -101,19 +106,19 @@
             idempotent=idempotent,
             digest=digest,
             accepted_s=now_s,
+            announced=announced,
         )
-        if is_first:
-            self.kept.keep(key, job_id)
-        self.records[job_id] = self.running[job_id] = job
-        self.due_times.watch(job_id, job.deadline_s)
+        self.records.put(job.period, job.id, job)
+        self.running[job.id] = job
+        self.due_times.watch(job.id, job.deadline_s)
         return model.Accepted(job)
 
     def known(
         self, key: keys.Key, customer: str, digest: bytes, now_s: float
     ) -> model.Existing | fates.Refused | None:
         """Returns what a key already stands for, None if it is free."""
-        record = self.records.get(f"{customer}:{keys.format_key(key)}")
-        if record is not None and record.state is not model.State.REFUSED:
+        record = self._record(key, customer)
+        if record is not None:
             return rules.resubmitted(record, digest)
         return self.kept.refusal(key, now_s)
 
@@ -121,7 +126,7 @@
         self, key: keys.Key, customer: str, now_s: float
     ) -> model.Job | fates.Refused:
         """Returns the job of a key, or why there is none to show."""
-        record = self.records.get(f"{customer}:{keys.format_key(key)}")
+        record = self._record(key, customer)
         match record:
             case model.Job():
                 return record
@@ -145,9 +150,16 @@
         indices: tuple[int, ...],
         now_s: float = 0.0,
     ) -> None:
-        """Books waiting tasks to an agent, before the bytes leave."""
+        """Books waiting tasks to an agent, before the bytes leave.
+
+        Raises:
+            ValueError: A task does not wait; it would start twice.
+        """
         gone = set(indices)
-        job.waiting = [index for index in job.waiting if index not in gone]
+        left = [index for index in job.waiting if index not in gone]
+        if len(left) + len(indices) != len(job.waiting):
+            raise ValueError(f"tasks of {job.id} are at an agent already")
+        job.waiting = left
         job.was_sent = True
         self.batches.add(model.Batch(batch, job, agent, session, gone, now_s))
 
@@ -159,8 +171,7 @@
         if known is None:
             return None
         fate = fates.NotRun(fates.Reason.NO_TARGET)
-        found = [(index, fate) for index in sorted(known.remaining)]
-        return self._apply(known, found, now_s)
+        return self._apply(known, rules.all_as(known, fate), now_s)
 
     def outcomes(
         self,
@@ -172,19 +183,18 @@
     ) -> model.JobEnded | model.RetryTasks | model.StrikeBatches | None:
         """Takes outcomes that an agent reported.
 
-        Outcomes of unknown batches and indices, of another job or agent, and
-        of an older session are ignored.
+        Those of unknown batches and tasks, of another job or agent, and of an
+        older session are ignored.
 
         Args:
             batch: Number of the batch.
             outcomes_: Outcomes in wire form.
-            final: The agent's statement that no task of the batch is left;
-                the table goes by the outcomes that it has.
+            final: Whether the agent has no more; not relied on here.
             now_s: Monotonic time.
             origin: Job, agent and session of the message.
 
         Returns:
-            What follows for the job, or None.
+            What follows for the job, if anything.
         """
         known = self.batches.by_number.get(batch)
         if known is None or not rules.matches(known, origin):
@@ -203,9 +213,8 @@
         now_s: float,
     ) -> model.JobEnded | model.StrikeBatches | None:
         """Gives up tasks that did not run; the job can't complete."""
-        fate = fates.NotRun(reason)
         for index in indices:
-            self._set(job, index, fate)
+            rules.set_fate(job, index, fates.NotRun(reason))
         return self._doom(job, reason, now_s)
 
     def withdraw(
@@ -214,13 +223,23 @@
         """Takes a job back that admission refused or dropped.
 
         A job of which nothing was sent ends as refused, a true not run, and
-        its key may be submitted again. Otherwise its waiting tasks end.
+        its key stays refused: a copy of the submission may be under way.
+        Otherwise its waiting tasks end.
         """
         if job.ended:
             return None
         if job.was_sent:
             return self.settle(job, tuple(job.waiting), refused.reason, now_s)
-        job.refused = attrs.evolve(refused, not_run=True)
+        crowded = self.records.size > CROWDED_SHARE * self.records_limit
+        job.refused = attrs.evolve(
+            refused, not_run=not (job.announced and crowded)
+        )
+        if job.announced and not crowded:
+            state = model.State.REFUSED
+            stone = model.Tombstone(job.digest, state, job.refused)
+            self.records.put(job.period, job.id, stone)
+        else:
+            self.records.remove(job.period, job.id)
         return self._end(job, model.State.REFUSED, now_s)
 
     def agent_lost(
@@ -230,7 +249,7 @@
         results = []
         for batch in self.batches.of_agent(agent):
             fate = fates.Unknown(fates.Reason.AGENT_LOST)
-            found = [(index, fate) for index in sorted(batch.remaining)]
+            found = rules.all_as(batch, fate)
             results.append(self._apply(batch, found, now_s))
         return tuple(result for result in results if result is not None)
 
@@ -252,13 +271,9 @@
             return job
         if job.ended:
             return model.Cancelled(job, ())
-        result = self.settle(
-            job, tuple(job.waiting), fates.Reason.CANCELLED, now_s
-        )
-        match result:
-            case model.StrikeBatches(batches=batches):
-                return model.Cancelled(job, batches)
-        return model.Cancelled(job, ())
+        waiting = tuple(job.waiting)
+        result = self.settle(job, waiting, fates.Reason.CANCELLED, now_s)
+        return model.Cancelled(job, getattr(result, "batches", ()))
 
     def expire(
         self, now_s: float
@@ -281,22 +296,23 @@
     def paused(self, now_s: float) -> tuple[model.JobEnded, ...]:
         """Ends all running jobs after a pause of this process.
 
-        Agents had ended the session leases meanwhile, and peers may have
-        taken this entry for dead.
+        Agents and peers may have given this entry up meanwhile.
         """
         jobs = list(self.running.values())
         return tuple(
             self._cut(job, fates.Reason.HOME_PAUSED, now_s) for job in jobs
         )
 
-    def explain(self, key: str, now_s: float = 0.0) -> model.Explanation | None:
+    def explain(
+        self, job_id: str, now_s: float = 0.0
+    ) -> model.Explanation | None:
         """Returns what is known about a job, by its id ``customer:key``."""
-        match self.records.get(key):
-            case model.Job() as job:
-                return rules.explain(job, self.batches.targets(job), now_s)
-            case model.Tombstone(state=state):
-                return rules.explain_tombstone(key, state)
-        return None
+        return explaining.explain(self.records, self.batches, job_id, now_s)
+
+    def _record(self, key: keys.Key, customer: str):
+        """Returns the record of a customer's key, None if there is none."""
+        period = key_records.period_of(key)
+        return self.records.get(period, f"{customer}:{keys.format_key(key)}")
 
     def _apply(self, batch: model.Batch, found: list, now_s: float):
         """Books outcomes of a batch and returns what follows."""
@@ -313,7 +329,7 @@
                 continue
             if not isinstance(fate, fates.Completed):
                 bad = bad or fate.reason
-            self._set(job, index, fate)
+            rules.set_fate(job, index, fate)
         if not batch.remaining:
             self.batches.close(batch)
         if retry:
@@ -327,26 +343,12 @@
             return model.RetryTasks(job, tuple(retry))
         return None
 
-    def _set(self, job: model.Job, index: int, fate) -> None:
-        """Sets the final fate of one task."""
-        if job.fates[index] is None:
-            job.fates[index] = fate
-            job.left -= 1
-
     def _doom(self, job: model.Job, reason: fates.Reason, now_s: float):
         """Ends what waits of a job that can't complete any more."""
         fresh = job.doomed is None
-        if fresh:
-            job.doomed = reason
-        for index in job.waiting:
-            self._set(
-                job, index, fates.NotRun(rules.reason_of_rest(job.doomed))
-            )
-        job.waiting = []
+        rules.doom(job, reason)
         if job.left == 0:
-            complete = all(isinstance(f, fates.Completed) for f in job.fates)
-            state = model.State.COMPLETE if complete else model.State.FAILED
-            return self._end(job, state, now_s)
+            return self._end(job, rules.end_state(job), now_s)
         if not fresh:
             return None
         return model.StrikeBatches(
@@ -361,28 +363,14 @@
             return self._cut(job, fates.Reason.DEADLINE, now_s)
         self.due_times.watch(job.id, job.deadline_s + END_AFTER_DEADLINE_S)
         if not job.was_sent:
-            return self.withdraw(
-                job,
-                fates.Refused(
-                    fates.Reason.DEADLINE,
-                    not_run=True,
-                    detail="no slot was free before the deadline",
-                ),
-                now_s,
-            )
+            return self.withdraw(job, rules.NO_SLOT_IN_TIME, now_s)
         return self._doom(job, fates.Reason.DEADLINE, now_s)
 
     def _cut(
         self, job: model.Job, reason: fates.Reason, now_s: float
     ) -> model.JobEnded:
         """Ends a job now; tasks at agents are unknown."""
-        waiting = set(job.waiting)
-        for index in range(len(job.fates)):
-            never_sent = index in waiting
-            fate_type = fates.NotRun if never_sent else fates.Unknown
-            self._set(job, index, fate_type(reason))
-        job.waiting = []
-        job.doomed = job.doomed or reason
+        rules.cut(job, reason)
         targets = self.batches.targets(job)
         for target in targets:
             self.batches.close(self.batches.by_number[target.batch])
@@ -398,16 +386,14 @@
         job.payloads = ()
         job.waiting = []
         self.running.pop(job.id, None)
-        self.answers.add(job)
+        if state is not model.State.REFUSED:
+            self.answers.add(job)
         return model.JobEnded(job)
 
     def _drop_records(self, now_s: float) -> None:
         """Drops records of periods that are over, and surplus answers."""
-        for job_id in self.kept.due(now_s):
-            if job_id in self.running:
-                self.kept.postpone(job_id)
-            else:
-                self.records.pop(job_id, None)
+        self.records.drop(lambda period: self.kept.is_over(period, now_s))
         for job in self.answers.surplus(now_s):
-            if self.records.get(job.id) is job:
-                self.records[job.id] = model.Tombstone(job.digest, job.state)
+            if self.records.get(job.period, job.id) is job:
+                stone = model.Tombstone(job.digest, job.state)
+                self.records.put(job.period, job.id, stone)
--- /dev/null
+++ b/trefoilgw/jobs/explaining.py
@@ -0,0 +1,56 @@
+"""What a home knows about a job, for operators."""
+
+from trefoilgw.jobs import batches
+from trefoilgw.jobs import model
+from trefoilgw.jobs import records
+from trefoilgw.keys import core as keys
+from trefoilgw.outcomes import core as outcomes
+
+
+def explain(
+    held: records.Records,
+    open_batches: batches.OpenBatches,
+    job_id: str,
+    now_s: float,
+) -> model.Explanation | None:
+    """Returns what is known about a job, None if there is no record."""
+    key = keys.parse_key(job_id.rpartition(":")[2])
+    if isinstance(key, outcomes.Refused):
+        return None
+    match held.get(records.period_of(key), job_id):
+        case model.Job() as job:
+            return _job(job, open_batches.targets(job), now_s)
+        case model.Tombstone(state=state):
+            return _tombstone(job_id, state)
+    return None
+
+
+def _job(
+    job: model.Job, open_batches: tuple[model.BatchTarget, ...], now_s: float
+) -> model.Explanation:
+    """Returns what is known about a job."""
+    reason = job.refused.reason if job.refused else job.doomed or ""
+    return model.Explanation(
+        key=job.key,
+        customer=job.customer,
+        state=job.state,
+        kind=job.kind.name,
+        reason=str(reason),
+        age_s=now_s - job.accepted_s,
+        deadline_in_s=job.deadline_s - now_s,
+        tasks=len(job.fates),
+        waiting=len(job.waiting),
+        open_batches=open_batches,
+        fates=tuple(
+            "open" if fate is None else type(fate).__name__.lower()
+            for fate in job.fates
+        ),
+    )
+
+
+def _tombstone(job_id: str, state: model.State) -> model.Explanation:
+    """Returns what is known about a job whose answer is gone."""
+    customer, _, key = job_id.rpartition(":")
+    return model.Explanation(
+        key, customer, state, "", "", 0.0, 0.0, 0, 0, (), ()
+    )
--- a/trefoilgw/jobs/model.py
+++ b/trefoilgw/jobs/model.py
@@ -16,7 +16,7 @@
     RUNNING = "running"
     COMPLETE = "complete"
     FAILED = "failed"
-    # Refused after it was queued: no task of it was ever sent.
+    # No task of it was ever sent, nor will be: the key stays refused.
     REFUSED = "refused"
 
 
@@ -28,6 +28,7 @@
         id: ``customer:key``, the name of the job between home and agents. A
             key is unique per customer only.
         key: Text of the key.
+        period: Period of the key, see `records`.
         customer: Name of the customer.
         kind: Record of the kind under which the job was accepted.
         payloads: Request body of each task; empty once the job ended.
@@ -35,6 +36,7 @@
         idempotent: False if the work must run at most once.
         digest: Hash of the submission, to recognise the same body.
         accepted_s: Monotonic time of acceptance.
+        announced: True once a caller may know the key.
         fates: Final fate of each task, None while open.
         left: Tasks without a final fate.
         waiting: Indices that are not at any agent.
@@ -50,6 +52,7 @@
 
     id: str
     key: str
+    period: tuple[str, int]
     customer: str
     kind: object
     payloads: tuple[bytes, ...]
@@ -57,6 +60,7 @@
     idempotent: bool
     digest: bytes
     accepted_s: float
+    announced: bool = True
     fates: list = attrs.field()
     left: int = attrs.field()
     waiting: list = attrs.field()
@@ -89,10 +93,17 @@
 
 @attrs.frozen
 class Tombstone:
-    """What stays of an ended job whose answer is no longer held."""
+    """What stays of an ended job whose answer is no longer held.
+
+    Attributes:
+        digest: Hash of the submission.
+        state: State of the job.
+        refused: The refusal, if the state is refused.
+    """
 
     digest: bytes
     state: State
+    refused: outcomes.Refused | None = None
 
 
 @attrs.define(eq=False)
--- a/trefoilgw/jobs/retention.py
+++ b/trefoilgw/jobs/retention.py
@@ -1,7 +1,8 @@
-"""Which keys a home accepts, and when their records may go.
+"""Which keys a home accepts, and how long it holds answers.
 
 A record goes only once its key will never be accepted again. Until then it
-stands in the way of a second start, so a full table refuses new keys.
+stands in the way of a second start, so a full table refuses new keys. Answers
+may go earlier; their tombstones stay.
 """
 
 import collections
@@ -9,11 +10,10 @@
 import attrs
 
 from trefoilgw.jobs import model
+from trefoilgw.jobs import records
 from trefoilgw.keys import core as keys
 from trefoilgw.outcomes import core as outcomes
 
-# Dropping a whole window at once would block the loop for too long.
-DROPS_PER_CALL = 2000
 # Answers of ended jobs beyond this go first, their tombstones stay.
 ANSWERS_LIMIT_BYTES = 64 * 1024 * 1024
 # Answers younger than this stay even above the limit, for callers that ask
@@ -25,21 +25,15 @@
 
 @attrs.define
 class Retention:
-    """Acceptance of keys, and the records that belong to each period.
-
-    A period is a window of tickets or an epoch of own keys.
+    """Acceptance of keys at a home.
 
     Attributes:
         windows: Windows of this home's clock.
         epochs: Epochs accepted by this home.
-        periods: Job ids by period.
-        dropping: Job ids of periods that are no longer accepted.
     """
 
     windows: keys.Windows
     epochs: keys.AcceptedEpochs
-    periods: dict = attrs.field(factory=dict)
-    dropping: collections.deque = attrs.field(factory=collections.deque)
 
     def refusal(self, key: keys.Key, now_s: float) -> outcomes.Refused | None:
         """Returns why no new job may start under a key, or None."""
@@ -51,7 +45,7 @@
                     return _expired("the window of this ticket has passed")
                 return outcomes.Refused(
                     outcomes.Reason.BAD_REQUEST,
-                    not_run=True,
+                    not_run=False,
                     detail="the ticket names a window that has not begun",
                 )
             case keys.OwnKey(epoch=epoch):
@@ -67,22 +61,7 @@
                 )
         raise TypeError(f"not a key: {key!r}")
 
-    def keep(self, key: keys.Key, job_id: str) -> None:
-        """Books a record to the period of its key."""
-        self.periods.setdefault(_period(key), []).append(job_id)
-
-    def due(self, now_s: float) -> list[str]:
-        """Returns records that may go, at most `DROPS_PER_CALL`."""
-        for period in [p for p in self.periods if self._over(p, now_s)]:
-            self.dropping.extend(self.periods.pop(period))
-        count = min(DROPS_PER_CALL, len(self.dropping))
-        return [self.dropping.popleft() for _ in range(count)]
-
-    def postpone(self, job_id: str) -> None:
-        """Books a due record again, because its job still runs."""
-        self.dropping.append(job_id)
-
-    def _over(self, period: tuple[str, int], now_s: float) -> bool:
+    def is_over(self, period: records.Period, now_s: float) -> bool:
         """Returns whether a period will never be accepted again."""
         form, number = period
         if form == "t1":
@@ -90,16 +69,6 @@
         return self.epochs.expired(number)
 
 
-def _period(key: keys.Key) -> tuple[str, int]:
-    """Returns the period of a key."""
-    match key:
-        case keys.Ticket(window=window):
-            return ("t1", window)
-        case keys.OwnKey(epoch=epoch):
-            return ("k1", epoch)
-    raise TypeError(f"not a key: {key!r}")
-
-
 def _expired(detail: str) -> outcomes.Refused:
     """Returns the refusal of a key whose records are gone."""
     return outcomes.Refused(
--- a/trefoilgw/jobs/rules.py
+++ b/trefoilgw/jobs/rules.py
@@ -19,6 +19,11 @@
     detail="the table of keys is full",
     retry_after_s=keys.WINDOW_S,
 )
+NO_SLOT_IN_TIME = outcomes.Refused(
+    outcomes.Reason.DEADLINE,
+    not_run=True,
+    detail="no slot was free before the deadline",
+)
 
 
 def resubmitted(
@@ -28,7 +33,7 @@
     if record.digest != digest:
         return outcomes.Refused(
             outcomes.Reason.KEY_REUSED,
-            not_run=False,
+            not_run=record.state is model.State.REFUSED,
             detail="this key was submitted before with another body",
         )
     if isinstance(record, model.Job):
@@ -38,9 +43,11 @@
 
 def answer_gone(record: model.Tombstone) -> outcomes.Refused:
     """Returns the answer for a job of which only the tombstone is left."""
+    if record.refused is not None:
+        return record.refused
     return outcomes.Refused(
         outcomes.Reason.EXPIRED_KEY,
-        not_run=record.state is model.State.REFUSED,
+        not_run=False,
         detail=f"the job ended as {record.state}; its answer is not held "
         "any longer",
     )
@@ -67,32 +74,39 @@
     return outcomes.Reason.SIBLING_FAILED
 
 
-def explain(
-    job: model.Job, open_batches: tuple[model.BatchTarget, ...], now_s: float
-) -> model.Explanation:
-    """Returns what is known about a job."""
-    reason = job.refused.reason if job.refused else job.doomed or ""
-    return model.Explanation(
-        key=job.key,
-        customer=job.customer,
-        state=job.state,
-        kind=job.kind.name,
-        reason=str(reason),
-        age_s=now_s - job.accepted_s,
-        deadline_in_s=job.deadline_s - now_s,
-        tasks=len(job.fates),
-        waiting=len(job.waiting),
-        open_batches=open_batches,
-        fates=tuple(
-            "open" if fate is None else type(fate).__name__.lower()
-            for fate in job.fates
-        ),
-    )
+def set_fate(job: model.Job, index: int, fate: outcomes.Fate) -> None:
+    """Sets the final fate of one task, once."""
+    if job.fates[index] is None:
+        job.fates[index] = fate
+        job.left -= 1
 
 
-def explain_tombstone(job_id: str, state: model.State) -> model.Explanation:
-    """Returns what is known about a job whose answer is gone."""
-    customer, _, key = job_id.rpartition(":")
-    return model.Explanation(
-        key, customer, state, "", "", 0.0, 0.0, 0, 0, (), ()
-    )
+def doom(job: model.Job, reason: outcomes.Reason) -> None:
+    """Ends the waiting tasks of a job that can't complete any more."""
+    job.doomed = job.doomed or reason
+    for index in job.waiting:
+        set_fate(job, index, outcomes.NotRun(reason_of_rest(job.doomed)))
+    job.waiting = []
+
+
+def cut(job: model.Job, reason: outcomes.Reason) -> None:
+    """Ends all tasks of a job; those at agents are unknown."""
+    job.doomed = job.doomed or reason
+    for index in job.waiting:
+        set_fate(job, index, outcomes.NotRun(reason))
+    job.waiting = []
+    for index in range(len(job.fates)):
+        set_fate(job, index, outcomes.Unknown(reason))
+
+
+def end_state(job: model.Job) -> model.State:
+    """Returns the state of a job whose tasks all have a fate."""
+    complete = all(isinstance(f, outcomes.Completed) for f in job.fates)
+    return model.State.COMPLETE if complete else model.State.FAILED
+
+
+def all_as(
+    batch: model.Batch, fate: outcomes.Fate
+) -> list[tuple[int, outcomes.Fate]]:
+    """Returns one fate for all tasks of a batch without an outcome."""
+    return [(index, fate) for index in sorted(batch.remaining)]
