--- a/trefoilgw/entry/configuring.py
+++ b/trefoilgw/entry/configuring.py
@@ -11,6 +11,7 @@
 import attrs
 
 from trefoilgw.entry import host as hosts
+from trefoilgw.findings import core as findings
 from trefoilgw.keys import core as keys
 from trefoilgw.messages import core as messages
 from trefoilgw.records import core as records
@@ -70,8 +71,13 @@
         """Takes a newer configuration if it is valid."""
         parsed = records.parse_document(document)
         if isinstance(parsed, tuple) or parsed.revision != revision:
+            found = parsed if isinstance(parsed, tuple) else ()
             log.error(
-                "configuration is not valid", extra={"revision": revision}
+                "configuration is not valid",
+                extra={
+                    "revision": revision,
+                    "findings": findings.render(found),
+                },
             )
             return False
         self.rollout.offer(revision, document)
--- a/trefoilgw/entry/gather.py
+++ b/trefoilgw/entry/gather.py
@@ -1,11 +1,13 @@
 """Filter: waits for the outcomes of a job; and takes them as they arrive."""
 
+from trefoilgw.entry import decode
 from trefoilgw.entry import exchange as exchanges
 from trefoilgw.entry import host as hosts
 from trefoilgw.jobs import model as jobs
 from trefoilgw.messages import core as messages
 from trefoilgw.outcomes import core as outcomes
 
+RUN_TIME_LEAST_S = 1e-4
 # An agent gives one of these reasons if it refuses what was sent to it.
 _REFUSALS = frozenset(
     {
@@ -65,11 +67,11 @@
     for outcome in done.outcomes:
         match outcome.fate:
             case "completed":
-                run_s.append(outcome.run_s)
-                host.placement.observe(batch.kind, batch.agent, outcome.run_s)
+                run_s.append(_sane_s(outcome.run_s))
+                host.placement.observe(batch.kind, batch.agent, run_s[-1])
                 host.outliers.observe(batch.agent, batch.kind, False, now_s)
             case "failed":
-                run_s.append(outcome.run_s)
+                run_s.append(_sane_s(outcome.run_s))
                 host.outliers.observe(batch.agent, batch.kind, True, now_s)
             case "not_run" if outcome.reason in _REFUSALS:
                 refused += 1
@@ -80,3 +82,14 @@
     mean_s = sum(run_s) / len(run_s) if run_s else 0.0
     spare = max(0, batch.credits - max(0, batch.left))
     host.release(done.batch, None if done.final else spare, mean_s, now_s)
+
+
+def _sane_s(run_s: float) -> float:
+    """Returns a run time that estimates can take in.
+
+    A clock or an agent at fault must not spoil them with a zero, a negative
+    or an infinite time.
+    """
+    if RUN_TIME_LEAST_S < run_s < decode.DEADLINE_LIMIT_S:
+        return run_s
+    return RUN_TIME_LEAST_S
