--- a/trefoilgw/entry/core.py
+++ b/trefoilgw/entry/core.py
@@ -12,10 +12,11 @@
 import attrs
 import eventlet
 
+from trefoilgw import platform
 from trefoilgw.admission import core as admission
 from trefoilgw.callers import core as callers
 from trefoilgw.callers import server as servers
-from trefoilgw.entry import admin
+from trefoilgw.entry import admin as admin_port
 from trefoilgw.entry import admit
 from trefoilgw.entry import agents as agent_sessions
 from trefoilgw.entry import answer
@@ -31,6 +32,7 @@
 from trefoilgw.entry import identify
 from trefoilgw.entry import peers as peer_streams
 from trefoilgw.entry import place
+from trefoilgw.entry import reclaim
 from trefoilgw.entry import routing
 from trefoilgw.jobs import core as jobs
 from trefoilgw.jobs import deadlines
@@ -40,6 +42,7 @@
 from trefoilgw.membership import outliers
 from trefoilgw.messages import core as messages
 from trefoilgw.placement import core as placement
+from trefoilgw.registry import core as registry_core
 from trefoilgw.retries import core as retries
 from trefoilgw.settings import core as settings_core
 from trefoilgw.streams import core as streams
@@ -109,7 +112,9 @@
         agents: Sessions of agents.
         peers: Streams to other entries.
         router: Answers requests.
+        admin: Answers operators.
         addresses: Bound addresses by listener, after `start`.
+        registry: Connection to the platform.
         stopped: True once the entry has left.
     """
 
@@ -125,7 +130,9 @@
     agents: agent_sessions.Agents = attrs.field(init=False)
     peers: peer_streams.Peers = attrs.field(init=False)
     router: routing.Router = attrs.field(init=False)
+    admin: admin_port.Admin = attrs.field(init=False)
     addresses: dict = attrs.field(factory=dict)
+    registry: registry_core.Registry | None = None
     stopped: bool = False
     _http: servers.HttpServer = attrs.field(init=False)
     _admin: servers.HttpServer = attrs.field(init=False)
@@ -158,7 +165,8 @@
                 self.router.handle, lambda: self.host.roster.epoch
             )
         )
-        self._admin = servers.HttpServer(admin.Admin(self))
+        self.admin = admin_port.Admin(self)
+        self._admin = servers.HttpServer(self.admin)
         self._listener = streams.Listener(key, self._welcome, self._accepted)
 
     def start(self) -> None:
@@ -179,6 +187,17 @@
         )
         self._subscribe()
         eventlet.spawn_n(self.timers.run)
+        self.registry = registry_core.Registry(
+            client=platform.Client(settings.platform_address),
+            own=self.config.own,
+            timers=self.timers,
+            on_configuration=self.config.offer,
+            on_roster=self._take_roster,
+            is_silent=self.peers.is_silent,
+            rng=self.host.rng,
+            now=self.host.now,
+        )
+        self.registry.start()
         self.addresses["http"] = self._http.listen(settings.http_address)
 
     def run(self, exchange: exchanges.Exchange) -> None:
@@ -211,11 +230,25 @@
             eventlet.sleep(LEAVE_POLL_S)
         for session in list(host.agents.values()):
             host.send(session.stream, messages.Leaving())
+        if self.registry is not None:
+            self.registry.leave()
         self._http.stop(LEAVE_NOTICE_S)
-        self._close_streams()
-        self.timers.stop()
+        for stream in self._streams():
+            stream.flush()
+        self.close()
         self.stopped = True
 
+    def close(self) -> None:
+        """Closes all listeners and streams at once."""
+        self.timers.stop()
+        if self.registry is not None:
+            self.registry.stop()
+        self._http.close()
+        self._admin.close()
+        self._listener.close()
+        for stream in self._streams():
+            stream.close("this entry stops")
+
     def _subscribe(self) -> None:
         """Subscribes the parts to the timer service."""
         every = self.timers.every
@@ -226,11 +259,18 @@
         every(PEER_PING_S, self.peers.tell_usage)
         every(MAINTAIN_S, self.peers.maintain)
         every(PUMP_S, self._pump_waiting)
+        self.timers.on_pause(lambda gap_s: self.host.read_clock())
 
     def _follow(self, result, now_s: float) -> None:
         """Carries out a result of the job table."""
         followups.follow(self.host, result, now_s)
 
+    def _take_roster(self, roster, read_s: float) -> None:
+        """Takes a roster that was read from the platform."""
+        self.config.take_roster(
+            roster.epoch, roster.entries, roster.history, read_s
+        )
+
     def _expire(self) -> None:
         """Enforces deadlines."""
         now_s = self.host.read_clock()
@@ -241,6 +281,7 @@
         """Looks at waiting work."""
         if self.host.queued:
             self.pump()
+            reclaim.apply(self.host)
 
     def _welcome(self, hello):
         """Answers the hello of an agent or another entry."""
@@ -259,10 +300,7 @@
             case messages.PeerHello():
                 self.peers.accepted(stream)
 
-    def _close_streams(self) -> None:
-        """Closes all streams after what is queued was written."""
-        self._listener.close()
-        sessions = [item.stream for item in self.host.agents.values()]
-        for stream in sessions + [p.stream for p in self.host.peers.values()]:
-            stream.flush()
-            stream.close("this entry leaves")
+    def _streams(self) -> list[streams.Stream]:
+        """Returns all open streams."""
+        parts = [*self.host.agents.values(), *self.host.peers.values()]
+        return [part.stream for part in parts]
