Add the operator's command

Operators control the system by versioned records only. A write must happen once and be told truthfully, also if an answer is lost or another operator is first; the write id in document and audit entry decides.

--- /dev/null
+++ b/trefoilgw/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The operator's command `trefoilgw`; it starts in `trefoilgw.cli.main`."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/trefoilgw/cli/fleet.py
@@ -0,0 +1,172 @@
+"""Asks the running entries over their admin ports."""
+
+import concurrent.futures
+import json
+import urllib.parse
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import attrs
+import urllib3
+
+from trefoilgw import platform
+from trefoilgw import registry
+from trefoilgw.cli import writes
+
+TIMEOUT_S = 2.0
+ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
+PARALLEL_REQUESTS = 16
+
+
+@attrs.frozen
+class Reply:
+    """What one entry answered.
+
+    Attributes:
+        address: Its admin address.
+        incarnation: Its incarnation, empty if not known.
+        status: HTTP status; 0 if it was not reached.
+        values: The answer's JSON object; empty if there is none.
+        error: Why there is no answer.
+    """
+
+    address: str
+    incarnation: str = ""
+    status: int = 0
+    values: dict = attrs.field(factory=dict)
+    error: str = ""
+
+
+@attrs.frozen
+class Located:
+    """The entries and what the platform says about them.
+
+    Attributes:
+        addresses: Incarnation by admin address; empty text if not known.
+        epoch: Epoch of the roster, 0 if the platform was not reached.
+        stored: The configuration at the platform, None if not known.
+        error: Why the platform was not reached.
+    """
+
+    addresses: dict[str, str]
+    epoch: int = 0
+    stored: writes.Stored | None = None
+    error: str = ""
+
+
+@attrs.frozen
+class AgentRow:
+    """One agent as its entries see it.
+
+    Attributes:
+        name: Name from its settings.
+        incarnation: Its incarnation.
+        domain: Its failure domain.
+        revision: Highest revision that it reported.
+        entries: Entries that it is connected to.
+        blocked: Entries that send it nothing, by reason, such as
+            ``ejected``.
+    """
+
+    name: str
+    incarnation: str
+    domain: str
+    revision: int
+    entries: int
+    blocked: dict[str, int]
+
+
+def locate(client: platform.Client, seeds: Iterable[str]) -> Located:
+    """Finds the entries through the roster and the given admin addresses.
+
+    Args:
+        client: Client of the platform.
+        seeds: Admin addresses of entries to ask as well, for use while the
+            platform is down.
+    """
+    addresses = dict.fromkeys(seeds, "")
+    for reply in ask(addresses, "/admin/status"):
+        addresses[reply.address] = reply.values.get("incarnation", "")
+        for row in reply.values.get("roster", ()):
+            addresses.setdefault(row["admin_address"], row["incarnation"])
+    found = client.get(registry.ROSTER_KEY)
+    epoch = 0
+    error = ""
+    match found:
+        case platform.Value(data=data):
+            roster = registry.parse_roster(data)
+            if isinstance(roster, registry.Roster):
+                epoch = roster.epoch
+                for entry in roster.entries:
+                    addresses[entry.admin_address] = entry.incarnation
+            else:
+                error = roster.text
+        case platform.Missing():
+            pass
+        case _:
+            return Located(addresses, error=found.detail)
+    stored = writes.read_stored(client)
+    if isinstance(stored, writes.NotWritten):
+        return Located(addresses, epoch, None, stored.detail)
+    return Located(addresses, epoch, stored, error)
+
+
+def ask(addresses: dict[str, str], path: str) -> list[Reply]:
+    """Returns each entry's answer to a GET request, in order."""
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_REQUESTS) as pool:
+        return list(pool.map(_request(path), addresses.items()))
+
+
+def explain(addresses: dict[str, str], job: str) -> list[Reply]:
+    """Asks each entry what it knows about a job."""
+    return ask(addresses, f"/admin/jobs/{urllib.parse.quote(job, safe='')}")
+
+
+def agents(replies: Iterable[Reply]) -> list[AgentRow]:
+    """Returns the agents, each once, from the status of the entries."""
+    rows: dict[str, AgentRow] = {}
+    for reply in replies:
+        for item in reply.values.get("agents", ()):
+            incarnation = item["incarnation"]
+            row = rows.get(incarnation)
+            if row is None:
+                row = AgentRow(
+                    item["agent"], incarnation, item["domain"], 0, 0, {}
+                )
+            blocked = dict(row.blocked)
+            for reason in item.get("blocked", ()):
+                blocked[reason] = blocked.get(reason, 0) + 1
+            rows[incarnation] = attrs.evolve(
+                row,
+                revision=max(row.revision, item["revision"]),
+                entries=row.entries + 1,
+                blocked=blocked,
+            )
+    return sorted(rows.values(), key=lambda row: (row.name, row.incarnation))
+
+
+def _request(path: str) -> Callable[[tuple[str, str]], Reply]:
+    """Returns a function that asks one entry."""
+
+    def request(item: tuple[str, str]) -> Reply:
+        address, incarnation = item
+        reply = Reply(address, incarnation)
+        try:
+            with urllib3.PoolManager(retries=False) as http:
+                answer = http.request(
+                    "GET",
+                    f"http://{address}{path}",
+                    timeout=urllib3.Timeout(total=TIMEOUT_S),
+                    redirect=False,
+                    preload_content=False,
+                )
+                data = answer.read(ANSWER_LIMIT_BYTES)
+                answer.close()
+            values = json.loads(data)
+            if not isinstance(values, dict):
+                raise ValueError("the answer is not an object")
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            return attrs.evolve(reply, error=f"{type(error).__name__}: {error}")
+        return attrs.evolve(reply, status=answer.status, values=values)
+
+    return request
--- /dev/null
+++ b/trefoilgw/cli/fleet_commands.py
@@ -0,0 +1,200 @@
+"""Commands that ask the running processes."""
+
+from collections.abc import Sequence
+
+import attrs
+from cleo.helpers import argument
+from cleo.helpers import option
+
+from trefoilgw.cli import base
+from trefoilgw.cli import fleet
+from trefoilgw.cli import report
+from trefoilgw.findings import core as findings
+from trefoilgw.settings import checks
+
+# Reasons for which an entry sends nothing to an agent and that an operator
+# has to look into; draining and leaving are planned.
+EJECTED = "ejected"
+
+ENTRY_OPTION = option(
+    "entry",
+    "e",
+    "Admin address (ip:port) of an entry to ask as well; for use while the "
+    "platform is down.",
+    flag=False,
+    multiple=True,
+)
+
+
+class FleetCommand(base.PlatformCommand):
+    """A command that asks the entries."""
+
+    options = [*base.PlatformCommand.options, ENTRY_OPTION]
+
+    def check_input(self) -> list[findings.Finding]:
+        """Checks the addresses."""
+        return [
+            findings.Finding("--entry", fault.text)
+            for seed in self.option("entry")
+            for fault in checks.dial_address(seed)
+        ]
+
+    def run_with(self, client, operator) -> report.Report:
+        """Finds the entries and asks them."""
+        located = fleet.locate(client, self.option("entry"))
+        if not located.addresses:
+            text = located.error or "the roster names no entry"
+            return report.of_failure(report.UNAVAILABLE, text)
+        return self.ask(located)
+
+    def ask(self, located: fleet.Located) -> report.Report:
+        """Asks the entries that were found."""
+        raise NotImplementedError
+
+
+class StatusCommand(FleetCommand):
+    """``trefoilgw status``."""
+
+    name = "status"
+    description = "Shows the processes and the revision in force at each."
+    help = """\
+Reads the roster at the platform and asks each entry. Shows the entries, the
+agents connected to them, the revision in force at each process, and which
+agents get no work and why (ejected, suspected, draining, leaving).
+
+While the platform is down, name an entry's admin address with
+<info>--entry</info>; the others are found through it.
+
+Exit codes: 0; 1 wrong option; 2 no entry answers.
+"""
+
+    def ask(self, located) -> report.Report:
+        """Asks each entry for its state."""
+        replies = fleet.ask(located.addresses, "/admin/status")
+        agents = fleet.agents(replies)
+        stored = located.stored.revision if located.stored else None
+        values = {
+            "stored_revision": stored,
+            "epoch": located.epoch,
+            "platform_error": located.error,
+            "entries": [attrs.asdict(reply) for reply in replies],
+            "agents": [attrs.asdict(row) for row in agents],
+        }
+        answered = any(reply.values for reply in replies)
+        errors = [
+            f"entry {reply.address} does not answer: {reply.error}"
+            for reply in replies
+            if not reply.values
+        ]
+        if located.error:
+            errors.append(f"platform: {located.error}")
+        return report.Report(
+            report.OK if answered else report.UNAVAILABLE,
+            values,
+            _status_lines(located, replies, agents),
+            errors,
+        )
+
+
+class ExplainCommand(FleetCommand):
+    """``trefoilgw explain``."""
+
+    name = "explain"
+    description = "Shows what the entries know about a job."
+    arguments = [
+        argument("job", "Key of the job, or customer:key."),
+    ]
+    help = """\
+Asks every entry about a job, since only its home knows it. Shows the state, the
+reason if it failed, the agents that have open batches, and the fates of the
+tasks.
+
+Exit codes: 0 found; 1 no entry knows the job; 2 no entry answers.
+"""
+
+    def ask(self, located) -> report.Report:
+        """Asks each entry for the job."""
+        job = self.argument("job")
+        replies = fleet.explain(located.addresses, job)
+        jobs = [
+            {"home": reply.incarnation or reply.address, **row}
+            for reply in replies
+            for row in reply.values.get("jobs") or ()
+        ]
+        errors = [
+            f"entry {reply.address} does not answer: {reply.error}"
+            for reply in replies
+            if not reply.values
+        ]
+        values = {"job": job, "jobs": jobs, "errors": errors}
+        if jobs:
+            lines = [line for row in jobs for line in _job_lines(row)]
+            return report.Report(report.OK, values, lines, errors)
+        if len(errors) == len(replies):
+            return report.Report(report.UNAVAILABLE, values, errors=errors)
+        text = f"no entry that answered knows the job {job}"
+        return report.Report(report.FINDINGS, values, errors=[*errors, text])
+
+
+def _status_lines(
+    located: fleet.Located,
+    replies: Sequence[fleet.Reply],
+    agents: Sequence[fleet.AgentRow],
+) -> list[str]:
+    """Returns the state of the fleet as text."""
+    stored = located.stored.revision if located.stored else "unknown"
+    rows = [
+        (
+            "entry",
+            reply.incarnation,
+            reply.values.get("domain", ""),
+            reply.values.get("revision", "?"),
+            _entry_state(reply),
+        )
+        for reply in replies
+    ]
+    rows += [
+        ("agent", row.name, row.domain, row.revision, _agent_state(row))
+        for row in agents
+    ]
+    header = ("role", "name", "domain", "revision", "state")
+    ejected = [row for row in agents if EJECTED in row.blocked]
+    return [
+        f"stored revision {stored}, epoch {located.epoch}, "
+        f"{len(replies)} entries, {len(agents)} agents, {len(ejected)} ejected",
+        *report.table(header, rows),
+    ]
+
+
+def _entry_state(reply: fleet.Reply) -> str:
+    """Returns the state of an entry in a few words."""
+    if not reply.values:
+        return "no answer"
+    state = "leaving" if reply.values.get("leaving") else "serving"
+    running = reply.values.get("jobs_running", 0)
+    queued = reply.values.get("jobs_queued", 0)
+    return f"{state}, {running} jobs running, {queued} queued"
+
+
+def _agent_state(row: fleet.AgentRow) -> str:
+    """Returns the state of an agent in a few words."""
+    if not row.blocked:
+        return f"usable at {row.entries} entries"
+    return ", ".join(
+        f"{reason} at {count} of {row.entries} entries"
+        for reason, count in sorted(row.blocked.items())
+    )
+
+
+def _job_lines(row: dict) -> list[str]:
+    """Returns what is known about a job as text."""
+    return [f"{name}: {_cell(value)}" for name, value in row.items()] + [""]
+
+
+def _cell(value: object) -> str:
+    """Returns a value of a job on one line."""
+    if isinstance(value, list):
+        return ", ".join(_cell(item) for item in value) or "-"
+    if isinstance(value, dict):
+        return " ".join(f"{key}={inner}" for key, inner in value.items())
+    return str(value)
--- /dev/null
+++ b/trefoilgw/cli/record_commands.py
@@ -0,0 +1,362 @@
+"""Commands that check, write and show records."""
+
+import attrs
+from cleo.helpers import argument
+from cleo.helpers import option
+
+from trefoilgw import platform
+from trefoilgw import registry
+from trefoilgw.cli import audit
+from trefoilgw.cli import base
+from trefoilgw.cli import files
+from trefoilgw.cli import report
+from trefoilgw.cli import writes
+from trefoilgw.findings import core as findings
+from trefoilgw.records import checks
+from trefoilgw.records import core as records
+
+HISTORY_ENTRIES = 20
+HISTORY_LIMIT = 500
+
+REASON_OPTION = option(
+    "reason", "r", "Why; kept in the audit trail. Required.", flag=False
+)
+DRY_RUN_OPTION = option(
+    "dry-run", None, "Print the difference and write nothing."
+)
+_EXIT_CODES = """
+Exit codes: 0 written or nothing to change; 1 findings; 2 the platform does not
+answer, and the text says whether the write is in doubt; 3 another operator was
+first, and the text names the newer revision.
+"""
+
+
+class CheckCommand(base.ReportingCommand):
+    """``trefoilgw check``."""
+
+    name = "check"
+    description = "Checks settings files and record documents."
+    arguments = [
+        argument("files", "Files, .toml or .json.", multiple=True),
+    ]
+    help = """\
+Checks each file and prints every finding with its place: file and line for
+settings (.toml), file, record and field for records (.json). The role of a
+settings file is known by its keys. Nothing is written and the platform is not
+asked.
+
+Exit codes: 0 no findings, 1 findings.
+"""
+
+    def make_report(self) -> report.Report:
+        """Checks the files."""
+        checked = [files.check_file(path) for path in self.argument("files")]
+        found = [item for file in checked for item in file.findings]
+        lines = [
+            f"{file.path}: {file.content}, no findings"
+            for file in checked
+            if not file.findings
+        ]
+        return report.Report(
+            report.FINDINGS if found else report.OK,
+            {"files": [attrs.asdict(file) for file in checked]},
+            lines,
+            findings.render(found).splitlines(),
+        )
+
+
+class WritingCommand(base.PlatformCommand):
+    """A command that writes a revision."""
+
+    options = [
+        *base.PlatformCommand.options,
+        REASON_OPTION,
+        DRY_RUN_OPTION,
+    ]
+
+    def check_input(self) -> list[findings.Finding]:
+        """Checks the reason."""
+        if self.option("dry-run"):
+            return []
+        reason = self.option("reason") or ""
+        fault = checks.text(reason)
+        if not reason.strip():
+            fault = "must say why, for the audit trail"
+        return [findings.Finding("--reason", fault)] if fault else []
+
+    def run_with(self, client, operator) -> report.Report:
+        """Makes the draft and writes it."""
+        stored = writes.read_stored(client)
+        if isinstance(stored, writes.NotWritten):
+            return report.of_failure(report.UNAVAILABLE, stored.detail)
+        draft = self.make_draft(stored)
+        if isinstance(draft, tuple):
+            return report.of_findings(draft)
+        if self.option("dry-run"):
+            return _dry_run(stored, draft)
+        order = writes.Order(draft, operator.author, self.option("reason"))
+        return _told(self.make_writer(client).write(order, stored))
+
+    def make_writer(self, client: platform.Client) -> writes.Writer:
+        """Returns the writer; replaced in tests."""
+        return writes.Writer(client)
+
+    def make_draft(
+        self, stored: writes.Stored
+    ) -> records.Configuration | tuple[findings.Finding, ...]:
+        """Returns the configuration to write."""
+        raise NotImplementedError
+
+
+class ApplyCommand(WritingCommand):
+    """``trefoilgw apply``."""
+
+    name = "apply"
+    description = "Writes a record document as the next revision."
+    arguments = [argument("file", "Record document, JSON.")]
+    help = (
+        """\
+Checks the document, compares it with what is stored, and writes it as the next
+revision together with an entry of the audit trail. If the file names a
+revision, as the output of <info>show --json</info> does, it is written only on
+top of that revision. A write whose answer is lost is resolved by its write id,
+so the revision rises by one only.
+"""
+        + _EXIT_CODES
+    )
+
+    def check_input(self) -> list[findings.Finding]:
+        """Checks the reason and the document."""
+        parsed = files.read_document(self.argument("file"))
+        found = list(parsed) if isinstance(parsed, tuple) else []
+        return super().check_input() + found
+
+    def make_draft(self, stored):
+        """Reads the file."""
+        return files.read_document(self.argument("file"))
+
+
+class DrainCommand(WritingCommand):
+    """``trefoilgw drain``."""
+
+    name = "drain"
+    description = "Takes an agent out of service, or back into it."
+    arguments = [argument("agent", "Name of the agent, from its settings.")]
+    options = [
+        *WritingCommand.options,
+        option("undo", None, "Let the agent take work again."),
+    ]
+    help = (
+        """\
+Writes the agent's name into the list <info>draining</info> of the records.
+Entries then send it no new work; its running tasks finish. The other records
+stay as they are. See <info>status</info> for the effect.
+"""
+        + _EXIT_CODES
+    )
+
+    def check_input(self) -> list[findings.Finding]:
+        """Checks the reason and the name."""
+        found = super().check_input()
+        fault = checks.name(self.argument("agent"))
+        return [*found, findings.Finding("agent", fault)] if fault else found
+
+    def make_draft(self, stored):
+        """Changes the list in the stored document."""
+        agent = self.argument("agent")
+        old = stored.configuration
+        if old is None:
+            text = "there is no valid document; use apply first"
+            return (findings.Finding("document", text),)
+        names = set(old.draining) | {agent}
+        if self.option("undo"):
+            names.discard(agent)
+        return attrs.evolve(old, draining=tuple(sorted(names)))
+
+
+class ShowCommand(base.PlatformCommand):
+    """``trefoilgw show``."""
+
+    name = "show"
+    description = "Shows the stored records."
+    help = """\
+Shows the document at the platform, which every process takes within seconds;
+see <info>status</info> for what is in force. With <info>--json</info>, the
+document itself is printed. It can be edited and given to <info>apply</info>,
+which then refuses it if another revision was written in the meantime.
+
+Exit codes: 0; 1 there is no valid document; 2 the platform does not answer.
+"""
+
+    def run_with(self, client, operator) -> report.Report:
+        """Reads the document."""
+        stored = writes.read_stored(client)
+        if isinstance(stored, writes.NotWritten):
+            return report.of_failure(report.UNAVAILABLE, stored.detail)
+        if stored.configuration is None:
+            if not stored.data:
+                text = "no configuration was written yet"
+                return report.of_failure(report.FINDINGS, text)
+            return report.of_findings(records.parse_document(stored.data))
+        configuration = stored.configuration
+        return report.Report(
+            report.OK, records.plain(configuration), _shown(configuration)
+        )
+
+
+class HistoryCommand(base.PlatformCommand):
+    """``trefoilgw history``."""
+
+    name = "history"
+    description = "Shows the audit trail, newest first."
+    options = [
+        *base.PlatformCommand.options,
+        option(
+            "limit",
+            "l",
+            "Entries to show, 1 to 500.",
+            flag=False,
+            default=str(HISTORY_ENTRIES),
+        ),
+    ]
+    help = """\
+Shows who wrote each revision, when, why, on top of which revision, and what it
+changed.
+
+Exit codes: 0; 1 wrong limit; 2 the platform does not answer.
+"""
+
+    def check_input(self) -> list[findings.Finding]:
+        """Checks the limit."""
+        limit = self.option("limit")
+        if limit.isdecimal() and 1 <= int(limit) <= HISTORY_LIMIT:
+            return []
+        text = f"must be 1 to {HISTORY_LIMIT}, not {limit!r}"
+        return [findings.Finding("--limit", text)]
+
+    def run_with(self, client, operator) -> report.Report:
+        """Reads the newest entries."""
+        page = client.range(
+            platform.Read(
+                registry.AUDIT_PREFIX,
+                prefix=True,
+                limit=int(self.option("limit")),
+                newest_first=True,
+            )
+        )
+        if not isinstance(page, platform.Page):
+            text = f"the platform does not answer: {page.detail}"
+            return report.of_failure(report.UNAVAILABLE, text)
+        lines = []
+        entries = []
+        errors = []
+        for item in page.items:
+            entry = audit.parse_entry(item.data)
+            if isinstance(entry, findings.Finding):
+                errors.append(f"{item.key}: {entry.text}")
+                continue
+            entries.append(attrs.asdict(entry))
+            lines += _entry_lines(entry)
+        values = {"entries": entries, "unreadable": errors, "more": page.more}
+        return report.Report(report.OK, values, lines, errors)
+
+
+def _dry_run(
+    stored: writes.Stored, draft: records.Configuration
+) -> report.Report:
+    """Returns the difference that would be written."""
+    changes = records.difference(stored.configuration, draft)
+    return report.Report(
+        report.OK,
+        {
+            "revision": stored.revision,
+            "changes": [attrs.asdict(change) for change in changes],
+        },
+        [
+            f"nothing written, revision {stored.revision} stays",
+            *report.change_lines(changes),
+        ],
+    )
+
+
+def _told(result) -> report.Report:
+    """Returns the report of a write."""
+    match result:
+        case writes.Applied(revision=revision, changes=changes):
+            lines = [f"revision {revision} written"]
+            if result.newer_revision > revision:
+                lines.append(f"revision {result.newer_revision} came after it")
+            values = attrs.asdict(result)
+            lines += report.change_lines(changes)
+            return report.Report(report.OK, values, lines)
+        case writes.Unchanged(revision=revision):
+            text = f"no change, revision {revision} stays"
+            values = {"revision": revision, "changes": []}
+            return report.Report(report.OK, values, [text])
+        case writes.Raced():
+            text = _race_text(result)
+            return report.of_failure(
+                report.LOST_RACE, text, **attrs.asdict(result)
+            )
+        case writes.NotWritten(detail=detail):
+            text = f"nothing written: {detail}"
+            return report.of_failure(report.UNAVAILABLE, text)
+        case writes.InDoubt(revision=revision, write_id=write_id):
+            text = (
+                f"in doubt whether revision {revision} was written: "
+                f"{result.detail}; look for write id {write_id} in the history"
+            )
+            return report.of_failure(
+                report.UNAVAILABLE, text, **attrs.asdict(result)
+            )
+        case tuple():
+            return report.of_findings(result)
+    raise TypeError(f"not a result: {result!r}")
+
+
+def _race_text(raced: writes.Raced) -> str:
+    """Returns the news of a lost race."""
+    by = ""
+    if raced.author:
+        by = f" by {raced.author} at {raced.written_at} ({raced.reason})"
+    return (
+        f"nothing written: the change is based on revision "
+        f"{raced.base_revision}, but revision {raced.revision}{by} is stored; "
+        "look at it and apply your change on top of it"
+    )
+
+
+def _shown(configuration: records.Configuration) -> list[str]:
+    """Returns a configuration as text."""
+    lines = [
+        f"revision {configuration.revision} by {configuration.author} at "
+        f"{configuration.written_at}: {configuration.reason}"
+    ]
+    for name in ("customers", "services", "kinds"):
+        rows = [attrs.astuple(row) for row in getattr(configuration, name)]
+        if rows:
+            fields = attrs.fields(type(getattr(configuration, name)[0]))
+            header = [field.name for field in fields]
+            lines += ["", name, *report.table(header, map(_cells, rows))]
+    if configuration.draining:
+        lines += ["", "draining: " + ", ".join(configuration.draining)]
+    return lines
+
+
+def _cells(row: tuple) -> list[str]:
+    """Returns the values of a record for a table."""
+    return [
+        ",".join(cell) if isinstance(cell, tuple) else str(cell) for cell in row
+    ]
+
+
+def _entry_lines(entry: audit.AuditEntry) -> list[str]:
+    """Returns an audit entry as text."""
+    lines = [
+        f"revision {entry.revision} from {entry.from_revision} by "
+        f"{entry.author} at {entry.written_at}: {entry.reason}"
+    ]
+    lines += [f"  {line}" for line in report.change_lines(entry.changes)]
+    if entry.omitted_changes:
+        lines.append(f"  and {entry.omitted_changes} more changes")
+    return lines
--- /dev/null
+++ b/trefoilgw/cli/tests/test_main.py
@@ -0,0 +1,267 @@
+"""The commands as an operator types them."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+import urllib.parse
+
+import eventlet
+from cleo.testers.application_tester import ApplicationTester
+from eventlet import wsgi
+
+from tools.standins import kv
+from trefoilgw import platform
+from trefoilgw import registry
+from trefoilgw.cli import main
+from trefoilgw.messages import core as messages
+
+SAMPLES = pathlib.Path(__file__).resolve().parents[3] / "tools" / "samples"
+TEN_FAULTS = {
+    "revision": -1,
+    "extra": 1,
+    "draining": ["A B"],
+    "customers": [{"name": "c", "schema": 1, "rate": 0}, 7],
+    "services": [{"name": "s", "schema": 9}],
+    "kinds": [{"name": "k", "schema": 2, "service": "none", "customers": 3}],
+}
+
+
+def agent(name, **fields):
+    return {
+        "agent": name,
+        "incarnation": name * 2,
+        "domain": "d1",
+        "revision": 4,
+        "blocked": [],
+        **fields,
+    }
+
+
+class CommandTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = pathlib.Path(folder.name)
+        self.server = kv.Server()
+        address = self.server.serve()
+        self.addCleanup(self.server.close)
+        self.settings = self.file(
+            "operator.toml",
+            f'platform_address = "{address}"\nauthor = "Ana"\n',
+        )
+
+    def file(self, name, content):
+        path = self.folder / name
+        text = content if isinstance(content, str) else json.dumps(content)
+        path.write_text(text)
+        return str(path)
+
+    def run_command(self, text, settings=True):
+        """Returns exit code, standard output and standard error."""
+        tester = ApplicationTester(main.make_application())
+        if settings:
+            text += f" --settings {self.settings}"
+        code = tester.execute(text)
+        return code, tester.io.fetch_output(), tester.io.fetch_error()
+
+    def run_json(self, text):
+        code, output, _ = self.run_command(f"{text} --json")
+        return code, json.loads(output)
+
+    def entry(self, incarnation, status, jobs=()):
+        """Serves the admin port of an entry."""
+        known = {row["key"]: row for row in jobs}
+
+        def application(environ, start_response):
+            path = urllib.parse.unquote(environ["PATH_INFO"])
+            body = {"incarnation": incarnation, **status}
+            if path.startswith("/admin/jobs/"):
+                row = known.get(path.removeprefix("/admin/jobs/"))
+                body = {"jobs": [row] if row else []}
+            start_response("200 OK", [])
+            return [json.dumps(body).encode()]
+
+        sock = eventlet.listen(("127.0.0.1", 0))
+        thread = eventlet.spawn(
+            wsgi.server, sock, application, log_output=False
+        )
+        self.addCleanup(sock.close)
+        self.addCleanup(thread.kill)
+        host, port = sock.getsockname()
+        return messages.RosterEntry(incarnation, "", f"{host}:{port}", "d1")
+
+    def write_roster(self, *entries):
+        data = registry.encode_roster(registry.Roster().changed(entries))
+        client = platform.Client(self.server.address)
+        self.addCleanup(client.close)
+        client.put(platform.Put(registry.ROSTER_KEY, data))
+
+    def test_check(self):
+        """All findings of all files are to be shown in one go."""
+        good = SAMPLES / "bluebonnet.json"
+        bad = self.file("bad.json", TEN_FAULTS)
+        large = self.file("large.json", " " * 2_000_000)
+        broken = self.file("agent.toml", 'slots = 0\nname = "A"\n[x]\n')
+        other = self.file("notes.txt", "")
+        code, output, errors = self.run_command(
+            f"check {good} {bad} {large} {broken} {other} none.json", False
+        )
+        self.assertEqual(1, code)
+        self.assertEqual(f"{good}: records, no findings\n", output)
+        lines = errors.splitlines()
+        for place in (
+            f"{bad}:document/revision: ",
+            f"{bad}:customers/c/rate: ",
+            f"{bad}:customers[1]: ",
+            f"{bad}:services/s/schema: ",
+            f"{bad}:kinds/k/service: ",
+            f"{large}:document: ",
+            f"{broken}:1: slots ",
+            f"{broken}:2: name ",
+            f"{broken}:3: unknown key 'x'",
+            f"{other}: ",
+            "none.json: can't read",
+        ):
+            with self.subTest(place):
+                hits = [line for line in lines if line.startswith(place)]
+                self.assertEqual(1, len(hits))
+
+    def test_apply_show_edit_apply(self):
+        """The way of an edit; a stale one must not win."""
+        sample = SAMPLES / "cobre-calco.json"
+        code, output, _ = self.run_command(f"apply {sample} --reason 'a <b>'")
+        self.assertEqual(0, code)
+        self.assertIn("revision 1 written\n", output)
+        self.assertIn("+ kinds/preview ", output)
+        code, shown = self.run_json("show")
+        self.assertEqual((0, "a <b>"), (code, shown["reason"]))
+        shown["kinds"][0]["weight"] = 2.5
+        edited = self.file("edited.json", shown)
+        code, output, _ = self.run_command(f"apply {edited} -r b --dry-run")
+        self.assertIn("kinds/preview: weight 1.0 -> 2.5", output)
+        code, output, _ = self.run_command(f"apply {edited} -r b")
+        self.assertIn("revision 2 written", output)
+        code, _, errors = self.run_command(f"apply {edited} -r c")
+        self.assertEqual(3, code)
+        self.assertIn("revision 2 by Ana", errors)
+        code, raced = self.run_json(f"apply {edited} -r c")
+        self.assertEqual((3, 2), (code, raced["revision"]))
+        _, output, _ = self.run_command("show")
+        self.assertIn("revision 2 by Ana", output)
+        self.assertRegex(output, "preview +2 +proofs +cobre-calco +urgent +2.5")
+
+    def test_faulty_input_reaches_no_platform(self):
+        bad = self.file("bad.json", TEN_FAULTS)
+        self.settings = self.file("broken.toml", "author = 3")
+        code, output = self.run_json(f"apply {bad}")
+        self.assertEqual(1, code)
+        places = [item["place"] for item in output["findings"]]
+        self.assertIn(f"{self.settings}:1", places)
+        self.assertIn("--reason", places)
+        self.assertIn(f"{bad}:document/revision", places)
+        self.assertEqual({}, dict(self.server.calls))
+
+    def test_drain_and_history(self):
+        self.run_command(f"apply {SAMPLES / 'cobre-calco.json'} -r first")
+        for text in ("drain t-1 -r host", "drain t-2 -r host"):
+            self.assertEqual(0, self.run_command(text)[0])
+        self.run_command("drain t-1 --undo -r back")
+        _, shown = self.run_json("show")
+        self.assertEqual(["t-2"], shown["draining"])
+        # The other records keep their schemas.
+        self.assertIn("rate", shown["customers"][0])
+        _, output, _ = self.run_command("history --limit 2")
+        self.assertIn("revision 4 from 3 by Ana", output)
+        self.assertIn("draining: end t-1", output)
+        self.assertNotIn("revision 2 from", output)
+        _, found = self.run_json("history")
+        revisions = [entry["revision"] for entry in found["entries"]]
+        self.assertEqual([4, 3, 2, 1], revisions)
+
+    def test_status(self):
+        """Operators find lagging and ejected processes here."""
+        first = self.entry(
+            "a" * 16,
+            {
+                "revision": 5,
+                "agents": [agent("t1", blocked=["ejected"]), agent("t2")],
+            },
+        )
+        second = self.entry(
+            "b" * 16,
+            {
+                "revision": 4,
+                "leaving": True,
+                "agents": [agent("t1", revision=5)],
+            },
+        )
+        gone = messages.RosterEntry("c" * 16, "", "127.0.0.1:1", "d1")
+        self.write_roster(first, second, gone)
+        code, output, errors = self.run_command("status")
+        self.assertEqual(0, code)
+        self.assertRegex(output, f"entry +{'a' * 16} +5 +serving")
+        self.assertRegex(output, f"entry +{'b' * 16} +4 +leaving")
+        self.assertRegex(output, f"entry +{'c' * 16} +[?] +no answer")
+        self.assertRegex(output, "agent +t1 +d1 +5 +ejected at 1 of 2")
+        self.assertRegex(output, "agent +t2 +d1 +4 +usable at 1")
+        self.assertIn("3 entries, 2 agents, 1 ejected", output)
+        self.assertIn("127.0.0.1:1 does not answer", errors)
+
+    def test_status_while_the_platform_is_down(self):
+        """In an outage operators need the state most."""
+        second = self.entry("b" * 16, {"revision": 5})
+        row = {
+            "admin_address": second.admin_address,
+            "incarnation": second.incarnation,
+        }
+        first = self.entry("a" * 16, {"revision": 5, "roster": [row]})
+        self.server.switch(down=True)
+        self.assertEqual(2, self.run_command("status")[0])
+        code, found = self.run_json(f"status --entry {first.admin_address}")
+        self.assertEqual((0, None), (code, found["stored_revision"]))
+        self.assertEqual(2, len(found["entries"]))
+        self.assertTrue(found["platform_error"])
+
+    def test_explain(self):
+        job = "t1.a.1.f/%"
+        row = {"key": job, "state": "failed", "fates": ["unknown: home_lost"]}
+        home = self.entry("a" * 16, {}, [row])
+        self.write_roster(self.entry("b" * 16, {}), home)
+        code, output, _ = self.run_command(f"explain {job}")
+        self.assertEqual(0, code)
+        self.assertIn(f"home: {'a' * 16}", output)
+        self.assertIn("fates: unknown: home_lost", output)
+        code, _, errors = self.run_command("explain other")
+        self.assertEqual(1, code)
+        self.assertIn("knows the job other", errors)
+
+    def test_every_command_has_help(self):
+        for command in main.COMMANDS:
+            with self.subTest(command.name):
+                _, output, _ = self.run_command(f"{command.name} --help", False)
+                self.assertIn("Exit codes: 0", output)
+                self.assertIn("--json", output)
+
+    def test_completions(self):
+        for shell in ("bash", "zsh", "fish"):
+            with self.subTest(shell):
+                code, output, _ = self.run_command(
+                    f"completions {shell}", False
+                )
+                self.assertEqual(0, code)
+                self.assertIn("dry-run", output)
+
+    def test_platform_down(self):
+        sample = SAMPLES / "cobre-calco.json"
+        self.server.switch(down=True)
+        commands = ("show", "history", "drain a -r b", f"apply {sample} -r b")
+        for text in commands:
+            with self.subTest(text):
+                code, found = self.run_json(text)
+                self.assertEqual(2, code)
+                self.assertIn("does not answer", found["error"])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilgw/registry/__init__.py
+++ b/trefoilgw/registry/__init__.py
@@ -6,6 +6,7 @@
 
 from trefoilgw.registry.paths import audit_key
 from trefoilgw.registry.paths import AUDIT_PREFIX
+from trefoilgw.registry.paths import audit_revision
 from trefoilgw.registry.paths import CONFIG_KEY
 from trefoilgw.registry.paths import ENTRIES_PREFIX
 from trefoilgw.registry.paths import entry_key
@@ -23,6 +24,7 @@
     "ROSTER_KEY",
     "Roster",
     "audit_key",
+    "audit_revision",
     "encode_roster",
     "entry_key",
     "parse_roster",
--- a/trefoilgw/registry/paths.py
+++ b/trefoilgw/registry/paths.py
@@ -14,6 +14,12 @@
     return f"{AUDIT_PREFIX}{revision:0{REVISION_DIGITS}}"
 
 
+def audit_revision(key: str) -> int:
+    """Returns the revision of an audit key; 0 if it is none."""
+    digits = key.removeprefix(AUDIT_PREFIX)
+    return int(digits) if digits.isascii() and digits.isdigit() else 0
+
+
 def entry_key(incarnation: str) -> str:
     """Returns the lease key of an entry."""
     return ENTRIES_PREFIX + incarnation
--- a/trefoilgw/settings/places.py
+++ b/trefoilgw/settings/places.py
@@ -94,12 +94,12 @@
             match = _KEY.match(line)
             if match:
                 key = table + _path(match.group(0).rstrip().rstrip("="))
-                lines.setdefault(key, number)
+                _note(lines, key, number)
                 scan = _ValueScan()
                 rest = line[match.end() :]
             elif header:
                 table = _path(header.group(1))
-                lines.setdefault(table, number)
+                _note(lines, table, number)
         if scan is not None and not scan.feed(rest, number):
             for index, element in enumerate(scan.elements):
                 lines[(*key, str(index))] = element
@@ -107,6 +107,12 @@
     return lines
 
 
+def _note(lines: dict, path: tuple[str, ...], number: int) -> None:
+    """Notes the line of a path and of the tables that it opens."""
+    for length in range(1, len(path) + 1):
+        lines.setdefault(path[:length], number)
+
+
 def _path(text: str) -> tuple[str, ...]:
     """Returns the parts of a dotted key without quotes."""
     return tuple(part.strip().strip("\"'") for part in text.split("."))
