Test a restart and a slow platform at the registry

An entry that restarts while the platform is down learns from a peer; the older document that the platform holds must not revert it. A slow platform counts as one that does not answer.

Tested: both cases against the stand-in.

--- a/trefoilgw/registry/tests/test_core.py
+++ b/trefoilgw/registry/tests/test_core.py
@@ -14,6 +14,7 @@
 from trefoilgw.registry import core
 from trefoilgw.registry import leases
 from trefoilgw.registry import members
+from trefoilgw.rollout import core as rollout
 from trefoilgw.timers import core as timers
 
 TIMEOUT_S = 60.0
@@ -241,13 +242,20 @@
         entry.poll()
         roster, read_s = entry.roster, entry.roster_read_s
         self.now_s += 60.0
-        for fault in ({"down": True}, {"writes_s": 0.1, "reads_s": 0.1}):
+        faults = (
+            ({"down": True}, TIMEOUT_S),
+            ({"writes_s": 0.1, "reads_s": 0.1}, TIMEOUT_S),
+            ({"slow_s": 3600.0}, 0.05),
+        )
+        for fault, timeout_s in faults:
             with self.subTest(fault=fault):
                 self.server.switch(**fault)
+                entry.client.timeout_s = timeout_s
                 self.assertFalse(entry.poll())
                 known = (entry.roster, entry.roster_read_s)
                 self.assertEqual((roster, read_s), known)
         self.server.switch()
+        entry.client.timeout_s = TIMEOUT_S
         self.assertTrue(entry.poll())
         self.assertEqual(self.now_s, entry.roster_read_s)
         self.assertEqual(["a"], self.lease_names())
@@ -262,6 +270,23 @@
         entry.poll()
         self.assertTrue(self.configurations.empty())
 
+    def test_restart_while_the_platform_is_down(self):
+        """What a peer told must not revert when the platform comes back."""
+        self.configure(5)
+        self.server.switch(down=True)
+        entry = self.entry("a")
+        state = rollout.Rollout()
+        entry.on_configuration = state.offer
+        self.assertFalse(entry.poll())
+        self.assertEqual(0, state.revision)
+        state.offer(7, b"from a peer")
+        self.server.switch()
+        self.assertTrue(entry.poll())
+        self.assertEqual((7, b"from a peer"), (state.revision, state.document))
+        self.configure(8)
+        while state.revision < 8:
+            eventlet.sleep(0)
+
     def test_silent_watch(self):
         """A watch that stopped without a sign would freeze a revision."""
         entry = self.entry("a")
