Lend credits later if none are free when a peer asks

Cause: an entry asked the peer that had reported the most free credits. With reports once a second the answer was often empty, and an entry whose work waited got no credit that came free elsewhere a moment later.

Change: lend(credits, entry, now_s) keeps an ask that can't be met, and lend_owed() serves it from the next free credits; no empty answer is sent. Credits above the entry's even share go back on demand even while work waits. Credits that come back from a peer are no longer counted as returned from use, which had made total() too low. The credit book and the baselines are modules of their own; lending picks the richer of two random agents instead of the first of a sorted list.

Tested: unit tests green.

--- a/trefoilgw/placement/agents.py
+++ b/trefoilgw/placement/agents.py
@@ -29,6 +29,7 @@
         on_probation: True if it gets one task at a time.
         slowness: Its run times relative to those of all agents, 1 is normal.
         samples: Run times that `slowness` was learned from.
+        reported: Tasks at its target, as last reported; for baselines.
     """
 
     agent: str
@@ -42,6 +43,7 @@
     on_probation: bool = False
     slowness: float = 1.0
     samples: int = 0
+    reported: int = 0
 
     @property
     def available(self) -> int:
@@ -52,6 +54,11 @@
             return 0 if self.in_use else min(1, self.free)
         return self.free
 
+    @property
+    def total(self) -> int:
+        """Free and used credits, 0 while it is not usable."""
+        return self.free + self.in_use if self.usable else 0
+
     @property
     def notable_slowness(self) -> float:
         """Slowness, or 1 if it may be chance."""
--- a/trefoilgw/placement/core.py
+++ b/trefoilgw/placement/core.py
@@ -5,7 +5,6 @@
 nothing.
 """
 
-import enum
 import random
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -15,28 +14,20 @@
 
 from trefoilgw.messages import core as messages
 from trefoilgw.placement import agents
+from trefoilgw.placement import baselines
+from trefoilgw.placement import credits as credit_book
 from trefoilgw.placement import cutting
 from trefoilgw.placement import lending
 from trefoilgw.placement import runtimes
 
+# Entries that share an agent at most (see "Placement" in design.md).
+ENTRIES_PER_AGENT = 4
 # Weight of one run time in an agent's slowness, after the warm-up.
 SLOWNESS_WEIGHT = 0.03
 # A single long task must not make its agent look slow.
 SLOWNESS_RATIO_LIMIT = 4.0
 
 
-class Policy(enum.StrEnum):
-    """How an agent is chosen; all but the first are baselines.
-
-    The baselines ignore credits: an agent may get more than it has slots.
-    """
-
-    CREDITS = "credits"
-    RANDOM = "random"
-    ROUND_ROBIN = "round_robin"
-    LEAST_BUSY = "least_busy"
-
-
 @attrs.frozen
 class Assignment:
     """Part of a job for one agent.
@@ -62,53 +53,56 @@
         rng: Source of random choices.
         entry: Incarnation of this entry.
         domain: Failure domain of this entry.
-        policy: `Policy.CREDITS` or a baseline.
-        states: Agent by incarnation.
-        service_states: Agents by service.
+        policy: `Policy.CREDITS`, or a baseline that ignores credits.
+        book: Credits by agent.
         run_times: Learned run times per kind.
         asking: Pace of credit asks.
-        turn: Next agent for round robin.
+        owing: Asks of peers that wait for credits.
+        entries: Entries that share the agents, as far as known.
+        baseline: Chooses agents if `policy` is a baseline.
     """
 
     rng: random.Random
     entry: str = ""
     domain: str = ""
-    policy: Policy = Policy.CREDITS
-    states: dict[str, agents.AgentState] = attrs.field(factory=dict)
-    service_states: dict[str, agents.ServiceState] = attrs.field(factory=dict)
+    policy: baselines.Policy = baselines.Policy.CREDITS
+    book: credit_book.CreditBook = attrs.field(
+        default=attrs.Factory(
+            lambda self: credit_book.CreditBook(self.domain),
+            takes_self=True,
+        )
+    )
     run_times: runtimes.RunTimes = attrs.field(factory=runtimes.RunTimes)
     asking: lending.Asking = attrs.field(factory=lending.Asking)
-    turn: int = 0
+    owing: lending.Owing = attrs.field(factory=lending.Owing)
+    entries: int = 1
+    baseline: baselines.Baseline | None = None
+
+    def __attrs_post_init__(self):
+        if self.policy is not baselines.Policy.CREDITS:
+            self.baseline = baselines.Baseline(self.policy, self.rng)
 
     def agent_joined(
         self, agent: str, domain: str, services: Iterable[str], slots: int
     ) -> None:
         """Adds an agent without credits; an agent that rejoins starts anew."""
-        self.agent_left(agent)
-        state = agents.AgentState(agent, domain, tuple(services), slots)
-        self.states[agent] = state
-        for service in state.services:
-            self.service_states.setdefault(service, agents.ServiceState())
+        self.book.join(agents.AgentState(agent, domain, tuple(services), slots))
 
     def agent_left(self, agent: str) -> None:
         """Drops an agent with all its credits."""
-        state = self.states.get(agent)
-        if state is None:
-            return
-        self._set(state, usable=False)
-        del self.states[agent]
+        self.book.leave(agent)
 
     def agent_usable(self, agent: str, usable: bool) -> None:
         """Sets whether an agent gets work; also ends its probation."""
-        state = self.states.get(agent)
+        state = self.book.states.get(agent)
         if state is not None:
-            self._set(state, usable=usable, on_probation=False)
+            self.book.change(state, usable=usable, on_probation=False)
 
     def agent_probation(self, agent: str) -> None:
         """Lets an ejected agent run one task at a time."""
-        state = self.states.get(agent)
+        state = self.book.states.get(agent)
         if state is not None:
-            self._set(state, usable=True, on_probation=True)
+            self.book.change(state, usable=True, on_probation=True)
 
     def credits_granted(
         self, agent: str, credits: int, lender: str = ""
@@ -118,20 +112,15 @@
         Args:
             agent: Incarnation; credits of an unknown agent are dropped.
             credits: How many.
-            lender: Entry that the agent lent them to; empty for this one.
+            lender: Entry that the agent lent them to, if they come from a
+                peer; empty if they come from the agent.
         """
-        state = self.states.get(agent)
+        state = self.book.states.get(agent)
         if state is None or credits <= 0:
             return
+        back = 0 if lender else min(state.in_use, credits)
         name = "" if lender == self.entry else lender
-        held = state.credits.get(name, 0)
-        back = min(state.in_use, credits) if not name else 0
-        state.credits[name] = held + credits
-        self._set(
-            state,
-            free=state.free + credits,
-            in_use=state.in_use - back,
-        )
+        self.book.grant(state, name, credits, back)
 
     def credits_returned(self, agent: str, credits: int) -> int:
         """Takes out own free credits that go back to the agent.
@@ -139,20 +128,38 @@
         Returns:
             How many were free and may be returned.
         """
-        state = self.states.get(agent)
+        state = self.book.states.get(agent)
         if state is None:
             return 0
-        return self._take(state, "", credits)
+        return self.book.take(state, "", credits, use=False)
 
     def free(self, service: str) -> int:
         """Returns the credits that may be spent on a service now."""
-        state = self.service_states.get(service)
-        return state.free if state else 0
+        if self.baseline is not None:
+            return self.baseline.slots(self.book.states, service)
+        sums = self.book.services.get(service)
+        return sums.free if sums else 0
 
     def total(self, service: str) -> int:
         """Returns free and used credits of a service's usable agents."""
-        state = self.service_states.get(service)
-        return state.total if state else 0
+        if self.baseline is not None:
+            return self.free(service)
+        sums = self.book.services.get(service)
+        return sums.total if sums else 0
+
+    def pools(self) -> dict[str, str]:
+        """Returns the services that share agents, directly or by others.
+
+        Returns:
+            By service the name of its pool, for `Admission.set_pools`.
+        """
+        return self.book.groups()
+
+    def reported(self, agent: str, running: int) -> None:
+        """Notes the load that an agent reported; only baselines use it."""
+        state = self.book.states.get(agent)
+        if state is not None:
+            state.reported = running
 
     def place(
         self,
@@ -178,9 +185,17 @@
             asked for: the rest waits for further credits. Empty if no allowed
             agent has credits.
         """
-        pools = self.service_states.get(service)
+        pools = self.book.services.get(service)
         if pools is None or tasks <= 0:
             return ()
+        if self.baseline is not None:
+            chosen = self.baseline.assign(
+                self.book.states, service, avoid, tasks
+            )
+            return tuple(
+                Assignment(state.agent, "", count, count)
+                for state, count in chosen
+            )
         total = pools.total
         chosen = self._spend(pools, min(credits, tasks), avoid)
         if not chosen:
@@ -206,7 +221,7 @@
         look fast.
         """
         ratio = self.run_times.observe(kind, run_s)
-        state = self.states.get(agent)
+        state = self.book.states.get(agent)
         if state is None:
             return
         state.samples += 1
@@ -227,56 +242,83 @@
     ) -> lending.Ask | None:
         """Returns which peer to ask for credits, or None.
 
+        To be called while work waits.
+
         Args:
             now_s: Monotonic time in seconds.
             peers_free: Free credits per connected peer, as last heard.
         """
-        free = sum(state.available for state in self.states.values())
-        return self.asking.ask(now_s, free, peers_free)
+        self.entries = len(peers_free) + 1
+        return self.asking.ask(
+            now_s, self.book.free, self.book.total, peers_free
+        )
 
-    def lend(self, credits: int) -> tuple[messages.LentCredits, ...]:
+    def lend(
+        self, credits: int, entry: str = "", now_s: float = 0.0
+    ) -> tuple[messages.LentCredits, ...]:
         """Takes out credits for a peer that asked.
 
         Args:
             credits: How many the peer asked for.
+            entry: The peer. If it is given and nothing can be lent, the ask
+                is kept for `lend_owed`, and needs no answer now.
+            now_s: Monotonic time in seconds.
 
         Returns:
-            At most half of the free credits, rounded down; may be empty.
+            At most half of the free credits, or what exceeds this entry's
+            even share if that is more; may be empty.
         """
-        states = [
-            state
-            for state in self.states.values()
-            if state.available and not state.on_probation
-        ]
-        free = sum(state.available for state in states)
-        wanted = min(credits, free // 2)
-        states.sort(key=lambda state: -state.available)
-        lent = []
-        for state in states:
-            if wanted <= 0:
-                break
-            lender = state.best_lender()
-            count = self._take(state, lender, wanted)
-            wanted -= count
-            lent.append(
-                messages.LentCredits(state.agent, lender or self.entry, count)
-            )
-        return tuple(lent)
+        wanted = min(credits, self._lendable(waiting=0))
+        if wanted <= 0 and entry:
+            self.owing.add(entry, credits, now_s)
+        return self._lend(wanted)
+
+    def lend_owed(
+        self, now_s: float, waiting: int
+    ) -> tuple[str, tuple[messages.LentCredits, ...]] | None:
+        """Takes out credits for the oldest ask that could not be met.
+
+        To be called when credits came free, before they are granted, until
+        it returns None.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            waiting: Tasks that wait at this entry.
+
+        Returns:
+            The peer and its credits.
+        """
+        ask = self.owing.first(now_s)
+        if ask is None:
+            return None
+        wanted = min(ask.credits, self._lendable(waiting))
+        if wanted <= 0:
+            return None
+        self.owing.forget(ask.entry)
+        return ask.entry, self._lend(wanted)
 
     def borrowed(
-        self, lent: Iterable[messages.LentCredits]
+        self, lent: Iterable[messages.LentCredits], entry: str = ""
     ) -> tuple[messages.LentCredits, ...]:
-        """Takes in the answer to an ask.
+        """Takes in credits of a peer.
+
+        Args:
+            lent: The credits; empty if the peer has none.
+            entry: The peer, empty if not known.
 
         Returns:
             Credits of agents that are not connected here; they are to be
             lent back to the peer.
         """
         lent = tuple(lent)
-        self.asking.answered(sum(item.credits for item in lent))
+        count = sum(item.credits for item in lent)
+        if entry:
+            self.asking.answered(entry, count)
+        else:
+            self.asking.answered_by_any(count)
         unknown = []
         for item in lent:
-            if item.agent in self.states:
+            if item.agent in self.book.states:
                 self.credits_granted(item.agent, item.credits, item.lender)
             else:
                 unknown.append(item)
@@ -288,9 +330,31 @@
         The agents lend them anew; spending them here would end in a refusal.
         """
         self.asking.forget(entry)
-        for state in self.states.values():
+        self.owing.forget(entry)
+        for state in self.book.states.values():
             if entry in state.credits:
-                self._take(state, entry, state.credits[entry])
+                self.book.take(state, entry, state.credits[entry], use=False)
+
+    def _lendable(self, waiting: int) -> int:
+        """Returns how many credits may be lent now."""
+        share = self.book.slots / min(self.entries, ENTRIES_PER_AGENT)
+        return lending.lendable(self.book.free, self.book.total, share, waiting)
+
+    def _lend(self, credits: int) -> tuple[messages.LentCredits, ...]:
+        """Takes out free credits, each time of the richer of two agents."""
+        lent = []
+        while credits > 0:
+            pair = self.book.lendable.two_random((), self.rng)
+            if not pair:
+                break
+            state = max(pair, key=lambda state: state.free)
+            lender = state.best_lender()
+            count = self.book.take(state, lender, credits, use=False)
+            credits -= count
+            lent.append(
+                messages.LentCredits(state.agent, lender or self.entry, count)
+            )
+        return tuple(lent)
 
     def _spend(
         self,
@@ -305,8 +369,8 @@
             if state is None:
                 break
             lender = state.best_lender()
-            count = self._take(state, lender, min(credits, state.available))
-            self._set(state, in_use=state.in_use + count)
+            wanted = min(credits, state.available)
+            count = self.book.take(state, lender, wanted, use=True)
             chosen.append((state, lender, count))
             credits -= count
         return chosen
@@ -332,32 +396,3 @@
         return min(
             states, key=lambda state: (state.notable_slowness, -state.free)
         )
-
-    def _take(self, state: agents.AgentState, lender: str, credits: int) -> int:
-        """Takes free credits of one lender out of an agent."""
-        held = state.credits.get(lender, 0)
-        count = min(credits, held)
-        if count == held:
-            state.credits.pop(lender, None)
-        else:
-            state.credits[lender] = held - count
-        self._set(state, free=state.free - count)
-        return count
-
-    def _set(self, state: agents.AgentState, **fields) -> None:
-        """Changes an agent and keeps pools and sums of its services."""
-        available = state.available
-        total = state.free + state.in_use if state.usable else 0
-        for name, value in fields.items():
-            setattr(state, name, value)
-        more = state.available - available
-        more_total = -total
-        if state.usable:
-            more_total += state.free + state.in_use
-        near = state.domain == self.domain
-        for service in state.services:
-            pools = self.service_states[service]
-            pools.free += more
-            pools.total += more_total
-            pool = pools.near if near else pools.far
-            pool.update(state, state.available > 0)
--- /dev/null
+++ b/trefoilgw/placement/credits.py
@@ -0,0 +1,127 @@
+"""The credits that agents lent to this entry.
+
+Every change of an agent goes through this module, which keeps the sums and
+the pools of agents to choose from. `core` decides what the credits are spent
+on.
+"""
+
+import attrs
+
+from trefoilgw.placement import agents
+
+
+@attrs.define
+class CreditBook:
+    """Credits by agent, with sums per service.
+
+    Attributes:
+        domain: Failure domain of this entry.
+        states: Agent by incarnation.
+        services: Agents and sums by service.
+        lendable: Agents with available credits that are not on probation.
+        free: Available credits of all agents.
+        total: Free and used credits of all usable agents.
+        slots: Slots of all agents.
+    """
+
+    domain: str
+    states: dict[str, agents.AgentState] = attrs.field(factory=dict)
+    services: dict[str, agents.ServiceState] = attrs.field(factory=dict)
+    lendable: agents.Pool = attrs.field(factory=agents.Pool)
+    free: int = 0
+    total: int = 0
+    slots: int = 0
+
+    def join(self, state: agents.AgentState) -> None:
+        """Adds an agent; one that rejoins starts anew."""
+        self.leave(state.agent)
+        self.states[state.agent] = state
+        self.slots += state.slots
+        for service in state.services:
+            self.services.setdefault(service, agents.ServiceState())
+
+    def leave(self, agent: str) -> None:
+        """Drops an agent with all its credits."""
+        state = self.states.get(agent)
+        if state is not None:
+            self.change(state, usable=False)
+            self.slots -= state.slots
+            del self.states[agent]
+
+    def grant(
+        self, state: agents.AgentState, lender: str, credits: int, back: int
+    ) -> None:
+        """Adds free credits.
+
+        Args:
+            state: Their agent.
+            lender: Whose they are; empty for this entry.
+            credits: How many.
+            back: How many of them were in use here.
+        """
+        state.credits[lender] = state.credits.get(lender, 0) + credits
+        self.change(
+            state, free=state.free + credits, in_use=state.in_use - back
+        )
+
+    def take(
+        self, state: agents.AgentState, lender: str, credits: int, use: bool
+    ) -> int:
+        """Takes free credits of one lender out of an agent.
+
+        Args:
+            state: The agent.
+            lender: Whose credits.
+            credits: How many at most.
+            use: True if they are used here, False if they go away.
+
+        Returns:
+            How many were taken.
+        """
+        held = state.credits.get(lender, 0)
+        count = min(credits, held)
+        if count == held:
+            state.credits.pop(lender, None)
+        else:
+            state.credits[lender] = held - count
+        in_use = state.in_use + count if use else state.in_use
+        self.change(state, free=state.free - count, in_use=in_use)
+        return count
+
+    def change(self, state: agents.AgentState, **fields) -> None:
+        """Changes an agent and keeps the pools and sums."""
+        available = state.available
+        total = state.total
+        for name, value in fields.items():
+            setattr(state, name, value)
+        more = state.available - available
+        more_total = state.total - total
+        self.free += more
+        self.total += more_total
+        can_lend = state.available > 0 and not state.on_probation
+        self.lendable.update(state, can_lend)
+        near = state.domain == self.domain
+        for service in state.services:
+            sums = self.services[service]
+            sums.free += more
+            sums.total += more_total
+            pool = sums.near if near else sums.far
+            pool.update(state, state.available > 0)
+
+    def groups(self) -> dict[str, str]:
+        """Returns for each service the first of those it shares agents with.
+
+        Sharing counts directly or by way of other services.
+        """
+        parents = {service: service for service in self.services}
+
+        def root(service: str) -> str:
+            while parents[service] != service:
+                service = parents[service]
+            return service
+
+        for services in {state.services for state in self.states.values()}:
+            for other in services[1:]:
+                first, second = sorted((root(services[0]), root(other)))
+                parents[second] = first
+        return {service: root(service) for service in parents}
