--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -143,7 +143,9 @@
         kv = self.launcher.start("kv", "tools.standins.kv")
         targets = [self.start_target(i) for i in range(self.sizes.agents)]
         self.kv_address = _http(kv.wait_ready())
-        entries = [self.start_entry(i) for i in range(self.sizes.entries)]
+        # The first entry is the seed address of the others.
+        self.start_entry(0).wait_ready()
+        entries = [self.start_entry(i) for i in range(1, self.sizes.entries)]
         for process in targets + entries:
             process.wait_ready()
         agents = [self.start_agent(i) for i in range(self.sizes.agents)]
