--- /dev/null
+++ b/tools/agent_cost.py
@@ -0,0 +1,250 @@
+"""Measures what one agent process and its ledger cost.
+
+Starts the agent with four entries and a target, all in this process on
+loopback, and prints one ``name value unit`` a line:
+
+- at rest: memory, CPU, and the traffic of its streams;
+- at 22 task starts a second, the peak of two years on divided by the workers;
+- under a flood, which fills the ledger;
+- the bytes that the ledger takes for a start mark and for an open record.
+
+Run it with ``python -m tools.agent_cost``; it takes about 50 s.
+"""
+
+import argparse
+import itertools
+import pathlib
+import sys
+import tempfile
+import time
+import tracemalloc
+
+import attrs
+import eventlet
+
+from tools import processes
+from tools.standins import target as targets
+from trefoilgw.ledger import core as ledger_core
+from trefoilgw.messages import core as messages
+from trefoilgw.outcomes import core as outcomes
+from trefoilgw.streams import core as streams
+
+KEY = "ab" * 16
+ENTRIES = 4
+MEGABYTE = 1024 * 1024
+STARTS_S = 22
+LEDGER_TASKS = 50_000
+RESULT = b'{"value": 1}'
+SETTINGS = """
+name = "agent-1"
+domain = "d1"
+target_address = "{target}"
+services = ["preview"]
+entries = [{entries}]
+stream_key = "{key}"
+"""
+
+
+@attrs.define(eq=False)
+class Entry:
+    """An entry that answers pings and acknowledges batches.
+
+    Attributes:
+        incarnation: 16 hex digits.
+        address: Stream address.
+        stream: The agent's stream.
+        credits: Credits that the agent has lent.
+        acked: Batches to acknowledge with the next pong.
+        done: Batches answered.
+    """
+
+    incarnation: str
+    address: str = ""
+    stream: streams.Stream | None = None
+    credits: int = 0
+    acked: list = attrs.field(factory=list)
+    done: int = 0
+    _sessions: itertools.count = attrs.field(factory=itertools.count)
+
+    def listen(self) -> None:
+        """Starts listening."""
+        listener = streams.Listener(
+            bytes.fromhex(KEY), self._welcome, self._opened
+        )
+        self.address = listener.listen("127.0.0.1:0")
+
+    def run(self, number: int, payload: bytes) -> bool:
+        """Sends one task if a credit is free."""
+        if not self.credits:
+            return False
+        self.credits -= 1
+        return self.stream.send(
+            messages.RunBatch(
+                batch=number,
+                job=f"customer:t1.{self.incarnation}.1.{number:016x}",
+                customer="customer",
+                kind="preview",
+                service="preview",
+                concurrency=1,
+                lender="",
+                deadline_s=30.0,
+                idempotent=True,
+                tasks=(messages.TaskSpec(0, payload),),
+            )
+        )
+
+    def _welcome(self, hello) -> messages.Welcome:
+        """Returns a welcome without a roster."""
+        session = next(self._sessions) + 1
+        return messages.Welcome(self.incarnation, session, 0, 3.0, 0, ())
+
+    def _opened(self, stream: streams.Stream) -> None:
+        """Takes the agent's stream."""
+        self.stream = stream
+        stream.start(self._received, lambda stream, reason: None)
+
+    def _received(self, stream: streams.Stream, message) -> None:
+        """Answers one message."""
+        match message:
+            case messages.Ping(sent_s=sent_s):
+                acked, self.acked = tuple(self.acked), []
+                stream.send(messages.Pong(sent_s, 0, acked))
+            case messages.CreditGrant(credits=credits):
+                self.credits += credits
+            case messages.BatchDone():
+                self.credits += message.credits
+                self.acked.append(message.batch)
+                self.done += 1
+
+
+@attrs.define(eq=False)
+class Bench:
+    """The agent under measurement.
+
+    Attributes:
+        process: The agent.
+        entries: Its entries.
+        numbers: Batch numbers.
+    """
+
+    process: processes.Process
+    entries: list[Entry]
+    numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
+
+    def report(self, stage: str, seconds: float, step) -> None:
+        """Runs a stage and prints what the agent cost meanwhile."""
+        cpu_s = self.process.cpu_s()
+        size = self._stream_bytes()
+        done = sum(entry.done for entry in self.entries)
+        began_s = time.monotonic()
+        while time.monotonic() - began_s < seconds:
+            step()
+        passed_s = time.monotonic() - began_s
+        cpu_s = self.process.cpu_s() - cpu_s
+        size = self._stream_bytes() - size
+        done = sum(entry.done for entry in self.entries) - done
+        rss = self.process.rss_bytes() / MEGABYTE
+        print(f"{stage}_starts_s {done / passed_s:.1f} 1/s")
+        print(f"{stage}_rss_mb {rss:.1f} MB")
+        print(f"{stage}_cpu_pct {100 * cpu_s / passed_s:.2f} %")
+        print(f"{stage}_stream_kb_s {size / passed_s / 1000:.2f} kB/s")
+        if done:
+            print(f"{stage}_cpu_us_per_start {1e6 * cpu_s / done:.0f} us")
+
+    def paced(self) -> None:
+        """Sends a task and waits for the next one's time."""
+        number = next(self.numbers)
+        self.entries[number % ENTRIES].run(number, b'{"run_ms": 50}')
+        eventlet.sleep(1 / STARTS_S)
+
+    def flood(self) -> None:
+        """Spends every credit on short tasks."""
+        for entry in self.entries:
+            while entry.run(next(self.numbers), b'{"run_ms": 5}'):
+                pass
+        eventlet.sleep(0.001)
+
+    def _stream_bytes(self) -> int:
+        """Returns the bytes on all streams so far, both ways."""
+        return sum(
+            entry.stream.sent_bytes + entry.stream.received_bytes
+            for entry in self.entries
+        )
+
+
+def measure_process(directory: pathlib.Path, scale: float) -> None:
+    """Prints the figures of an agent process."""
+    target = targets.Target()
+    entries = [Entry(f"{number:016x}") for number in range(1, ENTRIES + 1)]
+    for entry in entries:
+        entry.listen()
+    addresses = ", ".join(f'"{entry.address}"' for entry in entries)
+    path = directory / "agent.toml"
+    path.write_text(
+        SETTINGS.format(target=target.serve(), entries=addresses, key=KEY)
+    )
+    launcher = processes.Launcher(directory)
+    try:
+        process = launcher.start(
+            "agent", "trefoilgw.agent.main", "--settings", str(path)
+        )
+        process.wait_ready()
+        while not all(entry.credits for entry in entries):
+            eventlet.sleep(0.05)
+        bench = Bench(process, entries)
+        bench.report("rest", 10 * scale, lambda: eventlet.sleep(0.1))
+        bench.report("peak", 15 * scale, bench.paced)
+        bench.report("flood", 15 * scale, bench.flood)
+    finally:
+        launcher.close()
+
+
+def measure_ledger(tasks: int = LEDGER_TASKS) -> None:
+    """Prints the bytes that the ledger takes for a task."""
+    acked = _ledger_bytes(tasks, ack=True)
+    kept = _ledger_bytes(2000, ack=False)
+    print(f"ledger_mark_bytes {acked:.1f} B")
+    print(f"ledger_record_bytes {kept:.0f} B")
+
+
+def _ledger_bytes(tasks: int, ack: bool) -> float:
+    """Returns the bytes a task after all of them have finished."""
+    entry = "e" * 16
+    ledger = ledger_core.Ledger()
+    ledger.session_opened(entry, 1, 0.0)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    now_s = 0.0
+    for batch in range(tasks):
+        now_s += 0.01  # 100 starts a second.
+        job = f"customer/customer:t1.{entry}.1.{batch:016x}"
+        ledger.renewed(entry, 1, now_s)
+        ledger.received(entry, 1, batch, job, (0,), now_s)
+        ledger.may_start(entry, 1, batch, job, 0, now_s + 9.0, now_s)
+        fate = outcomes.Completed(bytes(RESULT), 0.1)
+        ledger.finished(entry, batch, job, 0, fate, now_s)
+        if ack:
+            ledger.acknowledged(entry, (batch,))
+        if batch % 100 == 0:
+            ledger.expire(now_s)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return (after - before) / tasks
+
+
+def main() -> int:
+    """Prints all figures."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument(
+        "--scale", type=float, default=1.0, help="factor on the durations"
+    )
+    arguments = parser.parse_args()
+    with tempfile.TemporaryDirectory() as directory:
+        measure_process(pathlib.Path(directory), arguments.scale)
+    measure_ledger()
+    return 0
+
+
+if __name__ == "__main__":
+    eventlet.monkey_patch()
+    sys.exit(main())
--- a/trefoilgw/agent/admin.py
+++ b/trefoilgw/agent/admin.py
@@ -50,7 +50,10 @@
         Raises:
             OSError: The address can't be bound.
         """
-        self._sock = eventlet.listen(streams.parse_address(address))
+        # eventlet would let a second process bind the same port.
+        self._sock = eventlet.listen(
+            streams.parse_address(address), reuse_port=False
+        )
         host, port = self._sock.getsockname()[:2]
         eventlet.spawn_n(self._accept)
         return f"{host}:{port}"
--- a/trefoilgw/agent/main.py
+++ b/trefoilgw/agent/main.py
@@ -2,9 +2,12 @@
 
 import sys
 
+from trefoilgw.agent import footprint
+
 
 def main() -> int:
     """Runs an agent until it has left; see `trefoilgw.agent.program.run`."""
+    footprint.leave_out_unused()
     import eventlet
 
     # urllib3 must load after this, so that it waits in the event loop.
