Measure the decision packages and try their policies

tools.policy_bench prints the cost per call and the bytes kept at several sizes, and trial figures of policy_trial, an event-driven trial of three entries and eleven agents without network or processes.

Cause of the change in pools and credits: place and grant of one task took 39 us and an offer 32 to 47 us. Sums and heaps were renewed with entries that had not changed. Now only the orders that a change concerns get a new entry, and an agent's available credits are kept instead of computed.

--- /dev/null
+++ b/tools/policy_bench.py
@@ -0,0 +1,326 @@
+"""Measures the decision packages; prints ``name value unit``, one a line.
+
+First the cost per call and the bytes kept, at several sizes; then trials of
+the policies (`policy_trial`). Takes under 30 s. It measures no streams, no
+codec and no entry: see `tools.figures` for those.
+"""
+
+import gc
+import random
+import time
+import tracemalloc
+import types
+from collections.abc import Callable
+
+from tools import policy_trial
+from trefoilgw import admission
+from trefoilgw import membership
+from trefoilgw import placement
+from trefoilgw import retries
+
+CALLS = 2000
+QUEUED_JOBS = 10_000
+KINDS_PER_CUSTOMER = 3
+AGENT_COUNTS = (10, 100, 1000)
+CUSTOMER_COUNTS = (1, 8, 64)
+
+TRIAL_S = 40.0
+FLOOD_S = 15.0
+SEEDS = (1, 2)
+CLICKS = {"preview": 0.6, "tonal-proof": 0.26, "edge-check": 0.14}
+# Load and sizes of jobs of the work that goes on during a flood.
+OTHERS = {"preview": (0.25, (1,)), "streak-sync": (0.15, tuple(range(1, 13)))}
+FLOODS = {
+    "low": ("reminder-refresh", tuple(range(10, 31))),
+    "urgent": ("tonal-proof", tuple(range(1, 9))),
+}
+
+
+def show(name: str, value: float, unit: str) -> None:
+    """Prints one figure."""
+    print(f"{name} {value:.3f} {unit}", flush=True)
+
+
+def per_call_us(call: Callable, calls: int = CALLS) -> float:
+    """Returns the mean CPU time of a call, the best of three rounds.
+
+    The call gets a number that grows over all rounds.
+    """
+    best_s = float("inf")
+    for turn in range(3):
+        start_s = time.process_time()
+        for number in range(turn * calls, (turn + 1) * calls):
+            call(number)
+        best_s = min(best_s, time.process_time() - start_s)
+    return best_s / calls * 1e6
+
+
+def kept_bytes(build: Callable) -> tuple[object, int]:
+    """Returns what `build` made and the bytes that it keeps."""
+    gc.collect()
+    tracemalloc.start()
+    built = build()
+    gc.collect()
+    kept, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return built, kept
+
+
+def records(flows: dict[str, tuple[str, float]]) -> types.SimpleNamespace:
+    """Returns a configuration without effective quotas.
+
+    Args:
+        flows: Customer and weight by kind.
+    """
+    record = types.SimpleNamespace
+    limits = {"weight": 1.0, "starts_s": 1e9, "running_limit_tasks": 10**6}
+    owners = sorted({owner for owner, _ in flows.values()})
+    return record(
+        customers=[record(name=owner, **limits) for owner in owners],
+        kinds=[
+            record(name=kind, service="s", customers=(owner,), weight=weight)
+            for kind, (owner, weight) in flows.items()
+        ],
+    )
+
+
+def fleet(agents: int) -> placement.Placement:
+    """Returns a placement with agents of 8 free credits."""
+    place = placement.Placement(random.Random(1), "e0", "d0")
+    for number in range(agents):
+        name = f"{number:016x}"
+        place.agent_joined(name, f"d{number % 6}", ("s", "t"), 8)
+        place.credits_granted(name, 8)
+    return place
+
+
+def measure_placement(agents: int) -> None:
+    """Measures placement with a number of agents."""
+    place, kept = kept_bytes(lambda: fleet(agents))
+    names = list(place.book.states)
+
+    def one(_):
+        (part,) = place.place("s", 1, 1, (), 0.0, "k")
+        place.credits_granted(part.agent, 1)
+
+    def large(_):
+        for part in place.place("s", 310, 80, (), 0.0, "k"):
+            place.credits_granted(part.agent, part.concurrency)
+
+    def lend(_):
+        place.borrowed(place.lend(4), "e1")
+
+    def observe(number):
+        place.observe("k", names[number % agents], 0.4)
+
+    calls = {"place_1_task": one, "lend_4": lend, "observe": observe}
+    for name, call in calls.items():
+        show(f"{name}_agents_{agents}", per_call_us(call), "us")
+    show(f"place_310_tasks_agents_{agents}", per_call_us(large, 200), "us")
+    show(f"placement_bytes_agents_{agents}", kept / agents, "B/agent")
+
+
+def gate_for(customers: int) -> tuple[admission.Admission, list]:
+    """Returns an admission with full queues, and one item per flow."""
+    flows = {
+        f"c{number}k{kind}": (f"c{number}", 1.0)
+        for number in range(customers)
+        for kind in range(KINDS_PER_CUSTOMER)
+    }
+    gate = admission.Admission()
+    gate.configure(records(flows), 0.0)
+    items = [
+        admission.WorkItem("", owner, kind, "s", 4, 1.0, "", 0.0, 1e9, 0.01)
+        for kind, (owner, _) in flows.items()
+    ]
+    return gate, items
+
+
+def offer(gate: admission.Admission, item, job: str) -> None:
+    """Offers a copy of an item as a job of its own."""
+    fields = {name: getattr(item, name) for name in item.__slots__[:10]}
+    gate.offer(admission.WorkItem(**(fields | {"job": job})), 0.0)
+
+
+def measure_admission(customers: int) -> None:
+    """Measures admission with full queues and free credits for all."""
+    (gate, items), idle = kept_bytes(lambda: gate_for(customers))
+    started_s = time.process_time()
+    for number in range(QUEUED_JOBS):
+        offer(gate, items[number % len(items)], f"job/{number:032x}")
+    took_s = time.process_time() - started_s
+    show(f"offer_customers_{customers}", took_s / QUEUED_JOBS * 1e6, "us")
+    queued = gate.waiting_jobs
+    show(f"queued_jobs_customers_{customers}", queued, "jobs")
+    granted = []
+
+    def grant(_):
+        step = gate.next(500, 1000, 1.0, "s")
+        gate.started(step.job, 1, 1.0, 1)
+        granted.append(gate.jobs[step.job].item)
+
+    def finish(_):
+        item = granted.pop()
+        gate.finished(item.customer, item.kind, 1, 0.01, 1.0, item.job)
+
+    show(f"next_started_customers_{customers}", per_call_us(grant, 300), "us")
+    reclaim = per_call_us(lambda _: gate.reclaim(1.0), 300)
+    show(f"reclaim_customers_{customers}", reclaim, "us")
+    show(f"finished_customers_{customers}", per_call_us(finish, 300), "us")
+    judge = per_call_us(lambda n: gate.next(0, 1000, 2.0 + n, "s"), 200)
+    show(f"judge_customers_{customers}", judge, "us")
+    demand = per_call_us(lambda n: gate.demand(2.0 + n), 200)
+    show(f"demand_customers_{customers}", demand, "us")
+    flows = customers * KINDS_PER_CUSTOMER
+    show(f"admission_bytes_customers_{customers}", idle / flows, "B/flow")
+
+
+def measure_queue_bytes() -> None:
+    """Measures what one waiting job costs in memory."""
+    gate, items = gate_for(8)
+
+    def fill():
+        for number in range(QUEUED_JOBS // 2):
+            offer(gate, items[number % len(items)], f"job/{number:032x}")
+
+    _, kept = kept_bytes(fill)
+    show("admission_bytes_waiting", kept / gate.waiting_jobs, "B/job")
+
+
+def measure_membership(agents: int) -> None:
+    """Measures heartbeats and outcome statistics."""
+    names = [f"{number:016x}" for number in range(agents)]
+
+    def build():
+        beats = membership.Heartbeats()
+        stats = membership.Outliers()
+        for number, name in enumerate(names * 30):
+            beats.heard(name, 0.0)
+            stats.observe(name, f"k{number % 3}", number < agents, 0.0)
+        return beats, stats
+
+    (beats, stats), kept = kept_bytes(build)
+    rng = random.Random(1)
+
+    def observe(number):
+        bad = rng.random() < 0.02
+        stats.observe(names[number % agents], "k0", bad, 1.0)
+
+    calls = {
+        "heard": lambda n: beats.heard(names[n % agents], 0.5),
+        "heartbeat_check": lambda _: beats.check(0.5),
+        "outcome_observe": observe,
+        "outlier_check": lambda n: stats.check(1.0 + n / 1e6),
+    }
+    for name, call in calls.items():
+        show(f"{name}_agents_{agents}", per_call_us(call), "us")
+    stats.swept_s = 0.0
+    sweep = per_call_us(lambda n: stats.check(20.0 + 20.0 * n), 3)
+    show(f"outlier_sweep_agents_{agents}", sweep, "us")
+    show(f"membership_bytes_agents_{agents}", kept / agents, "B/agent")
+
+
+def measure_retries() -> None:
+    """Measures the retry budget."""
+    budget = retries.RetryBudget()
+    call = per_call_us(lambda n: budget.allow(f"c{n % 64}", n / 100.0))
+    show("retry_allow", call, "us")
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Returns a quantile."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def ratios(jobs: list) -> list[float]:
+    """Returns responses over the ideal: longest task and two messages."""
+    credits = policy_trial.SLOTS * len(policy_trial.AGENTS)
+    found = []
+    for job in jobs:
+        ideal_s = max(*job.runs, sum(job.runs) / credits)
+        ideal_s += 2 * policy_trial.LEG_S
+        found.append((job.ended_s - job.arrived_s) / ideal_s)
+    return found
+
+
+def trial(policy: str, seed: int) -> policy_trial.Trial:
+    """Returns a trial of the two customers' kinds."""
+    flows = {
+        "preview": ("cobre-calco", 1.0),
+        "tonal-proof": ("cobre-calco", 1.0),
+        "edge-check": ("cobre-calco", 1.0),
+        "streak-sync": ("bluebonnet", 4.0),
+        "reminder-refresh": ("bluebonnet", 1.0),
+    }
+    policy = placement.Policy(policy)
+    return policy_trial.Trial(records(flows), policy, seed)
+
+
+def try_steady(policy: str, load: float) -> None:
+    """Tries a policy under a steady load of single tasks."""
+    found, sent, empty, refused = [], 0, 0, 0
+    for seed in SEEDS:
+        run = trial(policy, seed)
+        for kind, part in CLICKS.items():
+            run.load(kind, load * part, TRIAL_S)
+        run.run(TRIAL_S + 40.0)
+        jobs = [job for job in run.ended if job.arrived_s > 5.0]
+        found += ratios(jobs)
+        sent += sum(run.messages.values())
+        empty += run.messages["ask"] - run.messages["lend"]
+        refused += sum(run.offered.values()) - len(run.ended)
+    name = f"{policy}_{load * 100:.0f}"
+    show(f"trial_p50_{name}", quantile(found, 0.5), "ratio")
+    show(f"trial_p99_{name}", quantile(found, 0.99), "ratio")
+    show(f"trial_wasted_{name}", 100.0 * empty / sent, "%")
+    show(f"trial_refused_{name}", refused, "jobs")
+
+
+def try_flood(name: str, scale: float) -> None:
+    """Tries what other work keeps during a flood of 10x the capacity."""
+    kind, sizes = FLOODS[name]
+    responses: dict[bool, list[float]] = {False: [], True: []}
+    for flooded in (False, True):
+        for seed in SEEDS:
+            run = trial("credits", seed)
+            for other, (load, other_sizes) in OTHERS.items():
+                run.load(other, scale * load, FLOOD_S, other_sizes)
+            if flooded:
+                run.load(kind, 10.0, FLOOD_S, sizes)
+            run.run(FLOOD_S + 30.0)
+            responses[flooded] += [
+                job.ended_s - job.arrived_s
+                for job in run.ended
+                if job.kind in OTHERS
+            ]
+    load = 100 * scale * sum(load for load, _ in OTHERS.values())
+    kept = 100.0 * len(responses[True]) / len(responses[False])
+    show(f"trial_flood_{name}_kept_others_{load:.0f}", kept, "%")
+    for share in (0.5, 0.99):
+        factor = quantile(responses[True], share)
+        factor /= quantile(responses[False], share)
+        label = f"trial_flood_{name}_p{share * 100:.0f}_others_{load:.0f}"
+        show(label, factor, "factor")
+
+
+def main() -> None:
+    """Runs all measurements."""
+    for agents in AGENT_COUNTS:
+        measure_placement(agents)
+    for customers in CUSTOMER_COUNTS:
+        measure_admission(customers)
+    measure_queue_bytes()
+    for agents in AGENT_COUNTS:
+        measure_membership(agents)
+    measure_retries()
+    for policy in placement.Policy:
+        for load in (0.7, 0.85):
+            try_steady(policy, load)
+    for name in FLOODS:
+        for scale in (1.0, 1.5):
+            try_flood(name, scale)
+
+
+if __name__ == "__main__":
+    main()
--- a/trefoilgw/admission/core.py
+++ b/trefoilgw/admission/core.py
@@ -230,7 +230,7 @@
                     self.jobs.pop(state.item.job, None)
             if run_s > 0.0:
                 flow.finished_s = now_s
-            flow.pool.changed(flow)
+            flow.pool.held_changed(flow)
             self._forget_idle(flow)
         if known is not None:
             known.unpark()
@@ -347,12 +347,16 @@
             state.long_credits = known.long_credits
             state.started = state.delay_checked = True
             flow.adopt(state)
-        if not flow.jobs:
+        begins = not flow.jobs
+        if begins:
             flow.pool.begin(flow)
         flow.push(state, next(flow.pool.order))
         self.jobs[item.job] = state
         self.waiting_jobs += 1
-        flow.pool.changed(flow)
+        if begins:
+            flow.pool.changed(flow)
+        else:
+            flow.pool.count(flow)
 
     def _take_out(self, flow: flows.FlowState, state: flows.JobState) -> None:
         """Takes a job out of its queue."""
--- a/trefoilgw/admission/pools.py
+++ b/trefoilgw/admission/pools.py
@@ -78,13 +78,37 @@
     reclaimed_s: float = float("-inf")
 
     def changed(self, flow: flows.FlowState) -> None:
-        """Updates sums and orders after a flow changed."""
-        self._count(flow)
+        """Updates sums and orders after any change of a flow."""
         if flow.eligible:
-            self._push_eligible(flow)
+            self._push_tag(flow)
+        self.held_changed(flow)
+
+    def held_changed(self, flow: flows.FlowState) -> None:
+        """Updates sums and orders after a change of held credits alone."""
+        self.count(flow)
+        order = next(self.order)
+        if flow.eligible:
+            entry = (flow.need, flow.start_tag, order, flow)
+            self._push(self.by_need, entry)
         if flow.held:
-            entry = (-flow.need, next(self.order), flow)
-            self._push(self.by_excess, entry)
+            self._push(self.by_excess, (-flow.need, order, flow))
+
+    def count(self, flow: flows.FlowState) -> None:
+        """Brings the sums up to date after a change of waiting tasks."""
+        active = flow.jobs > 0 or flow.held > 0
+        if active != flow.counted_active:
+            flow.counted_active = active
+            self.active_flows += 1 if active else -1
+            self.active_weight += flow.weight if active else -flow.weight
+            if not self.active_flows:
+                self.active_weight = 0.0
+        tasks = flow.tasks if flow.jobs else 0
+        if tasks != flow.counted_tasks:
+            if bool(tasks) != bool(flow.counted_tasks):
+                sign = 1.0 if tasks else -1.0
+                self.waiting_weight += sign * flow.weight
+            self.tasks[flow.service] += tasks - flow.counted_tasks
+            flow.counted_tasks = tasks
 
     def demanded(
         self, flow: flows.FlowState, work_s: float, now_s: float
@@ -117,7 +141,7 @@
             if flooding != flow.flooding:
                 flow.flooding = flooding
                 if flow.eligible:
-                    self._push_eligible(flow)
+                    self._push_tag(flow)
 
     def _fill_level(self, flows_now: list[flows.FlowState]) -> float:
         """Returns the credits per weight at which demands use up all."""
@@ -184,7 +208,10 @@
         weights = self.active_weight
         if not flow.counted_active:
             weights += flow.weight
-        return max(1.0, self.total * flow.weight / weights)
+        share = self.total * flow.weight / weights
+        if self.level < math.inf:
+            share = max(share, self.level * flow.weight)
+        return max(1.0, share)
 
     def contended(self, flow: flows.FlowState) -> bool:
         """Tells whether another flow waits or holds credits."""
@@ -199,30 +226,12 @@
         flow.parked = parked
         self.changed(flow)
 
-    def _count(self, flow: flows.FlowState) -> None:
-        """Brings the sums up to date."""
-        if flow.active != flow.counted_active:
-            flow.counted_active = flow.active
-            self.active_flows += 1 if flow.active else -1
-            self.active_weight += flow.weight if flow.active else -flow.weight
-            if not self.active_flows:
-                self.active_weight = 0.0
-        tasks = flow.tasks if flow.jobs else 0
-        if tasks != flow.counted_tasks:
-            if bool(tasks) != bool(flow.counted_tasks):
-                sign = 1.0 if tasks else -1.0
-                self.waiting_weight += sign * flow.weight
-            self.tasks[flow.service] += tasks - flow.counted_tasks
-            flow.counted_tasks = tasks
-
-    def _push_eligible(self, flow: flows.FlowState) -> None:
-        """Adds a flow to the orders of eligible flows."""
-        tag = flow.start_tag
-        order = next(self.order)
-        self._push(self.by_tag, (tag, order, flow))
-        self._push(self.by_need, (flow.need, tag, order, flow))
+    def _push_tag(self, flow: flows.FlowState) -> None:
+        """Adds an eligible flow to the orders by start tag."""
+        entry = (flow.start_tag, next(self.order), flow)
+        self._push(self.by_tag, entry)
         if not flow.flooding:
-            self._push(self.calm, (tag, order, flow))
+            self._push(self.calm, entry)
 
     def _first(self, heap: list) -> flows.FlowState | None:
         """Returns the flow of the first entry that is up to date."""
--- a/trefoilgw/placement/agents.py
+++ b/trefoilgw/placement/agents.py
@@ -27,6 +27,8 @@
         in_use: Credits that batches of this entry hold.
         usable: False while nothing may be sent to it.
         on_probation: True if it gets one task at a time.
+        available: Credits that may be spent now, kept by `credits`.
+        total: Free and used credits, 0 while it is not usable; likewise.
         slowness: Its run times relative to those of all agents, 1 is normal.
         samples: Run times that `slowness` was learned from.
         reported: Tasks at its target, as last reported; for baselines.
@@ -41,24 +43,12 @@
     in_use: int = 0
     usable: bool = True
     on_probation: bool = False
+    available: int = 0
+    total: int = 0
     slowness: float = 1.0
     samples: int = 0
     reported: int = 0
 
-    @property
-    def available(self) -> int:
-        """Credits that may be spent now."""
-        if not self.usable:
-            return 0
-        if self.on_probation:
-            return 0 if self.in_use else min(1, self.free)
-        return self.free
-
-    @property
-    def total(self) -> int:
-        """Free and used credits, 0 while it is not usable."""
-        return self.free + self.in_use if self.usable else 0
-
     @property
     def notable_slowness(self) -> float:
         """Slowness, or 1 if it may be chance."""
--- a/trefoilgw/placement/core.py
+++ b/trefoilgw/placement/core.py
@@ -96,13 +96,13 @@
         """Sets whether an agent gets work; also ends its probation."""
         state = self.book.states.get(agent)
         if state is not None:
-            self.book.change(state, usable=usable, on_probation=False)
+            self.book.set_usable(state, usable)
 
     def agent_probation(self, agent: str) -> None:
         """Lets an ejected agent run one task at a time."""
         state = self.book.states.get(agent)
         if state is not None:
-            self.book.change(state, usable=True, on_probation=True)
+            self.book.set_usable(state, True, on_probation=True)
 
     def credits_granted(
         self, agent: str, credits: int, lender: str = ""
--- a/trefoilgw/placement/credits.py
+++ b/trefoilgw/placement/credits.py
@@ -44,7 +44,7 @@
         """Drops an agent with all its credits."""
         state = self.states.get(agent)
         if state is not None:
-            self.change(state, usable=False)
+            self.set_usable(state, False)
             self.slots -= state.slots
             del self.states[agent]
 
@@ -60,9 +60,9 @@
             back: How many of them were in use here.
         """
         state.credits[lender] = state.credits.get(lender, 0) + credits
-        self.change(
-            state, free=state.free + credits, in_use=state.in_use - back
-        )
+        state.free += credits
+        state.in_use -= back
+        self._update(state)
 
     def take(
         self, state: agents.AgentState, lender: str, credits: int, use: bool
@@ -84,29 +84,48 @@
             state.credits.pop(lender, None)
         else:
             state.credits[lender] = held - count
-        in_use = state.in_use + count if use else state.in_use
-        self.change(state, free=state.free - count, in_use=in_use)
+        state.free -= count
+        if use:
+            state.in_use += count
+        self._update(state)
         return count
 
-    def change(self, state: agents.AgentState, **fields) -> None:
-        """Changes an agent and keeps the pools and sums."""
-        available = state.available
-        total = state.total
-        for name, value in fields.items():
-            setattr(state, name, value)
-        more = state.available - available
-        more_total = state.total - total
+    def set_usable(
+        self,
+        state: agents.AgentState,
+        usable: bool,
+        on_probation: bool = False,
+    ) -> None:
+        """Sets whether an agent gets work, and whether one task at a time."""
+        state.usable = usable
+        state.on_probation = on_probation
+        self.lendable.update(state, False)
+        self._update(state)
+
+    def _update(self, state: agents.AgentState) -> None:
+        """Keeps sums and pools after a change of an agent."""
+        available = total = 0
+        if state.usable:
+            available = state.free
+            total = state.free + state.in_use
+            if state.on_probation:
+                available = 0 if state.in_use else min(1, state.free)
+        more = available - state.available
+        more_total = total - state.total
+        state.available = available
+        state.total = total
         self.free += more
         self.total += more_total
-        can_lend = state.available > 0 and not state.on_probation
-        self.lendable.update(state, can_lend)
         near = state.domain == self.domain
+        member = available > 0
         for service in state.services:
             sums = self.services[service]
             sums.free += more
             sums.total += more_total
-            pool = sums.near if near else sums.far
-            pool.update(state, state.available > 0)
+            if member != (available - more > 0):
+                (sums.near if near else sums.far).update(state, member)
+        if not state.on_probation:
+            self.lendable.update(state, member)
 
     def groups(self) -> dict[str, str]:
         """Returns for each service the first of those it shares agents with.
