Give each kind a token bucket of its own beside the customer's

Cause: property tests found two faults of the reserved parts. One job larger than the free part of the bucket overdrew the parts reserved for the customer's other kinds (a job of 131 tasks at a quota of 100/s made the next job of another kind wait), and the wait told with a refusal was too short while the reserves filled.

Change: the common bucket holds half a second of the quota, each kind's bucket half a second of its part; a job is paid by either and charged to both. The wait of a refusal is exact now.

Tested: property tests of the bound on starts, of the wait, of a flood of one kind, and of the split of a quota among entries (at most the quota for the demands reported, at most 1.5 quotas a second while they change).

--- a/trefoilgw/admission/customers.py
+++ b/trefoilgw/admission/customers.py
@@ -107,7 +107,7 @@
             now_s: Monotonic time in seconds; None for the last known.
         """
         if now_s is None:
-            now_s = self.quota.total.updated_s
+            now_s = self.quota.common.updated_s
         starts = {"": self.demand_s}
         running = {"": float(self.running)}
         for entry in entries:
--- a/trefoilgw/admission/quota.py
+++ b/trefoilgw/admission/quota.py
@@ -1,24 +1,27 @@
 """Token buckets for task starts, shared by a customer's kinds.
 
-A bucket bounds a customer's starts. Inside it, each kind has a part that
-other kinds leave alone, so that a flood of one kind doesn't use up the quota
-of the customer's other work.
+A common bucket bounds a customer's starts. Beside it, each kind has a bucket
+of its own with its part of the quota, so that a flood of one kind doesn't use
+up the quota of the customer's other work.
 """
 
+import math
 from collections.abc import Mapping
 
 import attrs
 
-# Seconds of quota that a bucket holds.
-BURST_S = 1.0
-# Seconds of a kind's part of the quota that other kinds leave in the bucket.
-# Half of the burst, so that one kind alone can still start a large job.
-RESERVED_S = 0.5
+# Seconds of quota that the common bucket holds, and each kind's bucket of its
+# part. Together they are the burst of 1 s.
+COMMON_BURST_S = 0.5
+KIND_BURST_S = 0.5
+BURST_S = COMMON_BURST_S + KIND_BURST_S
+# Wait told to callers of a customer whose quota is 0.
+NO_QUOTA_WAIT_S = 60.0
 
 
 @attrs.define
 class Bucket:
-    """A token bucket that may be overdrawn by one request.
+    """A token bucket that may be overdrawn.
 
     Attributes:
         rate_s: Tokens that flow in per second.
@@ -40,12 +43,31 @@
             self.level = min(self.limit, filled)
             self.updated_s = now_s
 
-    def resize(self, rate_s: float, limit: float, now_s: float) -> None:
+    def wait_s(self, tokens: float) -> float:
+        """Returns the seconds until a request would find enough tokens.
+
+        A request larger than the bucket needs a full one and overdraws it,
+        so that a job of 310 tasks can start under any quota.
+        """
+        missing = min(tokens, max(1.0, self.limit)) - self.level
+        if missing <= 0.0:
+            return 0.0
+        if self.rate_s <= 0.0:
+            return NO_QUOTA_WAIT_S
+        return missing / self.rate_s
+
+    def resize(self, rate_s: float, burst_s: float, now_s: float) -> None:
         """Changes rate and size from now on."""
         self.fill(now_s)
         self.rate_s = rate_s
-        self.limit = limit
-        self.level = min(limit, self.level)
+        self.limit = max(1.0, rate_s * burst_s)
+        self.level = min(self.limit, self.level)
+
+
+def full_bucket(rate_s: float, burst_s: float, now_s: float) -> Bucket:
+    """Returns a full bucket; it holds at least one token."""
+    limit = max(1.0, rate_s * burst_s)
+    return Bucket(rate_s, limit, limit, now_s)
 
 
 @attrs.define
@@ -54,13 +76,13 @@
 
     Attributes:
         starts_s: The entry's part of the customer's quota.
-        total: Bucket of the customer.
+        common: Bucket of the customer.
         shares: Part of the quota per kind, 0 to 1.
-        kinds: Bucket of the reserved part per kind.
+        kinds: Bucket per kind.
     """
 
     starts_s: float
-    total: Bucket
+    common: Bucket
     shares: dict[str, float] = attrs.field(factory=dict)
     kinds: dict[str, Bucket] = attrs.field(factory=dict)
 
@@ -69,8 +91,8 @@
         cls, starts_s: float, shares: Mapping[str, float], now_s: float
     ) -> "Quota":
         """Returns a quota with full buckets."""
-        burst = starts_s * BURST_S
-        quota = cls(starts_s, Bucket(starts_s, burst, burst, now_s))
+        common = full_bucket(starts_s, COMMON_BURST_S, now_s)
+        quota = cls(starts_s, common)
         quota.set_shares(shares, now_s)
         return quota
 
@@ -78,27 +100,22 @@
         """Sets the kinds and their parts; new kinds start full."""
         self.shares = dict(shares)
         old = self.kinds
-        self.kinds = {}
-        for kind, share in self.shares.items():
-            rate_s = self.starts_s * share
-            limit = rate_s * RESERVED_S
-            bucket = old.get(kind) or Bucket(rate_s, limit, limit, now_s)
-            bucket.resize(rate_s, limit, now_s)
-            self.kinds[kind] = bucket
+        self.kinds = {
+            kind: old.get(kind)
+            or full_bucket(self.starts_s * share, KIND_BURST_S, now_s)
+            for kind, share in shares.items()
+        }
+        self.set_rate(self.starts_s, now_s)
 
     def set_rate(self, starts_s: float, now_s: float) -> None:
         """Sets the entry's part of the quota."""
         self.starts_s = starts_s
-        self.total.resize(starts_s, starts_s * BURST_S, now_s)
+        self.common.resize(starts_s, COMMON_BURST_S, now_s)
         for kind, share in self.shares.items():
-            rate_s = starts_s * share
-            self.kinds[kind].resize(rate_s, rate_s * RESERVED_S, now_s)
+            self.kinds[kind].resize(starts_s * share, KIND_BURST_S, now_s)
 
     def take(self, kind: str, tasks: int, now_s: float) -> float:
-        """Takes tokens for a job.
-
-        A request larger than what the bucket can hold waits for a full bucket
-        and overdraws it, so that a job of 310 tasks can start under any quota.
+        """Takes tokens for a job from the common or from the kind's bucket.
 
         Args:
             kind: Kind of the job.
@@ -110,21 +127,22 @@
             then nothing was taken.
 
         Notes:
-            Costs O(kinds of the customer). Over any time T the customer's
-            starts are at most ``starts_s * (T + BURST_S)`` plus one job.
+            Every start is charged to both buckets, but what the common one
+            paid for puts the kind's at most one burst into debt. So over any
+            time T the starts are at most ``starts_s * (T + BURST_S)``, or one
+            task per bucket if that is more, plus one job per bucket.
         """
-        self.total.fill(now_s)
-        reserved = 0.0
-        for name, bucket in self.kinds.items():
-            bucket.fill(now_s)
-            if name != kind:
-                reserved += max(0.0, bucket.level)
+        self.common.fill(now_s)
+        wait_s = self.common.wait_s(tasks)
         own = self.kinds.get(kind)
-        needed = min(tasks, max(1.0, self.total.limit - reserved))
-        missing = needed - (self.total.level - reserved)
-        if missing > 1e-9:
-            return missing / self.starts_s if self.starts_s > 0 else 60.0
-        self.total.level -= tasks
         if own is not None:
-            own.level = max(-own.limit, own.level - tasks)
+            own.fill(now_s)
+            own_wait_s = own.wait_s(tasks)
+            if min(wait_s, own_wait_s) > 0.0:
+                return min(wait_s, own_wait_s)
+            debt = -own.limit if wait_s <= 0.0 else -math.inf
+            own.level = max(min(own.level, debt), own.level - tasks)
+        elif wait_s > 0.0:
+            return wait_s
+        self.common.level -= tasks
         return 0.0
