--- /dev/null
+++ b/tools/slopes.py
@@ -0,0 +1,337 @@
+"""Measures how cost grows with size, for the capacity page.
+
+Prints one point a line: ``slope x value unit``. Each section runs on a small
+fleet of its own. `docs/tools.md` says how each point is measured.
+"""
+
+import json
+import pathlib
+import sys
+import time
+import tracemalloc
+from collections.abc import Iterator
+
+import attrs
+
+from tools import fleet as fleets
+from tools import load_runs
+from tools import processes
+from tools import sample
+from trefoilgw.ledger import core as ledger
+from trefoilgw.load import results
+from trefoilgw.outcomes import core as outcomes
+
+STREAM_COUNTS = (10, 50, 100, 200)
+# Tasks of a job, and jobs per second that keep a small fleet under half load.
+JOB_SIZES = ((1, 40.0), (10, 20.0), (50, 8.0), (100, 5.0), (310, 2.0))
+CUSTOMER_COUNTS = (1, 8, 64)
+LEDGER_COUNTS = (10_000, 50_000, 100_000)
+BATCH_COUNTS = (100, 1000, 4000)
+IDLE_S = 6.0
+LOAD_S = 5.0
+CONFIG_CHANGES = 5
+
+
+@attrs.frozen
+class Point:
+    """One measured point."""
+
+    slope: str
+    x: float
+    value: float
+    unit: str
+
+    def line(self) -> str:
+        """Returns the point as printed."""
+        return f"{self.slope} {self.x:g} {self.value:.3f} {self.unit}"
+
+
+def cpu_share(watched: list[processes.Process], seconds: float) -> float:
+    """Returns the CPU time per second that processes use together."""
+    before_s = sum(process.cpu_s() for process in watched)
+    started_s = time.monotonic()
+    time.sleep(seconds)
+    used_s = sum(process.cpu_s() for process in watched) - before_s
+    return used_s / (time.monotonic() - started_s)
+
+
+def streams() -> Iterator[Point]:
+    """Idle agents on one entry: memory and CPU by the number of streams."""
+    with fleets.Fleet(fleets.Sizes(entries=1, agents=0)) as fleet:
+        (entry,) = fleet.entries()
+        yield from _stream_points(entry, 0)
+        started = 0
+        for count in STREAM_COUNTS:
+            agents = fleet.launcher.start(
+                f"light-{count}",
+                "tools.standins.agents",
+                "--entry",
+                entry.ready["stream"],
+                "--key",
+                fleets.STREAM_KEY,
+                "--count",
+                str(count - started),
+            )
+            agents.wait_ready()
+            started = count
+            yield from _stream_points(entry, count)
+
+
+def _stream_points(entry: processes.Process, count: int) -> Iterator[Point]:
+    """Yields the points of one number of streams."""
+    share = cpu_share([entry], IDLE_S)
+    yield Point("streams_entry_cpu", count, 100 * share, "% of a core")
+    rss_kb = entry.rss_bytes() / 1024
+    yield Point("streams_entry_rss", count, rss_kb, "KB")
+
+
+def _write_scenario(fleet: fleets.Fleet, name: str, flows: list[dict]) -> str:
+    """Writes a scenario with one flow for each customer.
+
+    Returns:
+        The path.
+    """
+    lines = [
+        f'name = "{name}"',
+        f"duration_s = {LOAD_S}",
+        "drain_s = 10.0",
+        f"slots = {fleet.sizes.all_slots}",
+    ]
+    for flow in flows:
+        lines += ["[[customer]]", f'name = "{flow.pop("customer")}"']
+        lines.append("[[customer.flow]]")
+        lines += [f"{key} = {json.dumps(value)}" for key, value in flow.items()]
+    path = pathlib.Path(fleet.directory.name) / f"{name}.toml"
+    path.write_text("\n".join(lines), encoding="utf-8")
+    return str(path)
+
+
+@attrs.frozen
+class Cost:
+    """CPU time of a load run beyond that of the idle fleet.
+
+    Attributes:
+        jobs: Complete jobs.
+        tasks: Started tasks.
+        entry_us: Per job, all entries.
+        agent_us: Per job, all agents.
+    """
+
+    jobs: int
+    tasks: int
+    entry_us: float
+    agent_us: float
+
+
+def _cost(
+    fleet: fleets.Fleet, path: str, tokens: dict[str, str] | None = None
+) -> Cost:
+    """Runs a scenario and returns its cost per job."""
+    idle_entry = cpu_share(fleet.entries(), IDLE_S / 2)
+    idle_agent = cpu_share(fleet.agents(), IDLE_S / 2)
+    before = _cpu_of_roles(fleet)
+    started_s = time.monotonic()
+    run: results.Results = load_runs.run(fleet, path, tokens=tokens)
+    took_s = time.monotonic() - started_s
+    after = _cpu_of_roles(fleet)
+    counts = run.counts()
+    jobs = counts["complete"]
+    if not jobs or run.faults() or jobs != counts["planned"]:
+        raise RuntimeError(f"{path}: {dict(counts)} {run.total().reasons}")
+    entry_s = after[0] - before[0] - idle_entry * took_s
+    agent_s = after[1] - before[1] - idle_agent * took_s
+    return Cost(
+        jobs, counts["task_starts"], entry_s / jobs * 1e6, agent_s / jobs * 1e6
+    )
+
+
+def _cpu_of_roles(fleet: fleets.Fleet) -> tuple[float, float]:
+    """Returns the CPU time of all entries and of all agents."""
+    return (
+        sum(process.cpu_s() for process in fleet.entries()),
+        sum(process.cpu_s() for process in fleet.agents()),
+    )
+
+
+def job_sizes() -> Iterator[Point]:
+    """CPU time per job by the number of its tasks, on 1 entry and 4 agents."""
+    with fleets.Fleet(fleets.Sizes(entries=1, agents=4)) as fleet:
+        for tasks, jobs_s in JOB_SIZES:
+            flow = {
+                "customer": "bluebonnet",
+                "kind": "reminder-refresh",
+                "jobs_s": jobs_s,
+                "tasks": [tasks, tasks],
+                "run_ms": [1.0, 2.0],
+            }
+            path = _write_scenario(fleet, f"tasks-{tasks}", [flow])
+            cost = _cost(fleet, path)
+            for role, cost_us in (
+                ("entry", cost.entry_us),
+                ("agent", cost.agent_us),
+            ):
+                yield Point(f"job_{role}_cpu", tasks, cost_us, "us/job")
+                per_task = cost_us / tasks
+                yield Point(f"task_{role}_cpu", tasks, per_task, "us/task")
+
+
+def customers() -> Iterator[Point]:
+    """CPU time per single-task job by the number of customers."""
+    with fleets.Fleet(fleets.Sizes(entries=1, agents=4)) as fleet:
+        for count in CUSTOMER_COUNTS:
+            document = sample.many_customers(count)
+            fleet.apply(document, f"{count} customers")
+            names = [customer["name"] for customer in document["customers"]]
+            wait_for_revision(fleet)
+            flows = [
+                {
+                    "customer": name,
+                    "kind": document["kinds"][0]["name"],
+                    "jobs_s": 64.0 / count,
+                    "run_ms": [1.0, 2.0],
+                }
+                for name in names
+            ]
+            path = _write_scenario(fleet, f"customers-{count}", flows)
+            tokens = {name: sample.token_of(name) for name in names}
+            cost = _cost(fleet, path, tokens)
+            yield Point("customers_entry_cpu", count, cost.entry_us, "us/job")
+
+
+def wait_for_revision(fleet: fleets.Fleet) -> None:
+    """Waits until all entries have the revision that was applied last."""
+    deadline_s = time.monotonic() + fleets.SETTLE_TIMEOUT_S
+    wanted = fleet.applied_revision
+    while time.monotonic() < deadline_s:
+        revisions = [
+            fleet.status(process)["revision"] for process in fleet.entries()
+        ]
+        if min(revisions) >= wanted:
+            return
+        time.sleep(fleets.POLL_S)
+    raise fleets.FleetError(f"revision {wanted} is not in force")
+
+
+def ledger_size() -> Iterator[Point]:
+    """Memory of the agent's start ledger by start marks and by records."""
+    for count in LEDGER_COUNTS:
+        size = _traced_bytes(lambda count=count: _ledger(count, 1))
+        yield Point("ledger_marks", count, size / count, "bytes/start")
+    for count in BATCH_COUNTS:
+        size = _traced_bytes(lambda count=count: _ledger(0, 1, count))
+        yield Point("ledger_records", count, size / count, "bytes/batch")
+
+
+def _ledger(starts: int, batch_tasks: int, open_batches: int = 0):
+    """Returns a ledger with acknowledged starts and open batches."""
+    entry = "e" * 16
+    filled = ledger.Ledger()
+    filled.session_opened(entry, 1, 0.0)
+    filled.renewed(entry, 1, 1e9)
+    batches = [(number, True) for number in range(starts)]
+    batches += [(starts + number, False) for number in range(open_batches)]
+    for number, acknowledged in batches:
+        job = f"c/t1.{entry}.0.{number:016x}"
+        filled.received(entry, 1, number, job, (0,), 1.0)
+        started = filled.may_start(entry, 1, number, job, 0, 1e9, 1.0)
+        if not isinstance(started, ledger.Started):
+            raise RuntimeError(f"the ledger refused a start: {started}")
+        if acknowledged:
+            fate = outcomes.Completed(b"{}", 0.1)
+            filled.finished(entry, number, job, 0, fate, 1.0)
+            filled.acknowledged(entry, (number,))
+    return filled
+
+
+def _traced_bytes(make) -> int:
+    """Returns the memory of what a function returns."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = make()
+    size = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def platform_calls() -> Iterator[Point]:
+    """Calls to the platform per entry and second on an idle fleet."""
+    for count in (1, 3):
+        with fleets.Fleet(fleets.Sizes(entries=count, agents=3)) as fleet:
+            fleets.fetch(fleet.kv_address, "/control/reset", {})
+            started_s = time.monotonic()
+            time.sleep(2 * IDLE_S)
+            took_s = time.monotonic() - started_s
+            text = fleets.fetch(fleet.kv_address, "/control/status")
+            calls = json.loads(text)["calls"]
+            for kind, number in sorted(calls.items()):
+                yield Point(
+                    f"platform_calls_{kind.strip('/').replace('/', '_')}",
+                    count,
+                    number / count / took_s,
+                    "calls/entry/s",
+                )
+            yield Point(
+                "platform_calls_all",
+                count,
+                sum(calls.values()) / count / took_s,
+                "calls/entry/s",
+            )
+
+
+def configuration_changes() -> Iterator[Point]:
+    """CPU time and calls of one configuration change, 3 entries, 6 agents."""
+    with fleets.Fleet(fleets.Sizes(entries=3, agents=6)) as fleet:
+        idle_entry = cpu_share(fleet.entries(), IDLE_S)
+        idle_agent = cpu_share(fleet.agents(), IDLE_S)
+        before = _cpu_of_roles(fleet)
+        started_s = time.monotonic()
+        document = sample.document()
+        for number in range(CONFIG_CHANGES):
+            document["customers"][0]["weight"] = 2.0 + number
+            fleet.apply(document, f"change {number}")
+            wait_for_revision(fleet)
+        took_s = time.monotonic() - started_s
+        after = _cpu_of_roles(fleet)
+        rows = (
+            ("entry", 3, after[0] - before[0] - idle_entry * took_s),
+            ("agent", 6, after[1] - before[1] - idle_agent * took_s),
+        )
+        for role, count, cpu_s in rows:
+            cost_us = cpu_s / CONFIG_CHANGES / count * 1e6
+            yield Point(f"config_change_{role}_cpu", count, cost_us, "us")
+
+
+SECTIONS = (
+    streams,
+    job_sizes,
+    customers,
+    ledger_size,
+    platform_calls,
+    configuration_changes,
+)
+
+
+def main() -> int:
+    """Prints all points, or those of the sections that are named.
+
+    Returns:
+        1 if a section failed, 0 otherwise.
+    """
+    processes.exit_on_terminate()
+    wanted = set(sys.argv[1:])
+    failed = False
+    for section in SECTIONS:
+        if wanted and section.__name__ not in wanted:
+            continue
+        try:
+            for point in section():
+                print(point.line(), flush=True)
+        except Exception as error:
+            failed = True
+            print(f"{section.__name__} not-measured: {error}", file=sys.stderr)
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
