Add property tests of shares, queue delay and refusals

The tests drive an admission with a small fleet of credits: a flow within its share goes before any other, floods of each flow and of each service leave the others alone, weights divide the service, every accepted job is granted, dropped or removed, and no sum is left when all work has ended.

--- /dev/null
+++ b/trefoilgw/admission/tests/test_fairness.py
@@ -0,0 +1,320 @@
+"""Shares of flows: what a flood leaves to others."""
+
+import collections
+import heapq
+import itertools
+import unittest
+
+import hypothesis
+from hypothesis import strategies as st
+
+from trefoilgw import admission
+from trefoilgw.admission.tests import records
+
+TOTAL = 30
+FLOWS = ("a", "b", "c")
+RUN_S = 0.1
+
+
+class Fleet:
+    """Spends an admission's grants on credits that run one task each time."""
+
+    def __init__(self, weights=None, services=None, total=TOTAL):
+        weights = weights or dict.fromkeys(FLOWS, 1.0)
+        services = services or {}
+        self.gate = admission.Admission()
+        self.gate.configure(
+            records.configuration(
+                [records.customer("x")],
+                [
+                    records.kind(name, ("x",), weight, services.get(name, "s"))
+                    for name, weight in weights.items()
+                ],
+            ),
+            0.0,
+        )
+        self.services = services
+        self.names = sorted({services.get(name, "s") for name in weights})
+        self.total = self.free = total
+        self.now_s = 0.0
+        self.numbers = itertools.count()
+        self.running = []
+        self.left = {}
+        self.done = collections.Counter()
+        self.held = collections.Counter()
+        self.dropped = []
+        self.started_at = {}
+
+    def offer(self, kind, tasks=1, run_s=RUN_S, deadline_s=1e9):
+        job = f"{kind}/{next(self.numbers)}"
+        item = records.item(
+            job,
+            "x",
+            kind,
+            tasks,
+            self.now_s,
+            service=self.services.get(kind, "s"),
+            run_time_s=run_s,
+            deadline_s=self.now_s + deadline_s,
+        )
+        answer = self.gate.offer(item, self.now_s)
+        if isinstance(answer, admission.Queued):
+            self.left[job] = item
+        return answer
+
+    def next(self, service="s"):
+        return self.gate.next(self.free, self.total, self.now_s, service)
+
+    def pump(self):
+        for service in self.names:
+            while step := self.next(service):
+                if isinstance(step, admission.Dropped):
+                    self.dropped.append(step)
+                    del self.left[step.job]
+                else:
+                    self.start(step)
+
+    def start(self, grant):
+        if not 1 <= grant.credits <= min(self.free, grant.tasks):
+            raise AssertionError(f"bad grant {grant}, free {self.free}")
+        self.started_at.setdefault(grant.job, self.now_s)
+        kind = grant.job.split("/")[0]
+        run_s = self.left[grant.job].run_time_s
+        tasks = [0] * grant.credits
+        for number in range(grant.tasks):
+            tasks[number % grant.credits] += 1
+        for count in tasks:
+            end_s = self.now_s + count * run_s
+            entry = (end_s, next(self.numbers), grant.job, kind, count)
+            heapq.heappush(self.running, entry)
+        self.free -= grant.credits
+        self.held[kind] += grant.credits
+        self.gate.started(grant.job, grant.credits, self.now_s, grant.tasks)
+
+    def run_to(self, until_s):
+        self.pump()
+        while self.running and self.running[0][0] <= until_s:
+            self.now_s, _, job, kind, count = heapq.heappop(self.running)
+            self.free += 1
+            self.held[kind] -= 1
+            self.done[kind] += count
+            run_s = self.left[job].run_time_s
+            self.gate.finished("x", kind, 1, run_s, self.now_s, job)
+            self.pump()
+        self.now_s = until_s
+
+    def flood(self, kind, tasks_s, from_s, until_s, each=lambda: None):
+        """Offers single tasks at a rate; calls `each` before every one."""
+        for step in range(int((until_s - from_s) * tasks_s)):
+            self.run_to(from_s + step / tasks_s)
+            each()
+            self.offer(kind)
+            self.pump()
+
+
+class ShareTest(unittest.TestCase):
+    @hypothesis.given(
+        st.dictionaries(
+            st.sampled_from(FLOWS), st.floats(0.1, 8.0), min_size=3
+        ),
+        st.lists(
+            st.tuples(st.sampled_from(FLOWS), st.integers(1, 40)),
+            max_size=40,
+        ),
+        st.integers(0, 30),
+    )
+    def test_flow_within_its_share_never_waits_behind_a_flood(
+        self, weights, offers, steps
+    ):
+        """Free credits must go to a flow within its share first."""
+        fleet = Fleet(weights)
+        for kind, tasks in offers:
+            fleet.offer(kind, tasks)
+        total_weight = sum(weights.values())
+        for _ in range(steps):
+            step = fleet.next()
+            if step is None:
+                break
+            kind = step.job.split("/")[0]
+            within = {
+                name
+                for name in weights
+                if fleet.held[name]
+                < max(1.0, TOTAL * weights[name] / total_weight - 1e-9)
+                and any(
+                    state.waiting and state.item.kind == name
+                    for state in fleet.gate.jobs.values()
+                )
+            }
+            if within:
+                self.assertIn(kind, within)
+            fleet.start(step)
+
+    def test_flood_leaves_other_flows_alone(self):
+        """The most urgent or the least urgent flood, the others go on."""
+        for flooding in FLOWS:
+            with self.subTest(flooding=flooding):
+                fleet = Fleet()
+                others = [name for name in FLOWS if name != flooding]
+                turn = itertools.count()
+                offered = collections.Counter()
+
+                def click(fleet=fleet, others=others, turn=turn, n=offered):
+                    number = next(turn)
+                    # 60 clicks/s in each other flow: 20% of the capacity.
+                    if number % 50 == 0:
+                        for name in others:
+                            fleet.offer(name)
+                            n[name] += 1
+
+                fleet.flood(flooding, 3000.0, 0.0, 3.0, click)
+                fleet.run_to(6.0)
+                for name in others:
+                    self.assertEqual(offered[name], fleet.done[name])
+                waits = [
+                    at_s - fleet.left[job].arrived_s
+                    for job, at_s in fleet.started_at.items()
+                    if job.split("/")[0] in others
+                ]
+                self.assertLess(max(waits), RUN_S)
+                self.assertGreater(fleet.done[flooding], 400)
+
+    def test_flood_of_another_service_on_the_same_agents(self):
+        """Services share slots; the one asked first must not get all."""
+        for flooding in ("a", "b"):
+            with self.subTest(flooding=flooding):
+                other = "b" if flooding == "a" else "a"
+                fleet = Fleet(
+                    {"a": 1.0, "b": 1.0}, {"a": "first", "b": "second"}
+                )
+                fleet.flood(flooding, 3000.0, 0.0, 1.0)
+                for _ in range(10):
+                    fleet.offer(other)
+                fleet.run_to(1.0 + 2 * RUN_S)
+                self.assertEqual(10, fleet.done[other])
+
+    def test_services_on_different_agents_do_not_share(self):
+        """Work must not wait for credits that it can't use."""
+        fleet = Fleet({"a": 1.0, "b": 1.0}, {"a": "first", "b": "second"})
+        fleet.gate.set_pools({"first": "first", "second": "second"})
+        for _ in range(40):
+            fleet.offer("a")
+        fleet.offer("b")
+        for _ in range(TOTAL):
+            self.assertTrue(fleet.next("first").job.startswith("a"))
+            fleet.start(fleet.next("first"))
+        fleet.free = 1
+        self.assertTrue(fleet.next("second").job.startswith("b"))
+
+    def test_weights_divide_the_service(self):
+        """Flows that all flood share by weight."""
+        fleet = Fleet({"a": 4.0, "b": 2.0, "c": 1.0})
+        for step in range(4000):
+            fleet.run_to(step / 1000.0)
+            for name in FLOWS:
+                fleet.offer(name)
+            fleet.pump()
+        total = sum(fleet.done.values())
+        self.assertAlmostEqual(4 / 7, fleet.done["a"] / total, delta=0.06)
+        self.assertAlmostEqual(1 / 7, fleet.done["c"] / total, delta=0.06)
+        self.assertGreater(total, 0.85 * 4.0 * TOTAL / RUN_S)
+
+    def test_alone_a_flow_uses_everything(self):
+        """Unused shares are lent; only a flood leaves the reserve idle."""
+        for jobs, free in ((1, 0), (20, TOTAL // 10)):
+            with self.subTest(jobs=jobs):
+                fleet = Fleet()
+                for _ in range(jobs):
+                    fleet.offer("a", 310)
+                fleet.pump()
+                self.assertEqual(free, fleet.free)
+
+    def test_reclaim_frees_credits(self):
+        """A large job that was lent credits gives them back on demand."""
+        fleet = Fleet()
+        fleet.offer("a", 310)
+        fleet.pump()
+        self.assertEqual(0, fleet.free)
+        for _ in range(20):
+            fleet.offer("b")
+        asked = fleet.gate.reclaim(fleet.now_s)
+        credits = sum(item.credits for item in asked)
+        self.assertEqual(TOTAL // 2, credits)
+        self.assertEqual({"a/0"}, {item.job for item in asked})
+        self.assertEqual((), fleet.gate.reclaim(fleet.now_s + 0.1))
+        again = fleet.gate.reclaim(fleet.now_s + 1.5)
+        self.assertLessEqual(sum(item.credits for item in again), TOTAL // 2)
+
+
+class OrderTest(unittest.TestCase):
+    def test_small_job_passes_a_large_one(self):
+        """A click must not wait for a job of 310 tasks of its own flow."""
+        fleet = Fleet(total=2)
+        fleet.offer("a", 310)
+        fleet.pump()
+        click = fleet.offer("a")
+        fleet.run_to(fleet.running[0][0])
+        self.assertIn(click.job, fleet.started_at)
+
+    def test_large_job_is_not_starved(self):
+        """Small jobs must not overtake a large one for ever."""
+        fleet = Fleet(total=4)
+        fleet.offer("a", 4, run_s=5.0)
+        fleet.offer("b", 4, run_s=1.0)
+        fleet.pump()
+        large = fleet.offer("a", 60)
+        for step in range(400):
+            fleet.run_to(step * 0.05)
+            for _ in range(2):
+                fleet.offer("a")
+            fleet.pump()
+        self.assertIn(large.job, fleet.started_at)
+
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(FLOWS),
+                st.integers(1, 60),
+                st.sampled_from((0.01, 0.1, 1.0)),
+                st.sampled_from((0.0, 0.05, 0.5)),
+                st.integers(0, 9),
+            ),
+            min_size=1,
+            max_size=60,
+        )
+    )
+    def test_every_job_ends_and_nothing_is_left(self, offers):
+        """A job that stays in a queue breaks its caller's deadline.
+
+        Also guards against sums that drift: credits or tasks counted for
+        work that is gone shrink the shares of the rest.
+        """
+        fleet = Fleet()
+        accepted = set()
+        removed = set()
+        for kind, tasks, run_s, wait_s, remove in offers:
+            fleet.run_to(fleet.now_s + wait_s)
+            answer = fleet.offer(kind, tasks, run_s)
+            if isinstance(answer, admission.Queued):
+                accepted.add(answer.job)
+                if remove == 0:
+                    fleet.gate.remove(answer.job)
+                    removed.add(answer.job)
+        fleet.run_to(fleet.now_s + 1000.0)
+        dropped = {step.job for step in fleet.dropped}
+        started = set(fleet.started_at)
+        self.assertEqual(accepted, started | dropped | removed)
+        self.assertFalse(dropped & started)
+        self.assertTrue(all(step.refused.not_run for step in fleet.dropped))
+        pool = fleet.gate.all_pools.of("s")
+        self.assertEqual(TOTAL, fleet.free)
+        self.assertEqual({}, fleet.gate.jobs)
+        self.assertEqual(0, fleet.gate.waiting("s"))
+        self.assertEqual(0, fleet.gate.waiting_jobs)
+        self.assertEqual(0, pool.active_flows)
+        self.assertAlmostEqual(0.0, pool.waiting_weight)
+        self.assertEqual(0, fleet.gate.customer_states["x"].running)
+
+
+if __name__ == "__main__":
+    unittest.main()
