Pace the probation of agents in placement

Cause: an agent on probation keeps all its credits free and so won most choices; one that fails at once would have got a task every few milliseconds until its failures were judged, once a second.

The choice of agents is a module of its own.

--- a/trefoilgw/placement/agents.py
+++ b/trefoilgw/placement/agents.py
@@ -8,6 +8,10 @@
 
 import attrs
 
+# Weight of one run time in an agent's slowness, after the warm-up.
+SLOWNESS_WEIGHT = 0.03
+# A single long task must not make its agent look slow.
+SLOWNESS_RATIO_LIMIT = 4.0
 # Slowness below this is noise of run times that vary by themselves.
 NOTABLE_SLOWNESS = 1.3
 
@@ -27,6 +31,7 @@
         in_use: Credits that batches of this entry hold.
         usable: False while nothing may be sent to it.
         on_probation: True if it gets one task at a time.
+        resting: True if, on probation, its next task has to wait.
         available: Credits that may be spent now, kept by `credits`.
         total: Free and used credits, 0 while it is not usable; likewise.
         slowness: Its run times relative to those of all agents, 1 is normal.
@@ -43,6 +48,7 @@
     in_use: int = 0
     usable: bool = True
     on_probation: bool = False
+    resting: bool = False
     available: int = 0
     total: int = 0
     slowness: float = 1.0
@@ -54,6 +60,13 @@
         """Slowness, or 1 if it may be chance."""
         return self.slowness if self.slowness >= NOTABLE_SLOWNESS else 1.0
 
+    def learn(self, ratio: float) -> None:
+        """Learns from a run time relative to the mean of its kind."""
+        self.samples += 1
+        weight = max(SLOWNESS_WEIGHT, 1.0 / (self.samples + 1))
+        ratio = min(ratio, SLOWNESS_RATIO_LIMIT)
+        self.slowness += weight * (ratio - self.slowness)
+
     def best_lender(self) -> str:
         """Returns whose credits are spent next: the largest part.
 
--- a/trefoilgw/placement/core.py
+++ b/trefoilgw/placement/core.py
@@ -15,6 +15,7 @@
 from trefoilgw.messages import core as messages
 from trefoilgw.placement import agents
 from trefoilgw.placement import baselines
+from trefoilgw.placement import choosing
 from trefoilgw.placement import credits as credit_book
 from trefoilgw.placement import cutting
 from trefoilgw.placement import lending
@@ -22,10 +23,6 @@
 
 # Entries that share an agent at most (see "Placement" in design.md).
 ENTRIES_PER_AGENT = 4
-# Weight of one run time in an agent's slowness, after the warm-up.
-SLOWNESS_WEIGHT = 0.03
-# A single long task must not make its agent look slow.
-SLOWNESS_RATIO_LIMIT = 4.0
 
 
 @attrs.frozen
@@ -59,6 +56,7 @@
         asking: Pace of credit asks.
         owing: Asks of peers that wait for credits.
         entries: Entries that share the agents, as far as known.
+        chooser: Chooses agents by credits.
         baseline: Chooses agents if `policy` is a baseline.
     """
 
@@ -76,6 +74,12 @@
     asking: lending.Asking = attrs.field(factory=lending.Asking)
     owing: lending.Owing = attrs.field(factory=lending.Owing)
     entries: int = 1
+    chooser: choosing.Chooser = attrs.field(
+        default=attrs.Factory(
+            lambda self: choosing.Chooser(self.book, self.rng),
+            takes_self=True,
+        )
+    )
     baseline: baselines.Baseline | None = None
 
     def __attrs_post_init__(self):
@@ -188,6 +192,7 @@
         pools = self.book.services.get(service)
         if pools is None or tasks <= 0:
             return ()
+        self.chooser.end_rests(now_s)
         if self.baseline is not None:
             chosen = self.baseline.assign(
                 self.book.states, service, avoid, tasks
@@ -196,13 +201,12 @@
                 Assignment(state.agent, "", count, count)
                 for state, count in chosen
             )
-        total = pools.total
-        chosen = self._spend(pools, min(credits, tasks), avoid)
+        chosen = self.chooser.spend(pools, min(credits, tasks), avoid, now_s)
         if not chosen:
             return ()
         spent = sum(count for _, _, count in chosen)
         run_s = self.run_times.run_time_s(kind)
-        sent = cutting.tasks_now(tasks, spent, total, run_s)
+        sent = cutting.tasks_now(tasks, spent, pools.total, run_s)
         parts = [count for _, _, count in chosen]
         if sent > spent:
             speeds = [
@@ -210,7 +214,12 @@
             ]
             parts = cutting.split(sent, speeds)
         return tuple(
-            Assignment(state.agent, lender, part, count)
+            Assignment(
+                state.agent,
+                lender,
+                min(part, 1) if state.on_probation else part,
+                count,
+            )
             for (state, lender, count), part in zip(chosen, parts, strict=True)
         )
 
@@ -222,12 +231,8 @@
         """
         ratio = self.run_times.observe(kind, run_s)
         state = self.book.states.get(agent)
-        if state is None:
-            return
-        state.samples += 1
-        weight = max(SLOWNESS_WEIGHT, 1.0 / (state.samples + 1))
-        ratio = min(ratio, SLOWNESS_RATIO_LIMIT)
-        state.slowness += weight * (ratio - state.slowness)
+        if state is not None:
+            state.learn(ratio)
 
     def run_time_s(self, kind: str) -> float:
         """Returns the learned mean run time of a kind in seconds."""
@@ -248,6 +253,7 @@
             now_s: Monotonic time in seconds.
             peers_free: Free credits per connected peer, as last heard.
         """
+        self.chooser.end_rests(now_s)
         self.entries = len(peers_free) + 1
         return self.asking.ask(
             now_s, self.book.free, self.book.total, peers_free
@@ -355,44 +361,3 @@
                 messages.LentCredits(state.agent, lender or self.entry, count)
             )
         return tuple(lent)
-
-    def _spend(
-        self,
-        pools: agents.ServiceState,
-        credits: int,
-        avoid: Collection[str],
-    ) -> list[tuple[agents.AgentState, str, int]]:
-        """Takes credits of chosen agents until there are enough."""
-        chosen = []
-        while credits > 0:
-            state = self._choose(pools, avoid)
-            if state is None:
-                break
-            lender = state.best_lender()
-            wanted = min(credits, state.available)
-            count = self.book.take(state, lender, wanted, use=True)
-            chosen.append((state, lender, count))
-            credits -= count
-        return chosen
-
-    def _choose(
-        self, pools: agents.ServiceState, avoid: Collection[str]
-    ) -> agents.AgentState | None:
-        """Returns the better of two random agents, near ones first."""
-        near = self._better(pools.near.two_random(avoid, self.rng))
-        if near is not None and near.notable_slowness == 1.0:
-            return near
-        far = self._better(pools.far.two_random(avoid, self.rng))
-        if near is None or far is None:
-            return near or far
-        return far if far.notable_slowness < near.slowness else near
-
-    def _better(
-        self, states: list[agents.AgentState]
-    ) -> agents.AgentState | None:
-        """Returns the faster agent, among equals the one with more room."""
-        if not states:
-            return None
-        return min(
-            states, key=lambda state: (state.notable_slowness, -state.free)
-        )
--- a/trefoilgw/placement/credits.py
+++ b/trefoilgw/placement/credits.py
@@ -99,9 +99,15 @@
         """Sets whether an agent gets work, and whether one task at a time."""
         state.usable = usable
         state.on_probation = on_probation
+        state.resting = False
         self.lendable.update(state, False)
         self._update(state)
 
+    def set_resting(self, state: agents.AgentState, resting: bool) -> None:
+        """Sets whether an agent on probation may get its next task."""
+        state.resting = resting
+        self._update(state)
+
     def _update(self, state: agents.AgentState) -> None:
         """Keeps sums and pools after a change of an agent."""
         available = total = 0
@@ -109,7 +115,8 @@
             available = state.free
             total = state.free + state.in_use
             if state.on_probation:
-                available = 0 if state.in_use else min(1, state.free)
+                busy = state.in_use or state.resting
+                available = 0 if busy else min(1, state.free)
         more = available - state.available
         more_total = total - state.total
         state.available = available
