Let an entry use what other entries leave of a running-task limit

Cause: at 70% load of 88 slots, work waited at one entry with up to 32 free credits. A trace of admission showed the customer's flows parked at the entry's part of the running-task limit (88): a part in proportion to the last report lags an entry whose demand grows. Credits were also asked for only when 10% or fewer were free, although work waited.

Change: the part of the limit is what the others leave while the limit is not reached, and the proportional part after that. A peer is asked for credits whenever work waits, and asks that can't be met at once are met when credits come free.

Ruled out: lost credits (running and free ones summed up to 88 in every sample) and the flood reserve (no flow was judged a flood).

No conclusion about the size of the effect yet; the parked flows are gone by the rule.

--- a/trefoilgw/admission/customers.py
+++ b/trefoilgw/admission/customers.py
@@ -117,7 +117,7 @@
         part = sharing.own_part(self.starts_s, "", starts)
         if part != self.quota.starts_s:
             self.quota.set_rate(part, now_s)
-        limit = sharing.own_part(float(self.limit_tasks), "", running)
+        limit = sharing.limit_part(float(self.limit_tasks), "", running)
         self.own_limit_tasks = max(1, int(limit))
 
 
--- a/trefoilgw/admission/sharing.py
+++ b/trefoilgw/admission/sharing.py
@@ -45,3 +45,27 @@
     if own not in large:
         return least
     return rest * large[own] / wanted
+
+
+def limit_part(limit: float, own: str, running: Mapping[str, float]) -> float:
+    """Returns one entry's part of a limit on running tasks.
+
+    Args:
+        limit: Limit of the whole customer, tasks.
+        own: The entry.
+        running: Running tasks of every entry; `own` must be in it.
+
+    Returns:
+        At least `own_part`, and while the limit is not reached all that the
+        other entries leave.
+
+    Notes:
+        A proportional part alone holds back an entry whose demand grows
+        faster than the reports, although the customer is far below its limit.
+        All entries may take the same unused rest until the next report: the
+        excess is at most ``entries - 1`` times the rest for one second, after
+        which the proportional part brings the sum back to the limit.
+    """
+    part = own_part(limit, own, running)
+    unused = limit - sum(running.values())
+    return max(part, running[own] + unused) if unused > 0.0 else part
--- /dev/null
+++ b/trefoilgw/admission/tests/test_sharing.py
@@ -0,0 +1,55 @@
+"""Contract of the split of quotas and limits among the entries."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from trefoilgw.admission import sharing
+
+RUNNING = st.dictionaries(
+    st.sampled_from(["e1", "e2", "e3", "e4"]),
+    st.integers(0, 200).map(float),
+    min_size=1,
+)
+
+
+class LimitPartTest(unittest.TestCase):
+    def test_cases(self):
+        cases = {
+            "grows into what the others leave": (88, 12, 49, 39),
+            "alone": (88, 40, 0, 88),
+            "at the limit": (90, 30, 60, 30),
+            "above the limit shrinks": (90, 60, 60, 45),
+            "others take all: half an even part": (88, 0, 88, 22),
+        }
+        for name, (limit, own, other, expected) in cases.items():
+            with self.subTest(name):
+                running = {"": float(own), "e2": float(other)}
+                part = sharing.limit_part(float(limit), "", running)
+                self.assertAlmostEqual(expected, part)
+
+    @given(st.integers(1, 300), RUNNING)
+    def test_a_limit_that_is_not_reached_never_binds(self, limit, running):
+        """An entry whose demand grows must not wait for the next report."""
+        unused = limit - sum(running.values())
+        for entry, own in running.items():
+            part = sharing.limit_part(float(limit), entry, running)
+            if unused > 0:
+                self.assertGreaterEqual(part + 1e-6, own + unused)
+
+    @given(st.integers(1, 300), RUNNING)
+    def test_excess_is_bounded(self, limit, running):
+        """Parts without a bound would make the limit meaningless."""
+        parts = [
+            sharing.limit_part(float(limit), entry, running)
+            for entry in running
+        ]
+        unused = max(0.0, limit - sum(running.values()))
+        floors = limit / 2
+        bound = limit + floors + (len(running) - 1) * unused
+        self.assertLessEqual(sum(parts), bound + 1e-6)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilgw/entry/gather.py
+++ b/trefoilgw/entry/gather.py
@@ -3,6 +3,7 @@
 from trefoilgw.entry import decode
 from trefoilgw.entry import exchange as exchanges
 from trefoilgw.entry import host as hosts
+from trefoilgw.entry import lending
 from trefoilgw.jobs import model as jobs
 from trefoilgw.messages import core as messages
 from trefoilgw.outcomes import core as outcomes
@@ -42,6 +43,7 @@
         _learn(host, batch, done, now_s)
     if done.credits:
         host.placement.credits_granted(agent, done.credits)
+        lending.lend_owed(host, now_s)
     result = host.table.outcomes(
         done.batch,
         done.outcomes,
--- /dev/null
+++ b/trefoilgw/entry/lending.py
@@ -0,0 +1,25 @@
+"""Credits that pass between this entry and its peers."""
+
+from trefoilgw.entry import host as hosts
+from trefoilgw.messages import core as messages
+
+
+def lend(host: hosts.Host, entry: str, credits: int, now_s: float) -> None:
+    """Answers a peer that asked for credits, now or once some are free."""
+    lent = host.placement.lend(credits, entry, now_s)
+    if lent:
+        host.send(host.peers[entry].stream, messages.CreditLend(lent))
+
+
+def lend_owed(host: hosts.Host, now_s: float) -> None:
+    """Lends credits that came free to peers whose asks could not be met."""
+    while True:
+        owed = host.placement.lend_owed(now_s, host.admission.waiting_jobs)
+        if owed is None:
+            return
+        entry, lent = owed
+        peer = host.peers.get(entry)
+        if peer is None or not host.send(
+            peer.stream, messages.CreditLend(lent)
+        ):
+            host.placement.borrowed(lent)
--- a/trefoilgw/entry/peers.py
+++ b/trefoilgw/entry/peers.py
@@ -13,6 +13,7 @@
 from trefoilgw.callers import values
 from trefoilgw.entry import configuring
 from trefoilgw.entry import host as hosts
+from trefoilgw.entry import lending
 from trefoilgw.messages import codec
 from trefoilgw.messages import core as messages
 from trefoilgw.outcomes import core as outcomes
@@ -341,8 +342,9 @@
             case messages.ForwardReply():
                 self._answered(peer, message)
             case messages.CreditAsk(credits=credits):
-                lent = host.placement.lend(credits)
-                host.send(peer.stream, messages.CreditLend(lent))
+                lending.lend(
+                    host, peer.entry.incarnation, credits, peer.heard_s
+                )
             case messages.CreditLend(credits=lent):
                 self._borrowed(peer, lent)
             case messages.Usage(demands=demands):
@@ -382,7 +384,7 @@
         host = self.host
         if not lent:
             host.counts.waste("empty_lend", 2)
-        unknown = host.placement.borrowed(lent)
+        unknown = host.placement.borrowed(lent, peer.entry.incarnation)
         if unknown:
             # Agents without a stream here; the lender can still use them.
             host.send(peer.stream, messages.CreditLend(unknown))
--- a/trefoilgw/placement/core.py
+++ b/trefoilgw/placement/core.py
@@ -255,9 +255,7 @@
         """
         self.chooser.end_rests(now_s)
         self.entries = len(peers_free) + 1
-        return self.asking.ask(
-            now_s, self.book.free, self.book.total, peers_free
-        )
+        return self.asking.ask(now_s, self.book.free, peers_free)
 
     def lend(
         self, credits: int, entry: str = "", now_s: float = 0.0
--- a/trefoilgw/placement/lending.py
+++ b/trefoilgw/placement/lending.py
@@ -7,11 +7,6 @@
 
 import attrs
 
-# Free credits at or below which this entry asks, or this share of all its
-# credits if that is more: admission keeps so many for flows within their
-# share, so work may wait while they are free.
-LOW_CREDITS = 2
-LOW_SHARE = 0.1
 # A peer that reports so many more free credits than this entry is asked for
 # half of the difference. Less would make the two ask each other in turn.
 GAP_CREDITS = 4
@@ -81,7 +76,6 @@
         self,
         now_s: float,
         free: int,
-        total: int,
         peers_free: Mapping[str, int],
     ) -> Ask | None:
         """Returns whom to ask, or None.
@@ -89,12 +83,10 @@
         Args:
             now_s: Monotonic time in seconds.
             free: Credits free here.
-            total: Credits free or in use here.
             peers_free: Credits free at each connected peer, as last heard.
         """
-        low = max(LOW_CREDITS, round(LOW_SHARE * total))
         elapsed_s = now_s - self.asked_s
-        if free > low or elapsed_s < NEXT_ASK_S:
+        if elapsed_s < NEXT_ASK_S:
             return None
         allowance = min(ASK_BURST, self.allowance + elapsed_s * ASK_RATE_S)
         if allowance < 1.0:
