--- a/trefoilgw/targets/core.py
+++ b/trefoilgw/targets/core.py
@@ -18,6 +18,7 @@
 import eventlet
 import urllib3.connection
 import urllib3.exceptions
+import urllib3.util
 
 from trefoilgw.outcomes import core as outcomes
 
@@ -31,6 +32,11 @@
 READ_BYTES = 64 * 1024
 LIMIT_DETAIL_CHARS = 200
 
+# Headers that urllib3 would add to each request.
+_UNSENT = {
+    "Accept-Encoding": urllib3.util.SKIP_HEADER,
+    "User-Agent": urllib3.util.SKIP_HEADER,
+}
 _ERRORS = (urllib3.exceptions.HTTPError, http.client.HTTPException, OSError)
 
 
@@ -78,10 +84,11 @@
 
 
 class _Connection(urllib3.connection.HTTPConnection):
-    """A connection that sends the head and the body of a request at once.
+    """A connection without what the agent does not need of urllib3.
 
-    One write instead of two saves the target a wake-up and the agent a
-    system call.
+    Head and body of a request leave in one write, which saves the target a
+    wake-up and the agent a system call. Answers are those of http.client:
+    urllib3 would wrap them for decoding and pooling.
     """
 
     _held: list | None = None
@@ -103,6 +110,10 @@
         else:
             self._held.append(data)
 
+    def getresponse(self) -> http.client.HTTPResponse:
+        """Returns the answer to the request that was sent."""
+        return http.client.HTTPConnection.getresponse(self)
+
     @property
     def usable(self) -> bool:
         """True if an idle connection is open and silent.
@@ -204,7 +215,7 @@
                 connection = self._connection(reuse=True)
                 self.counters.stops += 1
                 path = f"/run/{_quote(job)}/{index}"
-                _send(connection, "DELETE", path, None, {})
+                _send(connection, "DELETE", path, None, _UNSENT)
                 _read_body(connection.getresponse())
                 return True
         except _ERRORS:
@@ -306,7 +317,7 @@
 
 def _headers(call: Call, remaining_s: float) -> dict[str, str]:
     """Returns the headers of a task's request."""
-    return {
+    return _UNSENT | {
         "Content-Type": "application/json",
         "Trefoilgw-Deadline-Ms": str(int(remaining_s * 1000)),
         "Trefoilgw-Idempotent": "true" if call.idempotent else "false",
@@ -322,18 +333,20 @@
     headers: dict[str, str],
 ) -> None:
     """Sends one request."""
-    connection.request(
-        method,
-        path,
-        body=body,
-        headers=headers,
-        preload_content=False,
-        decode_content=False,
-    )
-
-
-def _read_body(response) -> bytes | None:
-    """Returns the body, or None if it is larger than the limit."""
+    connection.request(method, path, body=body, headers=headers)
+
+
+def _read_body(response: http.client.HTTPResponse) -> bytes | None:
+    """Returns the body, or None if it is larger than the limit.
+
+    Raises:
+        HTTPException: The body ended too early.
+        OSError: The connection failed.
+    """
+    if response.length is not None:
+        if response.length > LIMIT_RESULT_BYTES:
+            return None
+        return response.read()
     chunks = []
     size_bytes = 0
     while chunk := response.read(READ_BYTES):
--- a/trefoilgw/targets/tests/test_core.py
+++ b/trefoilgw/targets/tests/test_core.py
@@ -162,6 +162,25 @@
         _, client = self.serve(cut)
         self.assertIsInstance(self.run_one(client), unknown)
 
+    def test_chunked_answers(self):
+        """A body without a length must have its end and its limit, too."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        size = targets.LIMIT_RESULT_BYTES // 2
+        part = b"%x\r\n%s\r\n" % (size, b" " * size)
+        cases = {
+            "whole": (b"2\r\n{}\r\n0\r\n\r\n", outcomes.Completed),
+            "cut": (b"2\r\n{}\r\n", outcomes.Unknown),
+            "large": (3 * part + b"0\r\n\r\n", outcomes.Failed),
+        }
+        for name, (body, kind) in cases.items():
+            with self.subTest(name):
+
+                def reply(sock, head_, data=head + body):
+                    sock.sendall(data)
+
+                _, client = self.serve(reply)
+                self.assertIsInstance(self.run_one(client), kind)
+
     def test_result_at_the_limit_is_completed(self):
         """The limit must not cut off results that are allowed."""
         body = b'"' + b"x" * (targets.LIMIT_RESULT_BYTES - 2) + b'"'
