--- a/trefoilgw/agent/core.py
+++ b/trefoilgw/agent/core.py
@@ -179,6 +179,7 @@
         """Takes back the credits of a closed stream."""
         now_s = self.now()
         self.ledger.session_closed(link.entry, link.session)
+        self.configuration.forget(link.entry)
         self._perform(self.slots.disconnect(link.entry, now_s))
 
     def _message(self, link: connections_module.Link, message) -> None:
@@ -194,7 +195,7 @@
             case messages.Leaving():
                 self.slots.entry_leaving(link.entry)
             case messages.ConfigWant():
-                self._push_configuration(link)
+                self._push_configuration(link, now_s)
             case messages.ConfigPush(revision=revision, document=document):
                 self.configuration.offer(revision, document)
             case _:
@@ -238,9 +239,11 @@
         if self.configuration.should_ask(revision, now_s):
             link.stream.send(messages.ConfigWant())
 
-    def _push_configuration(self, link: connections_module.Link) -> None:
+    def _push_configuration(
+        self, link: connections_module.Link, now_s: float
+    ) -> None:
         """Sends the configuration in force to an entry that asks."""
-        if self.configuration.revision:
+        if self.configuration.should_push(link.entry, now_s):
             link.stream.send(
                 messages.ConfigPush(
                     self.configuration.revision, self.configuration.document
