--- a/trefoilgw/agent/connections.py
+++ b/trefoilgw/agent/connections.py
@@ -70,6 +70,7 @@
         on_message: Called with a link and each message.
         on_closed: Called with a link whose stream closed.
         rng: Source of jitter.
+        now: Monotonic clock in seconds.
         epoch: Epoch of the roster.
         roster: Entries of the newest roster; empty if none is known.
         links: By address.
@@ -86,6 +87,7 @@
     on_message: Callable
     on_closed: Callable
     rng: random.Random
+    now: Callable[[], float] = time.monotonic
     epoch: int = 0
     roster: tuple[messages.RosterEntry, ...] = ()
     links: dict[str, Link] = attrs.field(factory=dict)
@@ -94,7 +96,10 @@
     _stopped: bool = False
 
     def update(self) -> None:
-        """Dials what is wanted and has no stream, and forgets the rest."""
+        """Dials what is wanted and has no stream, and forgets the rest.
+
+        Links of seeds stay: they tell where a seed leads to.
+        """
         if self._stopped:
             return
         wanted = self._wanted()
@@ -104,8 +109,8 @@
                 link.dialing = True
                 eventlet.spawn_n(self._dial_until_open, link)
         for address in list(self.links):
-            link = self.links[address]
-            if address not in wanted and link.stream is None:
+            idle = self.links[address].stream is None
+            if idle and address not in wanted and address not in self.seeds:
                 del self.links[address]
 
     def stop(self) -> None:
@@ -143,6 +148,20 @@
         self.roster = entries
         return True
 
+    def expected(self) -> tuple[str, ...]:
+        """Returns names of the entries that share this agent's slots.
+
+        Without a roster these are the seeds that were not reached yet, by
+        their addresses.
+        """
+        if self.roster:
+            return tuple(entry.incarnation for entry in self.assigned())
+        reached = {
+            address for address, link in self.links.items() if link.entry
+        }
+        unreached = [seed for seed in self.seeds if seed not in reached]
+        return tuple(unreached[: choice.ENTRIES_PER_AGENT])
+
     def assigned(self) -> tuple[messages.RosterEntry, ...]:
         """Returns the entries of the roster that this agent serves."""
         unreachable = frozenset(
@@ -234,16 +253,21 @@
     def _dial(self, link: Link) -> bool:
         """Returns True if a stream was opened and started."""
         self.dials += 1
-        began_s = time.monotonic()
+        began_s = self.now()
         try:
             stream = streams.dial(link.address, self.key, self.hello())
         except streams.DialError as error:
             self._dial_failed(link, str(error))
             return False
+        except Exception as error:  # A peer's faults must not end dialing.
+            log.exception("dial raised")
+            self._dial_failed(link, str(error))
+            return False
         welcome = stream.welcome
-        self.learn_roster(welcome.epoch, welcome.entries)
         link.entry = welcome.incarnation
         link.session = welcome.session
+        if self.learn_roster(welcome.epoch, welcome.entries):
+            self.update()
         if self._stopped or not self._serves(link):
             stream.close("not assigned")
             link.failures += 1
@@ -269,7 +293,7 @@
             former.stream = None
             older.close("replaced by a newer session")
         link.stream = stream
-        link.opened_s = time.monotonic()
+        link.opened_s = self.now()
         link.closing = False
         stream.outbox_limit_bytes = OUTBOX_LIMIT_BYTES
         log.info(
@@ -292,7 +316,7 @@
         if link.stream is not stream:
             return
         link.stream = None
-        lived_s = time.monotonic() - link.opened_s
+        lived_s = self.now() - link.opened_s
         link.failures = link.failures + 1 if lived_s < REDIAL_LIMIT_S else 0
         log.info("disconnected", extra={"entry": link.entry, "reason": reason})
         self.on_closed(link)
--- a/trefoilgw/slots/core.py
+++ b/trefoilgw/slots/core.py
@@ -84,12 +84,9 @@
         account = self.book.accounts.get(entry)
         return account.held if account else 0
 
-    def expect(
-        self, entries: tuple[str, ...], now_s: float
-    ) -> tuple[actions.Action, ...]:
+    def expect(self, entries: tuple[str, ...], now_s: float) -> None:
         """Sets the entries that are to share the slots."""
         self.book.expect(entries, now_s)
-        return tuple(self.execution.grants(now_s))
 
     def connect(self, entry: str, now_s: float) -> tuple[actions.Action, ...]:
         """Opens an entry's account after its newest session was accepted.
@@ -178,6 +175,7 @@
         batch.concurrency = max(0, concurrency)
         missing = batch.concurrency - batch.booked
         if missing > 0 and batch.queue:
+            missing = min(missing, self.held(entry))
             batch.booked += self.book.spend(entry, entry, missing)
         found = self.execution.advance(batch, now_s)
         if not batch.finished:
@@ -290,7 +288,9 @@
             session=session,
             number=message.batch,
             job=ledger_core.job_id(message.customer, message.job),
-            message=attrs.evolve(message, tasks=()),
+            job_name=message.job,
+            service=message.service,
+            idempotent=message.idempotent,
             deadline_s=now_s + message.deadline_s,
             concurrency=message.concurrency,
             booked=booked,
