--- a/trefoilgw/messages/codec.py
+++ b/trefoilgw/messages/codec.py
@@ -5,8 +5,12 @@
 """
 
 import functools
+import itertools
+import operator
 import struct
+from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Sequence
 
 import attrs
 import msgpack
@@ -70,8 +74,23 @@
     return sum(field.default is attrs.NOTHING for field in attrs.fields(cls))
 
 
-def _flatten(value) -> list:
-    """Returns the fields of an attrs value as a list for msgpack."""
+@functools.cache
+def _flat_getter(cls: type) -> Callable | None:
+    """Returns a getter of all fields if the class nests no other value.
+
+    Such values, one for each task, are most of what an entry encodes.
+    """
+    fields = _fields(cls)
+    if len(fields) < 2 or any(f.item_class or f.value_class for f in fields):
+        return None
+    return operator.attrgetter(*(field.name for field in fields))
+
+
+def _flatten(value) -> Sequence:
+    """Returns the fields of an attrs value as a sequence for msgpack."""
+    getter = _flat_getter(type(value))
+    if getter is not None:
+        return getter(value)
     flat = []
     for field in _fields(type(value)):
         content = getattr(value, field.name)
@@ -83,6 +102,18 @@
     return flat
 
 
+@functools.cache
+def _plain_shapes(cls: type) -> frozenset[tuple[type, ...]]:
+    """Returns the types that the fields of a class may have as they are.
+
+    Empty if any field holds a list or a nested value, which is converted.
+    """
+    fields = _fields(cls)
+    if any(f.item_class or f.value_class or list in f.types for f in fields):
+        return frozenset()
+    return frozenset(itertools.product(*(field.types for field in fields)))
+
+
 def _read_field(field: _Field, content):
     """Returns the value of one field from its wire form."""
     if field.value_class is not None:
@@ -101,6 +132,8 @@
     """
     if not isinstance(flat, list) or len(flat) < _required(cls):
         raise FrameError(f"{cls.__name__} has too few fields")
+    if tuple(map(type, flat)) in _plain_shapes(cls):
+        return cls(*flat)
     pairs = zip(_fields(cls), flat, strict=False)
     return cls(*[_read_field(field, content) for field, content in pairs])
 
--- a/trefoilgw/messages/tests/test_codec.py
+++ b/trefoilgw/messages/tests/test_codec.py
@@ -49,6 +49,7 @@
             "code is a list": frame(msgpack.packb([[1]])),
             "too few fields": frame(msgpack.packb([11, 1.0])),
             "wrong type": frame(msgpack.packb([11, "now", 2])),
+            "flat wrong type": frame(msgpack.packb([12, "x"])),
             "nested wrong type": frame(msgpack.packb([22, 1, ["x"]])),
             "over the limit": struct.pack(">I", codec.FRAME_LIMIT_BYTES + 1),
         }
