--- a/trefoilgw/entry/configuring.py
+++ b/trefoilgw/entry/configuring.py
@@ -83,6 +83,7 @@
         self.rollout.offer(revision, document)
         host = self.host
         host.configuration = parsed
+        host.services = tuple(item.name for item in parsed.services)
         host.admission.configure(parsed, host.read_clock())
         for kind in parsed.kinds:
             host.placement.declare(kind.name, kind.run_time_s)
--- a/trefoilgw/entry/host.py
+++ b/trefoilgw/entry/host.py
@@ -71,6 +71,7 @@
         follow: Carries out a result of the job table.
         pump: Places and sends work that waits.
         configuration: Configuration in force, None if none is known.
+        services: Names of the services that it lists.
         roster: Roster of entries.
         agents: Open agent session by agent incarnation.
         peers: Open peer by entry incarnation.
@@ -99,6 +100,7 @@
     pump: Callable = lambda: None
     schedule: Callable = lambda delay_s, callback: None
     configuration: object | None = None
+    services: tuple[str, ...] = ()
     roster: keys.RosterView = attrs.field(factory=keys.RosterView)
     agents: dict = attrs.field(factory=dict)
     peers: dict = attrs.field(factory=dict)
@@ -112,13 +114,6 @@
         factory=lambda: itertools.count(1)
     )
 
-    @property
-    def services(self) -> tuple[str, ...]:
-        """Names of the services that work may need."""
-        if self.configuration is None:
-            return ()
-        return tuple(item.name for item in self.configuration.services)
-
     def read_clock(self) -> float:
         """Returns the time, after dealing with a pause of this process.
 
--- a/trefoilgw/entry/place.py
+++ b/trefoilgw/entry/place.py
@@ -103,6 +103,8 @@
 
 def _without_place(exchange: exchanges.Exchange, job: jobs.Job) -> list[int]:
     """Returns the waiting tasks that got no place in this pass."""
+    if not exchange.sendings:
+        return job.waiting
     placed = {
         index
         for sending in exchange.sendings
