Run the figures' stages on one schedule

The time until a configuration is in force counts from when the key-value service shows it; counting from the end of the command gave 0.

--- a/tools/figures.py
+++ b/tools/figures.py
@@ -6,7 +6,9 @@
 each figure is measured.
 """
 
+import base64
 import concurrent.futures
+import json
 import pathlib
 import sys
 import time
@@ -47,7 +49,12 @@
 MEGABYTE = 1024 * 1024
 KILOBYTE = 1024
 CONFIG_TIMEOUT_S = 15.0
-POLL_S = 0.02
+CONFIG_KEY = "/trefoilgw/config"
+POLL_S = 0.01
+# Time for the longest tasks of the clicks, and of the other stages, to end
+# after the last arrival.
+LONG_TAIL_S = 5.3
+SHORT_TAIL_S = 2.0
 
 
 @attrs.define(eq=False)
@@ -80,22 +87,21 @@
 
 @attrs.frozen
 class Stage:
-    """One load run with the readings around it.
+    """One load run on the fleet.
 
     Attributes:
-        run: What the callers saw.
-        used: What the fleet used meanwhile.
-        took_s: Length of the stage.
+        name: Name of its scenario.
+        started: Its load processes.
+        end_at: Unix time at which its work should have ended.
     """
 
-    run: results.Results
-    used: measures.Reading
-    took_s: float
+    name: str
+    started: list[processes.Process]
+    end_at: float
 
-    @property
-    def starts(self) -> int:
-        """Tasks that the targets started."""
-        return self.run.total().counts["task_starts"]
+    def finish(self) -> results.Results:
+        """Waits for the results."""
+        return load_runs.finish(self.started, path_of(self.name))
 
 
 def path_of(name: str) -> str:
@@ -103,128 +109,188 @@
     return str(SCENARIOS / f"figures-{name}.toml")
 
 
-def run_stage(fleet: fleets.Fleet, name: str, parts: int) -> Stage:
-    """Runs one scenario on the fleet."""
+def start_stage(
+    fleet: fleets.Fleet, name: str, parts: int, start_at: float, tail_s: float
+) -> Stage:
+    """Starts the load processes of a stage ahead of its first arrival."""
+    path = path_of(name)
+    started = load_runs.start(fleet, path, parts, start_at=start_at)
+    duration_s = scenarios.load(path).duration_s
+    return Stage(name, started, start_at + duration_s + tail_s)
+
+
+def wait_until(unix_s: float) -> None:
+    """Sleeps until a time of the wall clock."""
+    time.sleep(max(0.0, unix_s - time.time()))
+
+
+def measure_clicks(figures: Figures, fleet: fleets.Fleet) -> None:
+    """Measures the mix of clicks, at 70% load and then at 85%.
+
+    The second part starts at the last arrival of the first one, while the
+    longest tasks still run.
+    """
     before = measures.read(fleet)
-    started_s = time.monotonic()
-    run = load_runs.run(fleet, path_of(name), parts)
-    took_s = time.monotonic() - started_s
+    begun_at = time.time()
+    start_at = begun_at + load_runs.START_DELAY_S
+    normal = start_stage(fleet, "70", LOAD_PARTS, start_at, 0.0)
+    high = start_stage(fleet, "85", LOAD_PARTS, normal.end_at, LONG_TAIL_S)
+    baselines = start_baselines(fleet, start_at)
+    total = read_clicks(figures, "70", normal).total()
+    if total.counts["complete"]:
+        figures.values["response_ratio_p50"] = total.ratio_at(50)
+        figures.values["response_ratio_p99"] = total.ratio_at(99)
+        figures.values["added_latency_p50_ms"] = total.added_s_at(50) * 1000
+        figures.values["added_latency_p99_ms"] = total.added_s_at(99) * 1000
+    starts = total.counts["task_starts"]
+    attempt(finish_baselines, figures, baselines)
+    total = read_clicks(figures, "85", high).total()
+    if total.counts["complete"]:
+        figures.values["response_ratio_p99_85"] = total.ratio_at(99)
+    starts += total.counts["task_starts"]
+    wait_until(high.end_at)
     used = measures.difference(before, measures.read(fleet))
-    return Stage(run, used, took_s)
+    if starts:
+        add_click_costs(figures, used, starts, time.time() - begun_at)
 
 
-def measure_clicks(figures: Figures, fleet: fleets.Fleet) -> None:
-    """Measures the mix of clicks at 70% load."""
-    stage = run_stage(fleet, "70", LOAD_PARTS)
-    total = stage.run.total()
-    if not total.counts["complete"] or not stage.starts:
-        return
-    figures.values["response_ratio_p50"] = total.ratio_at(50)
-    figures.values["response_ratio_p99"] = total.ratio_at(99)
-    figures.values["added_latency_p50_ms"] = total.added_s_at(50) * 1000
-    figures.values["added_latency_p99_ms"] = total.added_s_at(99) * 1000
-    messages = measures.task_messages(stage.used)
+def read_clicks(figures: Figures, name: str, stage: Stage) -> results.Results:
+    """Returns the results of a stage of clicks."""
+    run = stage.finish()
+    add_run_quality(figures, name, run)
+    return run
+
+
+def add_click_costs(
+    figures: Figures, used: measures.Reading, starts: int, took_s: float
+) -> None:
+    """Adds messages, bytes and CPU time of both click stages."""
+    messages = measures.task_messages(used)
     if messages is not None:
-        figures.values["messages_per_task_single"] = messages / stage.starts
-        direct = messages - measures.forwards(stage.used)
+        figures.values["messages_per_task_single"] = messages / starts
+        direct = messages - measures.forwards(used)
         figures.add(
             "messages_per_task_single_without_forwards",
-            direct / stage.starts,
+            direct / starts,
             "messages",
         )
-    agents = stage.used.agent_cpu_s
+    agents = used.agent_cpu_s
     figures.values["agent_control_cpu_pct"] = (
-        100 * sum(agents) / len(agents) / stage.took_s
+        100 * sum(agents) / len(agents) / took_s
     )
-    moved = measures.stream_bytes(stage.used, "agent")
+    moved = measures.stream_bytes(used, 'peer="agent"')
     if moved is not None:
-        per_agent = moved / len(agents) / stage.took_s
+        per_agent = moved / len(agents) / took_s
         figures.values["agent_control_kb_s"] = per_agent / KILOBYTE
-    figures.values["entry_starts_per_core_s"] = (
-        stage.starts / stage.used.entry_cpu_s
-    )
-    add_run_quality(figures, "70", stage)
-
+    figures.values["entry_starts_per_core_s"] = starts / used.entry_cpu_s
 
-def measure_high_load(figures: Figures, fleet: fleets.Fleet) -> None:
-    """Measures the mix of clicks at 85% load."""
-    stage = run_stage(fleet, "85", LOAD_PARTS)
-    total = stage.run.total()
-    if total.counts["complete"]:
-        figures.values["response_ratio_p99_85"] = total.ratio_at(99)
-    add_run_quality(figures, "85", stage)
-
-
-def measure_big_jobs(figures: Figures, fleet: fleets.Fleet) -> None:
-    """Measures jobs of 310 tasks."""
-    stage = run_stage(fleet, "310", 1)
-    messages = measures.task_messages(stage.used)
-    if messages is not None and stage.starts:
-        figures.values["messages_per_task_310"] = messages / stage.starts
-    if stage.starts and stage.used.entry_cpu_s:
-        figures.add(
-            "entry_starts_per_core_s_310",
-            stage.starts / stage.used.entry_cpu_s,
-            "starts/s",
-        )
-    add_run_quality(figures, "310", stage)
 
-
-def measure_floods(figures: Figures, fleet: fleets.Fleet) -> None:
-    """Measures what other work keeps during both floods."""
-    base = run_stage(fleet, "base", 1).run.total(flood=False)
+def measure_big_jobs_and_floods(figures: Figures, fleet: fleets.Fleet) -> None:
+    """Measures jobs of 310 tasks, then other work without and with floods."""
+    before = measures.read(fleet)
+    big = start_stage(
+        fleet, "310", 1, time.time() + load_runs.START_DELAY_S, SHORT_TAIL_S
+    )
+    base = start_stage(fleet, "base", 1, big.end_at, SHORT_TAIL_S)
+    floods = []
+    start_at = base.end_at
     for name in ("low", "urgent"):
-        stage = run_stage(fleet, f"flood-{name}", FLOOD_LOAD_PARTS)
-        other = stage.run.total(flood=False)
-        if base.counts["complete"] and base.response_s_at(99):
-            kept = other.counts["complete"] / base.counts["complete"]
-            figures.values[f"flood_{name}_kept_pct"] = 100 * kept
-            factor = other.response_s_at(99) / base.response_s_at(99)
-            figures.add(f"flood_{name}_p99_factor", factor, "ratio")
-        add_run_quality(figures, f"flood_{name}", stage)
+        stage = start_stage(
+            fleet, f"flood-{name}", FLOOD_LOAD_PARTS, start_at, SHORT_TAIL_S
+        )
+        floods.append((name, stage))
+        start_at = stage.end_at
+    run = big.finish()
+    wait_until(big.end_at - 0.2)
+    used = measures.difference(before, measures.read(fleet))
+    add_run_quality(figures, "310", run)
+    add_big_job_costs(figures, used, run.counts()["task_starts"])
+    run = base.finish()
+    add_run_quality(figures, "base", run)
+    undisturbed = run.total(flood=False)
+    for name, stage in floods:
+        run = stage.finish()
+        add_run_quality(figures, f"flood_{name}", run)
+        add_flood(figures, name, undisturbed, run.total(flood=False))
+
+
+def add_big_job_costs(
+    figures: Figures, used: measures.Reading, starts: int
+) -> None:
+    """Adds messages and CPU time per task of large jobs."""
+    messages = measures.task_messages(used)
+    if messages is not None and starts:
+        figures.values["messages_per_task_310"] = messages / starts
+    if starts and used.entry_cpu_s:
+        per_core = starts / used.entry_cpu_s
+        figures.add("entry_starts_per_core_s_310", per_core, "starts/s")
+
+
+def add_flood(
+    figures: Figures,
+    name: str,
+    undisturbed: results.FlowResult,
+    other: results.FlowResult,
+) -> None:
+    """Adds what other work kept during a flood."""
+    complete = undisturbed.counts["complete"]
+    if not complete:
+        return
+    kept = other.counts["complete"] / complete
+    figures.values[f"flood_{name}_kept_pct"] = 100 * kept
+    factor = other.response_s_at(99) / undisturbed.response_s_at(99)
+    figures.add(f"flood_{name}_p99_factor", factor, "ratio")
 
 
-def add_run_quality(figures: Figures, name: str, stage: Stage) -> None:
+def add_run_quality(figures: Figures, name: str, run: results.Results) -> None:
     """Adds faults and how late the generator was."""
-    counts = stage.run.total().counts
-    faults = sum(stage.run.faults().values())
+    counts = run.total(flood=False).counts
+    faults = sum(run.faults().values())
     figures.add(f"faults_{name}", faults, "count")
     lost = counts["lost"] + counts["unanswered"] + counts["failed"]
     figures.add(f"not_complete_not_refused_{name}", lost, "jobs")
-    lag_us = stage.run.lag_us.get_value_at_percentile(99)
+    figures.add(f"refused_{name}", counts["refused"], "jobs")
+    lag_us = run.lag_us.get_value_at_percentile(99)
     figures.add(f"generator_late_p99_ms_{name}", lag_us / 1000, "ms")
 
 
 def measure_configuration(figures: Figures, fleet: fleets.Fleet) -> None:
     """Measures how long an accepted change takes to be in force everywhere.
 
-    The time counts from the end of the operator's command, which is told of
-    the acceptance; every process is asked over its admin port.
+    The time counts from when the key-value service first showed the change;
+    then every process is asked over its admin port until all have it.
     """
     document = sample.document()
     document["customers"][0]["weight"] = 2.0
-    revision = fleet.applied_revision
+    stored = stored_revision(fleet)
     with concurrent.futures.ThreadPoolExecutor(1) as pool:
-        waiting = pool.submit(_in_force_s, fleet, revision + 1)
+        waiting = pool.submit(_watch_change, fleet, stored)
         fleet.apply(document, "figures: change of a weight")
-        accepted_s = time.monotonic()
-        in_force_s = waiting.result()
-    if in_force_s is not None:
-        figures.values["config_in_force_s"] = max(0.0, in_force_s - accepted_s)
+        figures.values["config_in_force_s"] = waiting.result()
 
 
-def _in_force_s(fleet: fleets.Fleet, revision: int) -> float | None:
-    """Returns when every process had a revision, None if not in time."""
+def stored_revision(fleet: fleets.Fleet) -> int:
+    """Returns the store revision of the last write of the configuration."""
+    key = base64.b64encode(CONFIG_KEY.encode()).decode()
+    text = fleets.fetch(fleet.kv_address, "/v3/kv/range", {"key": key})
+    return int(json.loads(text)["kvs"][0]["mod_revision"])
+
+
+def _watch_change(fleet: fleets.Fleet, stored: int) -> float | None:
+    """Returns how long a change took, None if it was not seen in time."""
     deadline_s = time.monotonic() + CONFIG_TIMEOUT_S
-    left = fleet.entries() + fleet.agents()
-    while left and time.monotonic() < deadline_s:
-        left = [
-            process
-            for process in left
-            if fleet.status(process)["revision"] < revision
-        ]
+    wanted = fleet.applied_revision + 1
+    while stored_revision(fleet) == stored:
+        if time.monotonic() > deadline_s:
+            return None
         time.sleep(POLL_S)
-    return None if left else time.monotonic()
+    seen_s = time.monotonic()
+    left = fleet.entries() + fleet.agents()
+    while left:
+        left = [p for p in left if fleet.status(p)["revision"] < wanted]
+        if time.monotonic() > deadline_s:
+            return None
+    return time.monotonic() - seen_s
 
 
 def measure_memory(figures: Figures, fleet: fleets.Fleet) -> None:
@@ -234,25 +300,27 @@
         figures.values[f"{role}_rss_mb"] = max(sizes) / MEGABYTE
 
 
-def start_baselines(fleet: fleets.Fleet) -> dict:
+def start_baselines(fleet: fleets.Fleet, start_at: float) -> dict:
     """Starts the baselines on targets of their own.
 
     Returns:
         Load processes by policy.
     """
-    started = {}
-    for policy in ("random", "in-turn", "reports"):
-        targets = fleet.launcher.start(
+    hosts = {
+        policy: fleet.launcher.start(
             f"baseline-targets-{policy}",
             "tools.standins.target",
             "--count",
             str(fleet.sizes.agents),
         )
-        addresses = targets.wait_ready()["all"]
-        started[policy] = load_runs.start_direct(
-            fleet, path_of("70"), policy, addresses
+        for policy in ("random", "in-turn", "reports")
+    }
+    return {
+        policy: load_runs.start_direct(
+            fleet, path_of("70"), policy, host.wait_ready()["all"], start_at
         )
-    return started
+        for policy, host in hosts.items()
+    }
 
 
 def finish_baselines(figures: Figures, started: dict) -> None:
@@ -282,12 +350,8 @@
     """Runs all stages on one fleet."""
     with fleets.Fleet() as fleet:
         before = measures.read(fleet)
-        baselines = start_baselines(fleet)
         attempt(measure_clicks, figures, fleet)
-        attempt(finish_baselines, figures, baselines)
-        attempt(measure_high_load, figures, fleet)
-        attempt(measure_big_jobs, figures, fleet)
-        attempt(measure_floods, figures, fleet)
+        attempt(measure_big_jobs_and_floods, figures, fleet)
         attempt(measure_memory, figures, fleet)
         used = measures.difference(before, measures.read(fleet))
         messages = measures.task_messages(used)
--- a/tools/load_runs.py
+++ b/tools/load_runs.py
@@ -50,15 +50,27 @@
     parts: int = 1,
     policy: str = "",
     tokens: dict[str, str] | None = None,
+    start_at: float | None = None,
 ) -> list[processes.Process]:
-    """Starts the load processes; `finish` waits for them."""
+    """Starts the load processes; `finish` waits for them.
+
+    Args:
+        fleet: A running fleet.
+        scenario_name: As for `run`.
+        parts: As for `run`.
+        policy: As for `run`.
+        tokens: As for `run`.
+        start_at: Unix time of second 0 of the plan, soon if None.
+    """
+    if start_at is None:
+        start_at = time.time() + START_DELAY_S
     arguments = [
         "--entries",
         ",".join(process.ready["http"] for process in fleet.entries()),
         "--targets",
         ",".join(process.ready["http"] for process in fleet.targets()),
         "--start-at",
-        f"{time.time() + START_DELAY_S:.3f}",
+        f"{start_at:.3f}",
         "--run-id",
         secrets.token_hex(6),
     ]
@@ -85,7 +97,11 @@
 
 
 def start_direct(
-    fleet: fleets.Fleet, scenario_name: str, policy: str, targets: list[str]
+    fleet: fleets.Fleet,
+    scenario_name: str,
+    policy: str,
+    targets: list[str],
+    start_at: float,
 ) -> list[processes.Process]:
     """Starts a baseline on given targets, without the product."""
     name = f"load-{policy}-{len(fleet.launcher.processes)}"
@@ -96,6 +112,8 @@
             scenario_name,
             "--targets",
             ",".join(targets),
+            "--start-at",
+            f"{start_at:.3f}",
             "--direct",
             policy,
             "--json",
