Accept own keys for 24 epochs and end an epoch after 300 s

Own keys were accepted for 4 epochs only, and a rolling restart of 11 entries makes 22 epochs within minutes, so it expired keys made just before it.

An entry that saw no new epoch for 300 s plus up to 30 s of jitter now writes the next one by compare-and-swap with the same entries. Tests cover the lost race, lost answer, lost request, outage and a restart of 11 entries.

--- a/trefoilgw/keys/core.py
+++ b/trefoilgw/keys/core.py
@@ -18,10 +18,12 @@
 WINDOW_S = 300.0
 OLDER_WINDOWS_ACCEPTED = 2
 # The home accepts keys of this many epochs; older ones lose their tombstones.
-EPOCHS_ACCEPTED = 4
+# A rolling restart of 11 entries makes 22 epochs within minutes and must not
+# expire the keys that were made before it.
+EPOCHS_ACCEPTED = 24
 # The roster keeps more epochs, so that the home of an older key is still
 # found and can refuse it.
-EPOCHS_KEPT = 16
+EPOCHS_KEPT = 32
 KEY_LIMIT_CHARS = 200
 
 _TICKET = re.compile(r"t1\.([0-9a-f]{16})\.([0-9]{1,12})\.([0-9a-f]{8,32})")
--- a/trefoilgw/registry/counters.py
+++ b/trefoilgw/registry/counters.py
@@ -13,6 +13,7 @@
         leases: Leases taken.
         lost_leases: Leases that lapsed while this entry ran.
         swaps: Rosters written.
+        timed_epochs: Rosters written only because the epoch was old.
         lost_races: Rosters not written because another entry was first.
         lost_answers: Roster writes whose effect was unknown at first.
         removed_entries: Peers removed from the roster.
@@ -25,6 +26,7 @@
     leases: int = 0
     lost_leases: int = 0
     swaps: int = 0
+    timed_epochs: int = 0
     lost_races: int = 0
     lost_answers: int = 0
     removed_entries: int = 0
--- a/trefoilgw/registry/members.py
+++ b/trefoilgw/registry/members.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 import random
 import time
 from collections.abc import Callable
@@ -25,6 +26,11 @@
 SILENCE_S = 10.0
 # A list of lease keys older than this is not used to remove a peer.
 PRESENT_LIMIT_S = 3.0
+# An epoch ends after this time even if the entries stay the same. Without an
+# end, the tombstones of own keys would fill the home's table for good.
+EPOCH_S = 300.0
+# Entries that saw the epoch begin together do not all write its end.
+EPOCH_JITTER_S = 30.0
 RETRY_BASE_S = 0.2
 RETRY_LIMIT_S = 5.0
 # Entries that start together race for the roster; the rest is left to the
@@ -69,6 +75,8 @@
         highest_epoch: Highest epoch ever seen here.
         awake_since_s: When this process started or resumed.
         leaving: True once this entry is to stay out of the roster.
+        epoch_ends_s: When this entry ends the epoch unless it sees another
+            one before.
     """
 
     client: platform.Client
@@ -85,6 +93,7 @@
     highest_epoch: int = 0
     awake_since_s: float = 0.0
     leaving: bool = False
+    epoch_ends_s: float = math.inf
 
     def take(
         self, value: platform.Value | platform.Missing, read_s: float
@@ -127,11 +136,16 @@
                 return False
             gone = self._gone(present, present_s)
             wanted = self.roster.changed((self.own,), gone, self.highest_epoch)
-            if wanted is self.roster:
-                return True
+            timed = wanted is self.roster
+            if timed:
+                # After a lost race, the winner's epoch has just begun.
+                if self.now() < self.epoch_ends_s:
+                    return True
+                wanted = self.roster.advanced(self.highest_epoch)
             match self._swap(wanted):
                 case platform.Committed():
                     self.counts.removed_entries += len(gone)
+                    self.counts.timed_epochs += timed
                     log.info(
                         "roster written",
                         extra={"epoch": wanted.epoch, "removed": gone},
@@ -231,6 +245,9 @@
                 "roster went back",
                 extra={"epoch": roster.epoch, "seen": self.highest_epoch},
             )
+        if roster.epoch > self.highest_epoch:
+            jitter_s = self.rng.uniform(0.0, EPOCH_JITTER_S)
+            self.epoch_ends_s = self.now() + EPOCH_S + jitter_s
         self.highest_epoch = max(self.highest_epoch, roster.epoch)
         self.roster = roster
         self.revision = revision
--- a/trefoilgw/registry/rosters.py
+++ b/trefoilgw/registry/rosters.py
@@ -1,8 +1,8 @@
 """The roster document: which entries there are, and which there were.
 
-Every change of the entries makes a new epoch. The rosters of the last epochs
-are kept, since a caller's own key has its home in the roster of the epoch that
-it names.
+Every change of the entries makes a new epoch, and so does time while they stay
+the same. The rosters of the last epochs are kept, since a caller's own key has
+its home in the roster of the epoch that it names.
 """
 
 import json
@@ -65,8 +65,23 @@
         entries = tuple(members[name] for name in sorted(members))
         if entries == self.entries:
             return self
+        return self._next(entries, epoch_floor)
+
+    def advanced(self, epoch_floor: int = 0) -> "Roster":
+        """Returns the roster of the next epoch with the same entries.
+
+        Args:
+            epoch_floor: Highest epoch ever seen, as for `changed`.
+        """
+        return self._next(self.entries, epoch_floor)
+
+    def _next(
+        self, entries: tuple[messages.RosterEntry, ...], epoch_floor: int
+    ) -> "Roster":
+        """Returns the next epoch with these entries."""
         epoch = max(self.epoch, epoch_floor) + 1
-        history = dict(self.history) | {epoch: tuple(sorted(members))}
+        members = tuple(entry.incarnation for entry in entries)
+        history = dict(self.history) | {epoch: members}
         kept = sorted(history)[-keys.EPOCHS_KEPT :]
         return Roster(epoch, entries, {name: history[name] for name in kept})
 
--- a/trefoilgw/registry/tests/test_core.py
+++ b/trefoilgw/registry/tests/test_core.py
@@ -1,5 +1,6 @@
 """An entry's lease, roster and configuration under faults of the platform."""
 
+import functools
 import json
 import random
 import unittest
@@ -10,6 +11,7 @@
 from tools.standins import kv
 from trefoilgw import platform
 from trefoilgw import registry
+from trefoilgw.keys import core as keys
 from trefoilgw.messages import core as messages
 from trefoilgw.registry import core
 from trefoilgw.registry import leases
@@ -236,6 +238,68 @@
         self.assertEqual(["j", "p"], self.lease_names())
         self.assertEqual((["j", "p"], 4), (self.names(), self.stored().epoch))
 
+    def test_epoch_ends_by_time(self):
+        """Without an end, tombstones of own keys would stay for good."""
+        latest_s = members.EPOCH_S + members.EPOCH_JITTER_S
+        # fault, epochs after the first poll past the end, after the next one
+        faults = {
+            "none": ({}, 1, 1),
+            "answer lost": ({"lose_answer": 1, "lose_kinds": ("txn",)}, 1, 1),
+            "request lost": ({"lose_request": 1, "lose_kinds": ("txn",)}, 0, 1),
+            "outage": ({"down": True}, 0, 1),
+        }
+        for case, (switches, first, second) in faults.items():
+            with self.subTest(case):
+                entry = self.entry("a")
+                entry.poll()
+                roster = entry.roster
+                self.now_s += members.EPOCH_S - 1
+                self.assertTrue(entry.poll())
+                self.assertEqual(roster, self.stored())
+                self.now_s += latest_s - members.EPOCH_S + 1
+                fail = functools.partial(self.server.switch, **switches)
+                entry.client.before_txn = fail
+                self.assertEqual(case == "none", entry.poll())
+                self.server.switch()
+                self.assertEqual(roster.epoch + first, self.stored().epoch)
+                self.assertTrue(entry.poll())
+                ended = self.stored()
+                self.assertEqual(roster.epoch + second, ended.epoch)
+                self.assertEqual(roster.entries, ended.entries)
+                self.assertEqual(ended, entry.roster)
+                self.assertTrue(entry.poll())
+                self.assertEqual(ended, self.stored())
+
+    def test_one_epoch_ends_once(self):
+        """Each entry that writes an end of its own would expire keys early."""
+        first, second = self.entry("a"), self.entry("b")
+        first.poll()
+        second.poll()
+        first.poll()
+        for cycle in range(1, 4):
+            self.now_s += members.EPOCH_S + members.EPOCH_JITTER_S
+            first.client.before_txn = second.poll
+            self.assertTrue(first.poll())
+            self.assertTrue(second.poll())
+            self.assertEqual(2 + cycle, self.stored().epoch)
+            self.assertEqual(cycle, first.counts.lost_races)
+        self.assertEqual(3, second.counts.timed_epochs)
+        self.assertEqual(0, first.counts.timed_epochs)
+
+    def test_change_of_the_entries_begins_the_time_anew(self):
+        """A rolling restart must make no more epochs than its changes."""
+        kept = self.entry("k")
+        kept.poll()
+        for name in "0123456789a":
+            self.now_s += members.EPOCH_S - 1
+            entry = self.entry(name)
+            entry.poll()
+            kept.poll()
+            self.assertTrue(entry.leave())
+            kept.poll()
+        self.assertEqual(1 + 2 * 11, self.stored().epoch)
+        self.assertTrue(keys.AcceptedEpochs(self.stored().epoch).accepts(1))
+
     def test_platform_down(self):
         """An outage must leave roster and configuration as they are."""
         entry = self.entry("a")
