Bound the audit trail, page through the history, one version number

The version is read from the package metadata, or from pyproject.toml in a source tree, instead of standing twice.

Tested: faults of pruning in a table, a failure after the write, paging with one call per page.

--- a/trefoilgw/cli/main.py
+++ b/trefoilgw/cli/main.py
@@ -1,13 +1,16 @@
 """Command `trefoilgw`, by which operators control the system."""
 
+import importlib.metadata
+import pathlib
 import sys
+import tomllib
 
 from cleo.application import Application
 
 from trefoilgw.cli import fleet_commands
 from trefoilgw.cli import record_commands
 
-VERSION = "0.1.0"
+PROJECT_FILE = pathlib.Path(__file__).parents[2] / "pyproject.toml"
 COMMANDS = (
     record_commands.CheckCommand,
     record_commands.ApplyCommand,
@@ -28,9 +31,26 @@
         return self.name
 
 
+def version() -> str:
+    """Returns the version of the project.
+
+    A source tree that was not installed has no metadata; there it is read
+    from the project's own file.
+    """
+    try:
+        return importlib.metadata.version("trefoilgw")
+    except importlib.metadata.PackageNotFoundError:
+        pass
+    try:
+        with PROJECT_FILE.open("rb") as file:
+            return tomllib.load(file)["project"]["version"]
+    except (OSError, ValueError, LookupError):
+        return "unknown"
+
+
 def make_application() -> Application:
     """Returns the application with all commands."""
-    application = OperatorApplication("trefoilgw", VERSION)
+    application = OperatorApplication("trefoilgw", version())
     application.auto_exits(False)
     for command in COMMANDS:
         application.add(command())
--- a/trefoilgw/cli/record_commands.py
+++ b/trefoilgw/cli/record_commands.py
@@ -10,13 +10,16 @@
 from trefoilgw.cli import base
 from trefoilgw.cli import files
 from trefoilgw.cli import report
+from trefoilgw.cli import retention
 from trefoilgw.cli import writes
 from trefoilgw.findings import core as findings
 from trefoilgw.records import checks
 from trefoilgw.records import core as records
+from trefoilgw.registry import paths
 
 HISTORY_ENTRIES = 20
 HISTORY_LIMIT = 500
+REVISION_LIMIT = 10**paths.REVISION_DIGITS - 1
 
 REASON_OPTION = option(
     "reason", "r", "Why; kept in the audit trail. Required.", flag=False
@@ -95,7 +98,10 @@
         if self.option("dry-run"):
             return _dry_run(stored, draft)
         order = writes.Order(draft, operator.author, self.option("reason"))
-        return _told(self.make_writer(client).write(order, stored))
+        result = self.make_writer(client).write(order, stored)
+        if isinstance(result, writes.Applied):
+            retention.prune(client)
+        return _told(result)
 
     def make_writer(self, client: platform.Client) -> writes.Writer:
         """Returns the writer; replaced in tests."""
@@ -218,30 +224,43 @@
             flag=False,
             default=str(HISTORY_ENTRIES),
         ),
+        option(
+            "before",
+            "b",
+            "Only entries of revisions below this one.",
+            flag=False,
+        ),
     ]
     help = """\
 Shows who wrote each revision, when, why, on top of which revision, and what it
-changed.
+changed. The last line names the option that shows the entries before these. The
+newest 20,000 entries are kept.
 
-Exit codes: 0; 1 wrong limit; 2 the platform does not answer.
+Exit codes: 0; 1 wrong option; 2 the platform does not answer.
 """
 
     def check_input(self) -> list[findings.Finding]:
-        """Checks the limit."""
-        limit = self.option("limit")
-        if limit.isdecimal() and 1 <= int(limit) <= HISTORY_LIMIT:
-            return []
-        text = f"must be 1 to {HISTORY_LIMIT}, not {limit!r}"
-        return [findings.Finding("--limit", text)]
+        """Checks the limit and the revision."""
+        bounds = (
+            ("limit", self.option("limit"), HISTORY_LIMIT),
+            ("before", self.option("before") or "1", REVISION_LIMIT),
+        )
+        return [
+            findings.Finding(f"--{name}", f"must be 1 to {most}, not {text!r}")
+            for name, text, most in bounds
+            if not _within(text, most)
+        ]
 
     def run_with(self, client, operator) -> report.Report:
-        """Reads the newest entries."""
+        """Reads one page of entries."""
+        before = self.option("before")
         page = client.range(
             platform.Read(
                 registry.AUDIT_PREFIX,
                 prefix=True,
                 limit=int(self.option("limit")),
                 newest_first=True,
+                before=registry.audit_key(int(before)) if before else "",
             )
         )
         if not isinstance(page, platform.Page):
@@ -257,10 +276,25 @@
                 continue
             entries.append(attrs.asdict(entry))
             lines += _entry_lines(entry)
-        values = {"entries": entries, "unreadable": errors, "more": page.more}
+        values = {
+            "entries": entries,
+            "unreadable": errors,
+            "more": page.more,
+            "next_before": None,
+        }
+        if page.more:
+            oldest = registry.audit_revision(page.items[-1].key)
+            values["next_before"] = oldest
+            lines.append(f"older entries: --before {oldest}")
         return report.Report(report.OK, values, lines, errors)
 
 
+def _within(text: str, most: int) -> bool:
+    """Returns whether a text is a number from 1 to `most`."""
+    short = len(text) <= paths.REVISION_DIGITS
+    return short and text.isdecimal() and 1 <= int(text) <= most
+
+
 def _dry_run(
     stored: writes.Stored, draft: records.Configuration
 ) -> report.Report:
--- a/trefoilgw/cli/tests/test_main.py
+++ b/trefoilgw/cli/tests/test_main.py
@@ -3,8 +3,10 @@
 import json
 import pathlib
 import tempfile
+import tomllib
 import unittest
 import urllib.parse
+from unittest import mock
 
 import eventlet
 from cleo.testers.application_tester import ApplicationTester
@@ -14,6 +16,7 @@
 from trefoilgw import platform
 from trefoilgw import registry
 from trefoilgw.cli import main
+from trefoilgw.cli import retention
 from trefoilgw.messages import core as messages
 
 SAMPLES = pathlib.Path(__file__).resolve().parents[3] / "tools" / "samples"
@@ -179,6 +182,50 @@
         revisions = [entry["revision"] for entry in found["entries"]]
         self.assertEqual([4, 3, 2, 1], revisions)
 
+    def test_history_in_pages(self):
+        """A page must not read the whole trail, nor skip or repeat entries."""
+        self.run_command(f"apply {SAMPLES / 'cobre-calco.json'} -r first")
+        for number in range(4):
+            self.run_command(f"drain t-{number} -r host")
+        before, pages = "", []
+        while before is not None:
+            text = f"history -l 2 {f'--before {before}' if before else ''}"
+            self.server.calls.clear()
+            _, found = self.run_json(text)
+            self.assertEqual({"range": 1}, dict(self.server.calls))
+            pages.append([entry["revision"] for entry in found["entries"]])
+            before = found["next_before"]
+        self.assertEqual([[5, 4], [3, 2], [1]], pages)
+        _, output, _ = self.run_command("history -l 2 --before 4")
+        self.assertIn("older entries: --before 2", output)
+        for fault in ("0", "x", "-1", "9" * 13, "9" * 5000):
+            code, found = self.run_json(f"history --before={fault}")
+            self.assertEqual(1, code)
+            self.assertEqual("--before", found["findings"][0]["place"])
+
+    def test_pruning_never_fails_a_write(self):
+        """An operator must not take a written revision for a failed one."""
+        self.run_command(f"apply {SAMPLES / 'cobre-calco.json'} -r first")
+
+        def down(client):
+            self.server.switch(down=True)
+            return prune(client, 0)
+
+        prune = retention.prune
+        with mock.patch.object(retention, "prune", down):
+            code, output, _ = self.run_command("drain t-1 -r host")
+        self.assertEqual(0, code)
+        self.assertIn("revision 2 written", output)
+
+    def test_version_stands_in_the_project_file(self):
+        """The package and the command must not tell two versions."""
+        with main.PROJECT_FILE.open("rb") as file:
+            expected = tomllib.load(file)["project"]["version"]
+        self.assertIn(expected, self.run_command("--version", False)[1])
+        missing = self.folder / "none.toml"
+        with mock.patch.object(main, "PROJECT_FILE", missing):
+            self.assertIn(main.version(), (expected, "unknown"))
+
     def test_status(self):
         """Operators find lagging and ejected processes here."""
         first = self.entry(
--- /dev/null
+++ b/trefoilgw/cli/tests/test_retention.py
@@ -0,0 +1,65 @@
+"""The audit trail is bounded and loses only its oldest entries."""
+
+import unittest
+
+from tools.standins import kv
+from trefoilgw import platform
+from trefoilgw import registry
+from trefoilgw.cli import retention
+
+TIMEOUT_S = 60.0
+
+
+class PruneTest(unittest.TestCase):
+    def setUp(self):
+        self.server = kv.Server()
+        self.client = platform.Client(self.server.serve(), TIMEOUT_S)
+        self.addCleanup(self.server.close)
+        self.addCleanup(self.client.close)
+
+    def fill(self, count):
+        for revision in range(1, count + 1):
+            key = registry.audit_key(revision)
+            self.client.put(platform.Put(key, b"{}"))
+        self.client.put(platform.Put(registry.CONFIG_KEY, b"{}"))
+
+    def revisions(self):
+        page = self.client.range(
+            platform.Read(registry.AUDIT_PREFIX, prefix=True, keys_only=True)
+        )
+        return [registry.audit_revision(item.key) for item in page.items]
+
+    def test_prunes_the_oldest_up_to_a_limit(self):
+        """A long backlog must not end in one huge transaction."""
+        self.fill(130)
+        most = retention.PRUNED_LIMIT
+        for pruned, left in ((most, 80), (most, 30), (20, 10), (0, 10)):
+            self.assertEqual(pruned, retention.prune(self.client, 10))
+            self.assertEqual(list(range(131 - left, 131)), self.revisions())
+        found = self.client.get(registry.CONFIG_KEY)
+        self.assertIsInstance(found, platform.Value)
+
+    def test_faults_leave_the_rest_to_the_next_write(self):
+        self.fill(5)
+        faults = {
+            "down": ({"down": True}, 5),
+            "request lost": ({"lose_request": 1, "lose_kinds": ("txn",)}, 5),
+            "answer lost": ({"lose_answer": 1, "lose_kinds": ("txn",)}, 3),
+        }
+        for case, (switches, left) in faults.items():
+            with self.subTest(case):
+                self.server.switch(**switches)
+                self.assertEqual(0, retention.prune(self.client, 3))
+                self.server.switch()
+                self.assertEqual(left, len(self.revisions()))
+
+    def test_retention_keeps_a_short_trail(self):
+        self.fill(5)
+        self.server.calls.clear()
+        self.assertEqual(0, retention.prune(self.client))
+        self.assertEqual({"range": 1}, dict(self.server.calls))
+        self.assertEqual(5, len(self.revisions()))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilgw/platform/gateway.py
+++ b/trefoilgw/platform/gateway.py
@@ -37,7 +37,8 @@
     """Returns a range request."""
     fields = {"key": to_text(read.key.encode())}
     if read.prefix:
-        fields["range_end"] = to_text(range_end(read.key))
+        end = read.before.encode() or range_end(read.key)
+        fields["range_end"] = to_text(end)
     if read.keys_only:
         fields["keys_only"] = True
     if read.limit:
@@ -84,7 +85,8 @@
     """Returns the answer to a range request."""
     items = tuple(value_of(x) for x in answer.get("kvs", ()))
     revision = revision or int(answer["header"]["revision"])
-    return values.Page(items, revision, bool(answer.get("more", False)))
+    more = bool(answer.get("more", False))
+    return values.Page(items, revision, more, int(answer.get("count", 0)))
 
 
 def committed(answer: dict) -> values.Committed:
--- a/trefoilgw/platform/tests/test_core.py
+++ b/trefoilgw/platform/tests/test_core.py
@@ -66,6 +66,11 @@
         self.assertEqual(
             (["/b"], True), ([x.key for x in page.items], page.more)
         )
+        self.assertEqual(2, page.count)
+        page = self.client.range(
+            platform.Read("/", prefix=True, newest_first=True, before="/b")
+        )
+        self.assertEqual(["/a"], [x.key for x in page.items])
         whole, names = self.client.read_all(
             [
                 platform.Read("/a"),
--- a/trefoilgw/platform/values.py
+++ b/trefoilgw/platform/values.py
@@ -121,6 +121,7 @@
         keys_only: Leaves out the values.
         limit: Most keys to return; 0 for all.
         newest_first: Sorts by key in descending order.
+        before: With a prefix, only keys below this one, unless empty.
     """
 
     key: str
@@ -128,6 +129,7 @@
     keys_only: bool = False
     limit: int = 0
     newest_first: bool = False
+    before: str = ""
 
 
 @attrs.frozen
@@ -138,11 +140,13 @@
         items: The keys, in order.
         revision: The service's revision at the time.
         more: True if the limit cut keys off.
+        count: Keys in the range, also those that the limit cut off.
     """
 
     items: tuple[Value, ...]
     revision: int
     more: bool = False
+    count: int = 0
 
 
 Failure = Unavailable | Rejected
