Serve the metrics of a process that leaves ssl out

The agent keeps ssl from being imported, and prometheus_client imports it at its top, so every GET /metrics at an agent closed the connection without an answer. Seen with a fleet of 3 entries and 11 agents. A test scrapes a process without ssl and failed before this change.

--- a/trefoilgw/metrics/core.py
+++ b/trefoilgw/metrics/core.py
@@ -6,8 +6,11 @@
 """
 
 import bisect
+import importlib
 import itertools
 import logging
+import sys
+import types
 from collections.abc import Callable
 from collections.abc import Iterable
 
@@ -193,14 +196,12 @@
         Returns:
             The Prometheus text form in UTF-8; see `CONTENT_TYPE`.
         """
-        import prometheus_client  # Late: see the module's docstring.
-
+        prometheus_client = _load_library()
         return prometheus_client.generate_latest(self)
 
     def collect(self) -> Iterable:
         """Yields the families as prometheus_client has them."""
-        import prometheus_client  # Late: see the module's docstring.
-
+        prometheus_client = _load_library()
         for family in self.families.values():
             yield _exposed(family)
         yield from prometheus_client.ProcessCollector(registry=None).collect()
@@ -213,6 +214,27 @@
         return family
 
 
+def _load_library():
+    """Returns prometheus_client, loaded late; see the module's docstring.
+
+    It imports `ssl` for its own server and for pushes, neither of which is
+    used here. An agent leaves `ssl` out, since OpenSSL takes 4.7 MB, so names
+    without a function stand in for it while the library is loaded.
+    """
+    left_out = "ssl" in sys.modules and sys.modules["ssl"] is None
+    if not left_out:
+        return importlib.import_module("prometheus_client")
+    names = ("SSLContext", "TLSVersion")
+    substitute = types.ModuleType("ssl")
+    substitute.__dict__.update({name: type(name, (), {}) for name in names})
+    substitute.PROTOCOL_TLS_CLIENT = substitute.PROTOCOL_TLS_SERVER = None
+    sys.modules["ssl"] = substitute
+    try:
+        return importlib.import_module("prometheus_client")
+    finally:
+        sys.modules["ssl"] = None
+
+
 def _exposed(family):
     """Returns a family as prometheus_client has it."""
     from prometheus_client import metrics_core  # Late, as above.
--- a/trefoilgw/metrics/tests/test_core.py
+++ b/trefoilgw/metrics/tests/test_core.py
@@ -105,6 +105,21 @@
         )
         self.assertEqual(0, done.returncode)
 
+    def test_process_without_ssl_is_scraped(self):
+        """The agent leaves OpenSSL out, and its library imports it."""
+        code = (
+            "import sys; sys.modules['ssl'] = None;"
+            "from trefoilgw.metrics import core;"
+            "registry = core.Registry(); registry.counter('n', 'N').add(3);"
+            "text = [registry.exposition() for _ in range(2)][1];"
+            "assert b'trefoilgw_n_total 3.0' in text;"
+            "sys.exit(sys.modules['ssl'] is not None)"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", code], check=False, cwd=ROOT
+        )
+        self.assertEqual(0, done.returncode)
+
 
 if __name__ == "__main__":
     unittest.main()
