Refuse a doubled dispatch whose record has gone

Cause: a struck task has no start mark, so the record of its batch was the only thing against a second copy of the dispatch. The record goes with the home's acknowledgement, and a batch refused for lack of room never had one. A copy that came later was accepted and could start a task that the home had been told would not run.

Batches of a home come in the order of their numbers, so a number up to the highest one without a record any more is taken as a duplicate.

test_full_table_refuses_or_drops_ended_records accepted a refused batch number again, which is this fault: a home never uses a number twice. It now expects the copy to be refused and the next number to be accepted.

Before: the new test got ACCEPTED. After: DUPLICATE; the ledger and slots tests pass.

--- a/trefoilgw/ledger/core.py
+++ b/trefoilgw/ledger/core.py
@@ -130,17 +130,21 @@
         """Opens the record of a batch that arrived.
 
         A batch that was struck before it arrived counts as a duplicate: its
-        answer has been given.
+        answer has been given. So does one whose record may have been dropped:
+        a home sends its batches in the order of their numbers.
         """
         if not self.sessions.current(entry, session):
             return Receipt.FENCED
         if self.records.get(entry, batch) is not None:
             return Receipt.DUPLICATE
+        if self.records.may_have_dropped(entry, batch):
+            return Receipt.DUPLICATE
         tasks = dict.fromkeys(indices, records_module.State.QUEUED)
         record = records_module.BatchRecord(
             entry, batch, job, tasks, len(tasks), now_s
         )
         if not self.records.add(record):
+            self.records.refuse(entry, batch)
             return Receipt.FULL
         return Receipt.ACCEPTED
 
--- a/trefoilgw/ledger/records.py
+++ b/trefoilgw/ledger/records.py
@@ -78,7 +78,8 @@
             dropped and become `NOT_KEPT`.
         records: By (entry, batch).
         result_bytes: Size of the results that are kept.
-        dropped_batches: Highest number of a dropped record, by entry.
+        dropped_batches: Highest number of a batch whose record was dropped
+            or had no room, by entry.
     """
 
     limit_records: int = LIMIT_RECORDS
@@ -125,8 +126,12 @@
         if record.result_bytes:
             self.drop_results(record)
         del self.records[record.entry, record.batch]
-        highest = self.dropped_batches.get(record.entry, -1)
-        self.dropped_batches[record.entry] = max(highest, record.batch)
+        self.refuse(record.entry, record.batch)
+
+    def refuse(self, entry: str, batch: int) -> None:
+        """Counts a batch without a record as dropped: it may not return."""
+        highest = self.dropped_batches.get(entry, -1)
+        self.dropped_batches[entry] = max(highest, batch)
 
     def drop_results(self, record: BatchRecord) -> None:
         """Replaces the results of a record by `NOT_KEPT`."""
--- a/trefoilgw/ledger/tests/test_core.py
+++ b/trefoilgw/ledger/tests/test_core.py
@@ -168,6 +168,16 @@
                 event(ledger)
                 self.assertEqual(expected, receive(ledger, session=session))
 
+    def test_doubled_dispatch_after_its_record_has_gone(self):
+        """A struck task has no mark, so its dropped record must still count."""
+        ledger = opened()
+        self.assertEqual(ledger_core.Receipt.ACCEPTED, receive(ledger))
+        struck = outcomes.NotRun(outcomes.Reason.NO_SLOT)
+        ledger.strike(ENTRY, 1, struck, 0.0)
+        ledger.acknowledged(ENTRY, (1,))
+        self.assertEqual(ledger_core.Receipt.DUPLICATE, receive(ledger))
+        self.assertEqual(ledger_core.Receipt.ACCEPTED, receive(ledger, batch=2))
+
     def test_full_table_refuses_or_drops_ended_records(self):
         """Open records must stay; an ended one makes room."""
         ledger = opened(session=2, limit_records=2)
@@ -176,7 +186,9 @@
         full = receive(ledger, batch=3, session=2)
         self.assertEqual(ledger_core.Receipt.FULL, full)
         finish(ledger, index=1, batch=2)
-        made = receive(ledger, batch=3, session=2)
+        again = receive(ledger, batch=3, session=2)
+        self.assertEqual(ledger_core.Receipt.DUPLICATE, again)
+        made = receive(ledger, batch=4, session=2)
         self.assertEqual(ledger_core.Receipt.ACCEPTED, made)
         self.assertIsNotNone(ledger.records.get(ENTRY, 1))
         self.assertIsNone(ledger.records.get(ENTRY, 2))
