Issue tickets for this entry and its peers in turn

Peers tell the window of their tickets in their heartbeat. The heartbeat's free credits counted agents once per service; they now count once.

--- a/trefoilgw/entry/peers.py
+++ b/trefoilgw/entry/peers.py
@@ -42,6 +42,7 @@
         free_credits: Credits that it could lend, as last heard.
         revision: Configuration revision that it named last.
         leaving: True if it is stopping.
+        window: Window of its tickets, as last heard; -1 before.
         pending: Requests that were forwarded to it and have no answer.
     """
 
@@ -52,6 +53,7 @@
     free_credits: int = 0
     revision: int = 0
     leaving: bool = False
+    window: int = -1
     pending: dict = attrs.field(factory=dict)
 
 
@@ -149,13 +151,15 @@
     def ping(self) -> None:
         """Sends a heartbeat to every peer."""
         now_s = self.host.read_clock()
-        free = sum(map(self.host.placement.free, self.host.services))
+        # Services share agents, so their free credits must not be added up.
+        free = self.host.placement.book.free
         message = messages.PeerPing(
             now_s,
             self.config.revision,
             self.host.roster.epoch,
             free,
             self.host.leaving,
+            self.host.windows.current(now_s),
         )
         for peer in list(self.host.peers.values()):
             self.host.send(peer.stream, message)
@@ -364,6 +368,7 @@
         peer.free_credits = ping.free_credits
         peer.revision = ping.revision
         peer.leaving = ping.leaving
+        peer.window = ping.window
         if ping.revision > self.config.revision:
             self.host.send(peer.stream, messages.ConfigWant())
 
--- a/trefoilgw/entry/routing.py
+++ b/trefoilgw/entry/routing.py
@@ -20,6 +20,8 @@
 
 TICKETS_LIMIT = 1000
 NONCE_BITS = 64
+# Tickets of a peer that was silent for longer are not issued.
+PEER_FRESH_S = 2.5
 # Extra time for the home's answer, above what the caller waits.
 FORWARD_GRACE_S = 3.0
 
@@ -59,15 +61,46 @@
         return reply
 
     def issue(self, count: int) -> list[str]:
-        """Returns new tickets of this entry."""
-        return [keys.format_key(self._new_ticket()) for _ in range(count)]
+        """Returns new tickets, in turn of this entry and of its peers.
+
+        Notes:
+            A caller uses up a batch in a row. If all its tickets named one
+            home, that home would get the caller's whole load for a while.
+        """
+        homes = self._homes()
+        tickets = []
+        for number in range(count):
+            incarnation, window = homes[number % len(homes)]
+            ticket = keys.Ticket(incarnation, window, self._nonce())
+            tickets.append(keys.format_key(ticket))
+        return tickets
+
+    def _homes(self) -> list[tuple[str, int]]:
+        """Returns the entries whose tickets are issued, and their windows.
+
+        Notes:
+            A peer's window is that of its last heartbeat. It accepts older
+            windows too, so a window that ended since does no harm.
+        """
+        host = self.host
+        now_s = host.read_clock()
+        homes = [(host.incarnation, host.windows.current(now_s))]
+        for incarnation, peer in host.peers.items():
+            heard = now_s - peer.heard_s < PEER_FRESH_S
+            if heard and peer.window >= 0 and not peer.leaving:
+                homes.append((incarnation, peer.window))
+        host.rng.shuffle(homes)
+        return homes
 
     def _new_ticket(self) -> keys.Ticket:
         """Returns a new ticket of this entry."""
         host = self.host
         window = host.windows.current(host.read_clock())
-        nonce = f"{host.rng.getrandbits(NONCE_BITS):016x}"
-        return keys.Ticket(host.incarnation, window, nonce)
+        return keys.Ticket(host.incarnation, window, self._nonce())
+
+    def _nonce(self) -> str:
+        """Returns what makes a ticket unique."""
+        return f"{self.host.rng.getrandbits(NONCE_BITS):016x}"
 
     def serve(self, peer: peers.Peer, forward: messages.Forward) -> None:
         """Answers a request that a peer forwarded."""
--- a/trefoilgw/messages/core.py
+++ b/trefoilgw/messages/core.py
@@ -348,6 +348,7 @@
         epoch: Roster epoch known to the sender.
         free_credits: Credits that the sender could lend.
         leaving: True if the sender is stopping.
+        window: Current window of the sender's tickets, -1 if not told.
     """
 
     sent_s: float
@@ -355,6 +356,7 @@
     epoch: int
     free_credits: int
     leaving: bool
+    window: int = -1
 
 
 @message(31)
