--- a/trefoilgw/agent/connections.py
+++ b/trefoilgw/agent/connections.py
@@ -23,7 +23,7 @@
 # An address that failed this often in a row counts as unreachable.
 UNREACHABLE_FAILURES = 3
 # Results and a configuration of 1 MB fit; the agent has 32 MB in all.
-OUTBOX_LIMIT_BYTES = 4 * 1024 * 1024
+OUTBOX_LIMIT_BYTES = 3 * 1024 * 1024
 
 log = logging.getLogger(__name__)
 
--- a/trefoilgw/slots/batches.py
+++ b/trefoilgw/slots/batches.py
@@ -8,9 +8,11 @@
 from trefoilgw.outcomes import core as outcomes
 from trefoilgw.slots import actions
 
-# Outcomes of an unfinished batch above this size are sent early, so that a
-# large batch does not hold all its results in the agent's memory.
-FLUSH_BYTES = 256 * 1024
+# Outcomes of unfinished batches above this size are sent early, so that large
+# batches do not hold all their results in the agent's memory. It is divided
+# among the open batches.
+FLUSH_BYTES = 1024 * 1024
+FLUSH_SHARES_MIN = 4
 # A frame may have 8 MB; smaller ones keep heartbeats from waiting long.
 DONE_FRAME_BYTES = 1024 * 1024
 # Room for the fields of an outcome besides its texts.
--- a/trefoilgw/slots/execution.py
+++ b/trefoilgw/slots/execution.py
@@ -121,7 +121,8 @@
         if batch.finished:
             return self._finish(batch, batch.booked, now_s)
         found = []
-        if batch.pending_bytes > batches.FLUSH_BYTES:
+        shares = max(batches.FLUSH_SHARES_MIN, len(self.open))
+        if batch.pending_bytes > batches.FLUSH_BYTES // shares:
             found += batches.done_actions(
                 batch.entry,
                 batch.number,
