Let the metrics load where urllib.request came without ssl

In a running agent, urllib.request is loaded before the first scrape and lacks HTTPSHandler, which prometheus_client imports. The test now loads it first, as the agent does.

--- a/trefoilgw/metrics/core.py
+++ b/trefoilgw/metrics/core.py
@@ -217,22 +217,25 @@
 def _load_library():
     """Returns prometheus_client, loaded late; see the module's docstring.
 
-    It imports `ssl` for its own server and for pushes, neither of which is
-    used here. An agent leaves `ssl` out, since OpenSSL takes 4.7 MB, so names
-    without a function stand in for it while the library is loaded.
+    It imports parts of `ssl` for its own server and for pushes, neither of
+    which is used here. An agent leaves `ssl` out, since OpenSSL takes 4.7 MB,
+    so names without a function stand in while the library is loaded.
     """
     left_out = "ssl" in sys.modules and sys.modules["ssl"] is None
-    if not left_out:
+    if not left_out or "prometheus_client" in sys.modules:
         return importlib.import_module("prometheus_client")
-    names = ("SSLContext", "TLSVersion")
     substitute = types.ModuleType("ssl")
-    substitute.__dict__.update({name: type(name, (), {}) for name in names})
+    substitute.SSLContext = substitute.TLSVersion = type("Unused", (), {})
     substitute.PROTOCOL_TLS_CLIENT = substitute.PROTOCOL_TLS_SERVER = None
+    # Loaded without ssl, it has no such handler.
+    request = importlib.import_module("urllib.request")
+    request.HTTPSHandler = object
     sys.modules["ssl"] = substitute
     try:
         return importlib.import_module("prometheus_client")
     finally:
         sys.modules["ssl"] = None
+        del request.HTTPSHandler
 
 
 def _exposed(family):
--- a/trefoilgw/metrics/tests/test_core.py
+++ b/trefoilgw/metrics/tests/test_core.py
@@ -108,7 +108,7 @@
     def test_process_without_ssl_is_scraped(self):
         """The agent leaves OpenSSL out, and its library imports it."""
         code = (
-            "import sys; sys.modules['ssl'] = None;"
+            "import sys; sys.modules['ssl'] = None; import urllib.request;"
             "from trefoilgw.metrics import core;"
             "registry = core.Registry(); registry.counter('n', 'N').add(3);"
             "text = [registry.exposition() for _ in range(2)][1];"
