Show why agents get no work, stopped kinds, addresses and fates

status did not say where a process is, why an agent is ejected, that a kind is stopped, or that a process is behind the stored revision. explain printed up to 310 fates one by one and did not name the agents of open batches.

status now has addresses, the verdict of the ejection with the time until the probe, stopped kinds, and marks of old revisions and epochs. explain counts tasks by fate and reason. Entries also count blocked agents, stopped kinds and calls to the platform.

--- a/trefoilgw/cli/fleet.py
+++ b/trefoilgw/cli/fleet.py
@@ -66,6 +66,10 @@
         entries: Entries that it is connected to.
         blocked: Entries that send it nothing, by reason, such as
             ``ejected``.
+        address: Its admin address, empty if it has none.
+        verdicts: What it was ejected for, as the entries say.
+        probation: Entries at which it is on probation.
+        ejected_for_s: Longest time until it is probed, 0 if not ejected.
     """
 
     name: str
@@ -74,6 +78,27 @@
     revision: int
     entries: int
     blocked: dict[str, int]
+    address: str = ""
+    verdicts: tuple[str, ...] = ()
+    probation: int = 0
+    ejected_for_s: float = 0.0
+
+
+@attrs.frozen
+class StoppedKind:
+    """A kind that entries stopped because it fails on most agents.
+
+    Attributes:
+        kind: Its name.
+        entries: Entries that stopped it.
+        failing_agents: Most agents at which it fails, as an entry saw it.
+        probe_in_s: Longest time until one job is let through.
+    """
+
+    kind: str
+    entries: int
+    failing_agents: int
+    probe_in_s: float
 
 
 def locate(client: platform.Client, seeds: Iterable[str]) -> Located:
@@ -131,9 +156,16 @@
             row = rows.get(incarnation)
             if row is None:
                 row = AgentRow(
-                    item["agent"], incarnation, item["domain"], 0, 0, {}
+                    item["agent"],
+                    incarnation,
+                    item["domain"],
+                    0,
+                    0,
+                    {},
+                    item.get("admin_address", ""),
                 )
             blocked = dict(row.blocked)
+            verdict = item.get("verdict") if item.get("ejected_for_s") else ""
             for reason in item.get("blocked", ()):
                 blocked[reason] = blocked.get(reason, 0) + 1
             rows[incarnation] = attrs.evolve(
@@ -141,10 +173,31 @@
                 revision=max(row.revision, item["revision"]),
                 entries=row.entries + 1,
                 blocked=blocked,
+                verdicts=row.verdicts + ((verdict,) if verdict else ()),
+                probation=row.probation + bool(item.get("probation")),
+                ejected_for_s=max(
+                    row.ejected_for_s, item.get("ejected_for_s") or 0.0
+                ),
             )
     return sorted(rows.values(), key=lambda row: (row.name, row.incarnation))
 
 
+def stopped_kinds(replies: Iterable[Reply]) -> list[StoppedKind]:
+    """Returns the stopped kinds, each once, by name."""
+    found: dict[str, StoppedKind] = {}
+    for reply in replies:
+        for item in reply.values.get("stopped_kinds", ()):
+            name = item["kind"]
+            known = found.get(name, StoppedKind(name, 0, 0, 0.0))
+            found[name] = StoppedKind(
+                name,
+                known.entries + 1,
+                max(known.failing_agents, item["failing_agents"]),
+                max(known.probe_in_s, item["probe_in_s"]),
+            )
+    return [found[name] for name in sorted(found)]
+
+
 def _request(path: str) -> Callable[[tuple[str, str]], Reply]:
     """Returns a function that asks one entry."""
 
--- a/trefoilgw/cli/fleet_commands.py
+++ b/trefoilgw/cli/fleet_commands.py
@@ -1,7 +1,5 @@
 """Commands that ask the running processes."""
 
-from collections.abc import Sequence
-
 import attrs
 from cleo.helpers import argument
 from cleo.helpers import option
@@ -9,13 +7,10 @@
 from trefoilgw.cli import base
 from trefoilgw.cli import fleet
 from trefoilgw.cli import report
+from trefoilgw.cli import shown
 from trefoilgw.findings import core as findings
 from trefoilgw.settings import checks
 
-# Reasons for which an entry sends nothing to an agent and that an operator
-# has to look into; draining and leaving are planned.
-EJECTED = "ejected"
-
 ENTRY_OPTION = option(
     "entry",
     "e",
@@ -59,8 +54,11 @@
     description = "Shows the processes and the revision in force at each."
     help = """\
 Reads the roster at the platform and asks each entry. Shows the entries, the
-agents connected to them, the revision in force at each process, and which
-agents get no work and why (ejected, suspected, draining, leaving).
+agents connected to them, the admin address of each, the revision in force
+(marked if it is behind the stored one), which agents get no work and why
+(ejected, suspected, draining, leaving), and kinds that were stopped because
+they fail on most agents. What an entry says of an agent's revision is up to a
+second old.
 
 While the platform is down, name an entry's admin address with
 <info>--entry</info>; the others are found through it.
@@ -72,6 +70,7 @@
         """Asks each entry for its state."""
         replies = fleet.ask(located.addresses, "/admin/status")
         agents = fleet.agents(replies)
+        kinds = fleet.stopped_kinds(replies)
         stored = located.stored.revision if located.stored else None
         values = {
             "stored_revision": stored,
@@ -79,6 +78,7 @@
             "platform_error": located.error,
             "entries": [attrs.asdict(reply) for reply in replies],
             "agents": [attrs.asdict(row) for row in agents],
+            "stopped_kinds": [attrs.asdict(row) for row in kinds],
         }
         answered = any(reply.values for reply in replies)
         errors = [
@@ -91,7 +91,7 @@
         return report.Report(
             report.OK if answered else report.UNAVAILABLE,
             values,
-            _status_lines(located, replies, agents),
+            shown.status_lines(located, replies, agents, kinds),
             errors,
         )
 
@@ -106,8 +106,8 @@
     ]
     help = """\
 Asks every entry about a job, since only its home knows it. Shows the state, the
-reason if it failed, the agents that have open batches, and the fates of the
-tasks.
+reason if it failed, the agents that have open batches, and how many tasks have
+which fate; with <info>--json</info>, the fate of each task.
 
 Exit codes: 0 found; 1 no entry knows the job; 2 no entry answers.
 """
@@ -128,73 +128,9 @@
         ]
         values = {"job": job, "jobs": jobs, "errors": errors}
         if jobs:
-            lines = [line for row in jobs for line in _job_lines(row)]
+            lines = [line for row in jobs for line in shown.job_lines(row)]
             return report.Report(report.OK, values, lines, errors)
         if len(errors) == len(replies):
             return report.Report(report.UNAVAILABLE, values, errors=errors)
         text = f"no entry that answered knows the job {job}"
         return report.Report(report.FINDINGS, values, errors=[*errors, text])
-
-
-def _status_lines(
-    located: fleet.Located,
-    replies: Sequence[fleet.Reply],
-    agents: Sequence[fleet.AgentRow],
-) -> list[str]:
-    """Returns the state of the fleet as text."""
-    stored = located.stored.revision if located.stored else "unknown"
-    rows = [
-        (
-            "entry",
-            reply.incarnation,
-            reply.values.get("domain", ""),
-            reply.values.get("revision", "?"),
-            _entry_state(reply),
-        )
-        for reply in replies
-    ]
-    rows += [
-        ("agent", row.name, row.domain, row.revision, _agent_state(row))
-        for row in agents
-    ]
-    header = ("role", "name", "domain", "revision", "state")
-    ejected = [row for row in agents if EJECTED in row.blocked]
-    return [
-        f"stored revision {stored}, epoch {located.epoch}, "
-        f"{len(replies)} entries, {len(agents)} agents, {len(ejected)} ejected",
-        *report.table(header, rows),
-    ]
-
-
-def _entry_state(reply: fleet.Reply) -> str:
-    """Returns the state of an entry in a few words."""
-    if not reply.values:
-        return "no answer"
-    state = "leaving" if reply.values.get("leaving") else "serving"
-    running = reply.values.get("jobs_running", 0)
-    queued = reply.values.get("jobs_queued", 0)
-    return f"{state}, {running} jobs running, {queued} queued"
-
-
-def _agent_state(row: fleet.AgentRow) -> str:
-    """Returns the state of an agent in a few words."""
-    if not row.blocked:
-        return f"usable at {row.entries} entries"
-    return ", ".join(
-        f"{reason} at {count} of {row.entries} entries"
-        for reason, count in sorted(row.blocked.items())
-    )
-
-
-def _job_lines(row: dict) -> list[str]:
-    """Returns what is known about a job as text."""
-    return [f"{name}: {_cell(value)}" for name, value in row.items()] + [""]
-
-
-def _cell(value: object) -> str:
-    """Returns a value of a job on one line."""
-    if isinstance(value, list):
-        return ", ".join(_cell(item) for item in value) or "-"
-    if isinstance(value, dict):
-        return " ".join(f"{key}={inner}" for key, inner in value.items())
-    return str(value)
--- /dev/null
+++ b/trefoilgw/cli/shown.py
@@ -0,0 +1,162 @@
+"""Text of `trefoilgw status` and `trefoilgw explain`."""
+
+import collections
+from collections.abc import Sequence
+
+from trefoilgw.cli import fleet
+from trefoilgw.cli import report
+
+HEADER = ("role", "name", "domain", "address", "revision", "state")
+# Task numbers shown per fate; a job has up to 310 tasks.
+SHOWN_TASKS = 12
+
+
+def status_lines(
+    located: fleet.Located,
+    replies: Sequence[fleet.Reply],
+    agents: Sequence[fleet.AgentRow],
+    kinds: Sequence[fleet.StoppedKind],
+) -> list[str]:
+    """Returns the state of the fleet."""
+    stored = located.stored.revision if located.stored else 0
+    rows = [
+        (
+            "entry",
+            reply.incarnation,
+            reply.values.get("domain", ""),
+            reply.address,
+            _revision(reply.values.get("revision"), stored),
+            _entry_state(reply, located.epoch),
+        )
+        for reply in replies
+    ]
+    rows += [
+        (
+            "agent",
+            row.name,
+            row.domain,
+            row.address or "-",
+            _revision(row.revision, stored),
+            _agent_state(row),
+        )
+        for row in agents
+    ]
+    lines = [_summary(located, replies, agents), *report.table(HEADER, rows)]
+    lines += [
+        f"kind {kind.kind} is stopped at {kind.entries} of {len(replies)} "
+        f"entries: fails at {kind.failing_agents} agents, probed in "
+        f"{kind.probe_in_s:.0f} s"
+        for kind in kinds
+    ]
+    return lines
+
+
+def job_lines(row: dict) -> list[str]:
+    """Returns what a home knows about a job.
+
+    Args:
+        row: Fields of a row of ``/admin/jobs``, and ``home``.
+    """
+    head = {name: row.get(name) for name in ("key", "customer", "home")}
+    lines = [f"{name}: {value}" for name, value in head.items() if value]
+    reason = f", {row['reason']}" if row.get("reason") else ""
+    lines.append(f"state: {row['state']}{reason}")
+    if not row.get("tasks"):
+        lines.append("its answer is no longer kept")
+        return [*lines, ""]
+    lines.append(f"kind: {row['kind']}, {row['tasks']} tasks")
+    lines.append(_time_line(row["age_s"], row["deadline_in_s"]))
+    if row["waiting"]:
+        lines.append(f"waiting for a credit: {row['waiting']} tasks")
+    lines += [
+        f"batch {batch['batch']}: {batch['tasks']} tasks open at "
+        f"{batch.get('name') or 'an agent that is gone'} ({batch['agent']})"
+        for batch in row["open_batches"]
+    ]
+    return [*lines, *_fate_lines(row["fates"]), ""]
+
+
+def _time_line(age_s: float, deadline_in_s: float) -> str:
+    """Returns age and deadline of a job."""
+    deadline = (
+        f"deadline in {deadline_in_s:.1f} s"
+        if deadline_in_s > 0
+        else f"deadline {-deadline_in_s:.1f} s ago"
+    )
+    return f"accepted {age_s:.1f} s ago, {deadline}"
+
+
+def _fate_lines(fates: Sequence[str]) -> list[str]:
+    """Returns how many tasks have which fate, and the first of them."""
+    tasks = collections.defaultdict(list)
+    for index, fate in enumerate(fates):
+        tasks[fate].append(index)
+    lines = []
+    for fate, indices in sorted(tasks.items(), key=lambda item: item[1]):
+        plural = "s" if len(indices) > 1 else ""
+        line = f"{len(indices)} task{plural} {fate}"
+        if len(tasks) > 1 and fate != "completed":
+            numbers = ", ".join(map(str, indices[:SHOWN_TASKS]))
+            more = ", ..." if len(indices) > SHOWN_TASKS else ""
+            line += f" (number {numbers}{more})"
+        lines.append(line)
+    return lines
+
+
+def _summary(
+    located: fleet.Located,
+    replies: Sequence[fleet.Reply],
+    agents: Sequence[fleet.AgentRow],
+) -> str:
+    """Returns the numbers of the fleet."""
+    stored = located.stored.revision if located.stored else "unknown"
+    blocked = collections.Counter(
+        reason for row in agents for reason in row.blocked
+    )
+    parts = [
+        f"stored revision {stored}",
+        f"epoch {located.epoch or 'unknown'}",
+        f"{len(replies)} entries",
+        f"{len(agents)} agents",
+    ]
+    parts += [f"{count} {reason}" for reason, count in sorted(blocked.items())]
+    return ", ".join(parts)
+
+
+def _revision(revision: int | None, stored: int) -> str:
+    """Returns the revision in force, marked if it is not the stored one."""
+    if revision is None:
+        return "?"
+    return f"{revision} (behind)" if revision < stored else str(revision)
+
+
+def _entry_state(reply: fleet.Reply, epoch: int) -> str:
+    """Returns the state of an entry in a few words."""
+    values = reply.values
+    if not values:
+        return "no answer"
+    state = "leaving" if values.get("leaving") else "serving"
+    parts = [
+        state,
+        f"{values.get('jobs_running', 0)} jobs running",
+        f"{values.get('jobs_queued', 0)} queued",
+        f"{len(values.get('agents', ()))} agents",
+        f"{len(values.get('peers', ()))} peers",
+    ]
+    known = values.get("epoch", epoch)
+    if known < epoch:
+        parts.append(f"epoch {known} (behind)")
+    return ", ".join(parts)
+
+
+def _agent_state(row: fleet.AgentRow) -> str:
+    """Returns the state of an agent in a few words."""
+    parts = [
+        f"{reason} at {count} of {row.entries} entries"
+        for reason, count in sorted(row.blocked.items())
+    ] or [f"usable at {row.entries} entries"]
+    if row.verdicts:
+        parts.append(f"{row.verdicts[0]}, probed in {row.ejected_for_s:.0f} s")
+    if row.probation:
+        parts.append(f"on probation at {row.probation}")
+    return "; ".join(parts)
--- a/trefoilgw/cli/tests/test_main.py
+++ b/trefoilgw/cli/tests/test_main.py
@@ -228,31 +228,50 @@
 
     def test_status(self):
         """Operators find lagging and ejected processes here."""
+        ejected = {
+            "blocked": ["ejected"],
+            "ejected_for_s": 7.2,
+            "verdict": "100% of its tasks failed, 0% at other agents",
+        }
+        stopped = {"kind": "k", "failing_agents": 6, "probe_in_s": 12.0}
         first = self.entry(
             "a" * 16,
             {
                 "revision": 5,
-                "agents": [agent("t1", blocked=["ejected"]), agent("t2")],
+                "agents": [agent("t1", **ejected), agent("t2")],
+                "stopped_kinds": [stopped],
             },
         )
         second = self.entry(
             "b" * 16,
             {
                 "revision": 4,
+                "epoch": 0,
                 "leaving": True,
-                "agents": [agent("t1", revision=5)],
+                "agents": [agent("t1", revision=5, probation=True)],
             },
         )
         gone = messages.RosterEntry("c" * 16, "", "127.0.0.1:1", "d1")
         self.write_roster(first, second, gone)
+        data = json.dumps({"revision": 5}).encode()
+        client = platform.Client(self.server.address)
+        self.addCleanup(client.close)
+        client.put(platform.Put(registry.CONFIG_KEY, data))
         code, output, errors = self.run_command("status")
         self.assertEqual(0, code)
-        self.assertRegex(output, f"entry +{'a' * 16} +5 +serving")
-        self.assertRegex(output, f"entry +{'b' * 16} +4 +leaving")
-        self.assertRegex(output, f"entry +{'c' * 16} +[?] +no answer")
-        self.assertRegex(output, "agent +t1 +d1 +5 +ejected at 1 of 2")
-        self.assertRegex(output, "agent +t2 +d1 +4 +usable at 1")
+        self.assertRegex(output, f"entry +{'a' * 16} +127[.0-9:]+ +5 +serving")
+        self.assertRegex(
+            output, f"entry +{'b' * 16} .* 4 .behind. +leaving.*epoch 0 .behind"
+        )
+        self.assertRegex(output, f"entry +{'c' * 16} .* [?] +no answer")
+        self.assertRegex(
+            output,
+            "agent +t1 +d1 +- +5 +ejected at 1 of 2 entries; 100% of its tasks "
+            "failed, 0% at other agents, probed in 7 s; on probation at 1",
+        )
+        self.assertRegex(output, "agent +t2 +d1 +- +4 .behind. +usable at 1")
         self.assertIn("3 entries, 2 agents, 1 ejected", output)
+        self.assertIn("kind k is stopped at 1 of 3 entries: fails at 6", output)
         self.assertIn("127.0.0.1:1 does not answer", errors)
 
     def test_status_while_the_platform_is_down(self):
@@ -272,13 +291,41 @@
 
     def test_explain(self):
         job = "t1.a.1.f/%"
-        row = {"key": job, "state": "failed", "fates": ["unknown: home_lost"]}
-        home = self.entry("a" * 16, {}, [row])
+        batch = {"batch": 7, "agent": "ab" * 8, "name": "t-1", "tasks": 2}
+        fates = ["completed"] * 3 + ["open"] * 2 + ["unknown: home_lost"] * 20
+        row = {
+            "key": job,
+            "customer": "c",
+            "state": "running",
+            "reason": "home_lost",
+            "kind": "k",
+            "age_s": 1.26,
+            "deadline_in_s": -0.5,
+            "tasks": 25,
+            "waiting": 4,
+            "open_batches": [batch],
+            "fates": fates,
+        }
+        old = {"key": "t1.b", "customer": "c", "state": "complete"}
+        home = self.entry("a" * 16, {}, [row, old])
         self.write_roster(self.entry("b" * 16, {}), home)
         code, output, _ = self.run_command(f"explain {job}")
         self.assertEqual(0, code)
-        self.assertIn(f"home: {'a' * 16}", output)
-        self.assertIn("fates: unknown: home_lost", output)
+        for line in (
+            f"home: {'a' * 16}",
+            "state: running, home_lost",
+            "kind: k, 25 tasks",
+            "accepted 1.3 s ago, deadline 0.5 s ago",
+            "waiting for a credit: 4 tasks",
+            f"batch 7: 2 tasks open at t-1 ({'ab' * 8})",
+            "3 tasks completed",
+            "2 tasks open (number 3, 4)",
+            "20 tasks unknown: home_lost (number 5, 6, 7, 8, 9, 10, 11, 12, "
+            "13, 14, 15, 16, ...)",
+        ):
+            self.assertIn(line, output.splitlines())
+        _, output, _ = self.run_command("explain t1.b")
+        self.assertIn("state: complete\nits answer is no longer kept", output)
         code, _, errors = self.run_command("explain other")
         self.assertEqual(1, code)
         self.assertIn("knows the job other", errors)
--- a/trefoilgw/entry/admin.py
+++ b/trefoilgw/entry/admin.py
@@ -67,7 +67,8 @@
         "free_credits": {
             name: host.placement.free(name) for name in host.services
         },
-        "agents": [_agent_row(s) for s in host.agents.values()],
+        "agents": [_agent_row(host, s) for s in host.agents.values()],
+        "stopped_kinds": _stopped_kinds(host),
         "peers": [_peer_row(p) for p in host.peers.values()],
     }
 
@@ -83,11 +84,35 @@
         customers = configuration.customers if configuration else ()
         ids = [f"{customer.name}:{key}" for customer in customers]
     found = [host.table.explain(job_id, now_s) for job_id in ids]
-    return [attrs.asdict(item) for item in found if item is not None]
-
-
-def _agent_row(session) -> dict:
+    rows = [attrs.asdict(item) for item in found if item is not None]
+    for row in rows:
+        for batch in row["open_batches"]:
+            session = host.agents.get(batch["agent"])
+            batch["name"] = session.hello.agent if session else ""
+            held = host.table.batches.by_number.get(batch["batch"])
+            batch["tasks"] = len(held.remaining) if held else 0
+    return rows
+
+
+def _stopped_kinds(host) -> list[dict]:
+    """Returns the kinds that are stopped as poison."""
+    now_s = host.now()
+    return [
+        {
+            "kind": name,
+            "failing_agents": len(record.failing),
+            "probe_in_s": host.outliers.retry_after_s(name, now_s),
+        }
+        for name, record in host.outliers.kinds.items()
+        if record.stopped_until_s is not None
+    ]
+
+
+def _agent_row(host, session) -> dict:
     """Returns one agent for operators."""
+    record = host.outliers.agents.get(session.agent)
+    until_s = record.ejected_until_s if record else None
+    ejected_for_s = None if until_s is None else max(0.0, until_s - host.now())
     return {
         "agent": session.hello.agent,
         "incarnation": session.agent,
@@ -98,6 +123,9 @@
         "revision": session.revision,
         "session": session.number,
         "blocked": sorted(session.blocked),
+        "probation": bool(record and record.on_probation),
+        "ejected_for_s": ejected_for_s,
+        "verdict": session.verdict,
     }
 
 
--- a/trefoilgw/entry/agents.py
+++ b/trefoilgw/entry/agents.py
@@ -33,6 +33,7 @@
         acked: Batches whose end the agent has not been told yet.
         revision: Configuration revision that the agent named last.
         blocked: Why the agent gets no work; empty if it does.
+        verdict: What it was ejected for; empty if it never was.
     """
 
     agent: str
@@ -42,6 +43,7 @@
     acked: list = attrs.field(factory=list)
     revision: int = 0
     blocked: set = attrs.field(factory=set)
+    verdict: str = ""
 
 
 @attrs.define(eq=False)
@@ -203,6 +205,7 @@
             match change:
                 case changes.Eject(agent=agent):
                     self.ejected.add(agent)
+                    self._keep_verdict(change)
                     self._block(agent, "ejected")
                 case changes.Probe(agent=agent):
                     self.ejected.discard(agent)
@@ -217,6 +220,15 @@
                     raise TypeError(f"unknown change {change!r}")
             log.warning("outcomes judged", extra={"change": repr(change)})
 
+    def _keep_verdict(self, change: changes.Eject) -> None:
+        """Keeps for operators why an agent was ejected."""
+        session = self.host.agents.get(change.agent)
+        if session is not None:
+            session.verdict = (
+                f"{change.failed_share:.0%} of its tasks failed, "
+                f"{change.expected_share:.0%} at other agents"
+            )
+
     def drain(self) -> None:
         """Blocks the agents that the configuration names as draining."""
         configuration = self.host.configuration
--- a/trefoilgw/entry/metrics.py
+++ b/trefoilgw/entry/metrics.py
@@ -1,8 +1,11 @@
 """Metrics of an entry, read from its counts and parts per scrape."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 
+import attrs
+
 from trefoilgw.metrics import core as metrics
 
 
@@ -64,9 +67,64 @@
     )
     for name, text, read in gauges:
         registry.read_gauge(name, text, _single(read))
+    registry.read_gauge(
+        "agents_blocked", "Agents without work", _blocked(host), "reason"
+    )
+    registry.read_gauge(
+        "kinds_stopped", "Kinds stopped as poison", _stopped(host)
+    )
+    _add_platform(registry, entry)
     return registry
 
 
+def _add_platform(registry: metrics.Registry, entry) -> None:
+    """Adds what the connection to the platform counts."""
+
+    def events() -> list[metrics.Sample]:
+        part = entry.registry
+        return _rows(attrs.asdict(part.counts))() if part else []
+
+    def client_count(field: str) -> Callable:
+        return _single(
+            lambda: (
+                getattr(entry.registry.client, field) if entry.registry else 0
+            )
+        )
+
+    registry.read_counter(
+        "registry_events", "Leases, roster and watch", events, "event"
+    )
+    for name, text, field in (
+        ("platform_calls", "Calls to the platform", "calls"),
+        ("platform_failures", "Calls without an answer", "failures"),
+    ):
+        registry.read_counter(name, text, client_count(field))
+
+
+def _blocked(host) -> Callable:
+    """Returns a reader of the agents that get no work, by reason."""
+
+    def read() -> list[metrics.Sample]:
+        found = collections.Counter(
+            reason
+            for session in host.agents.values()
+            for reason in session.blocked
+        )
+        return _rows(found)()
+
+    return read
+
+
+def _stopped(host) -> Callable:
+    """Returns a reader of the number of stopped kinds."""
+    return _single(
+        lambda: sum(
+            record.stopped_until_s is not None
+            for record in host.outliers.kinds.values()
+        )
+    )
+
+
 def _bytes(host, closed: dict, field: str) -> Callable:
     """Returns a reader of bytes by the role of the other side."""
 
--- a/trefoilgw/entry/tests/test_core.py
+++ b/trefoilgw/entry/tests/test_core.py
@@ -2,11 +2,14 @@
 
 import eventlet
 
+from trefoilgw.entry import admin
 from trefoilgw.entry import core
 from trefoilgw.entry import routing
 from trefoilgw.entry.tests import cluster
 from trefoilgw.entry.tests import rig
 from trefoilgw.keys import core as keys
+from trefoilgw.membership import changes
+from trefoilgw.membership import windows
 from trefoilgw.messages import core as messages
 
 
@@ -67,16 +70,16 @@
     def test_admin(self):
         """Operators must see state, metrics and jobs."""
         self.caller.submit()
-        admin = cluster.Caller(self.entry)
-        admin.address = self.entry.addresses["admin"]
-        _, status, _ = admin.request("GET", "/admin/status")
+        port = cluster.Caller(self.entry)
+        port.address = self.entry.addresses["admin"]
+        _, status, _ = port.request("GET", "/admin/status")
         self.assertEqual(1, status["revision"])
         self.assertEqual(["target"], [row["agent"] for row in status["agents"]])
         key = self.caller.ticket()
         self.caller.submit(key)
-        _, found, _ = admin.request("GET", f"/admin/jobs/{key}")
+        _, found, _ = port.request("GET", f"/admin/jobs/{key}")
         self.assertEqual("complete", found["jobs"][0]["state"])
-        self.assertEqual(404, admin.request("GET", "/admin/jobs/x")[0])
+        self.assertEqual(404, port.request("GET", "/admin/jobs/x")[0])
         text = self.entry.admin.registry.exposition().decode()
         for line in (
             'trefoilgw_messages_sent_total{type="RunBatch"} 2.0',
@@ -86,6 +89,33 @@
         ):
             self.assertIn(line, text)
 
+    def test_admin_tells_why_an_agent_gets_no_work(self):
+        """An operator must know whether to look at the agent or the kind."""
+        host = self.entry.host
+        ((agent, session),) = host.agents.items()
+        self.entry.agents._keep_verdict(changes.Eject(agent, 10.0, 0.9, 0.25))
+        session.blocked.add("ejected")
+        until_s = host.now() + 1000.0
+        host.outliers.agents[agent].ejected_until_s = until_s
+        kind = windows.KindRecord(failing={agent}, stopped_until_s=until_s)
+        host.outliers.kinds["k"] = kind
+        status = admin.status_of(self.entry)
+        (row,), (stopped,) = status["agents"], status["stopped_kinds"]
+        verdict = "90% of its tasks failed, 25% at other agents"
+        self.assertEqual(
+            (["ejected"], verdict), (row["blocked"], row["verdict"])
+        )
+        self.assertTrue(0 < row["ejected_for_s"] <= 1000)
+        self.assertEqual(("k", 1), (stopped["kind"], stopped["failing_agents"]))
+        text = self.entry.admin.registry.exposition().decode()
+        for line in (
+            'trefoilgw_agents_blocked{reason="ejected"} 1.0',
+            "trefoilgw_kinds_stopped 1.0",
+            'trefoilgw_registry_events_total{event="failed_polls"}',
+            "trefoilgw_platform_failures_total",
+        ):
+            self.assertIn(line, text)
+
 
 class PeersTest(unittest.TestCase):
     def setUp(self):
--- a/trefoilgw/jobs/explaining.py
+++ b/trefoilgw/jobs/explaining.py
@@ -41,13 +41,26 @@
         tasks=len(job.fates),
         waiting=len(job.waiting),
         open_batches=open_batches,
-        fates=tuple(
-            "open" if fate is None else type(fate).__name__.lower()
-            for fate in job.fates
-        ),
+        fates=tuple(_fate(fate) for fate in job.fates),
     )
 
 
+def _fate(fate: outcomes.Fate | None) -> str:
+    """Returns a fate and its reason, as ``unknown: deadline``."""
+    match fate:
+        case None:
+            return "open"
+        case outcomes.Completed():
+            return "completed"
+        case outcomes.Failed(reason=reason):
+            return f"failed: {reason}"
+        case outcomes.NotRun(reason=reason):
+            return f"not run: {reason}"
+        case outcomes.Unknown(reason=reason):
+            return f"unknown: {reason}"
+    raise TypeError(f"not a fate: {fate!r}")
+
+
 def _tombstone(job_id: str, state: model.State) -> model.Explanation:
     """Returns what is known about a job whose answer is gone."""
     customer, _, key = job_id.rpartition(":")
--- a/trefoilgw/jobs/tests/test_core.py
+++ b/trefoilgw/jobs/tests/test_core.py
@@ -500,3 +500,15 @@
             (1, 4.0, 6.0), (found.waiting, found.age_s, found.deadline_in_s)
         )
         self.assertIsNone(self.table.explain("cobre:none", 4.0))
+
+    def test_fates_come_with_their_reason(self):
+        """An operator must see why a task did not complete."""
+        job = self.submit(tasks=4).job
+        job.fates[:3] = [
+            outcomes.Completed(b"1"),
+            outcomes.NotRun(Reason.SIBLING_FAILED),
+            outcomes.Unknown(Reason.DEADLINE),
+        ]
+        expected = ("completed", "not run: sibling_failed", "unknown: deadline")
+        found = self.table.explain(job.id, 4.0)
+        self.assertEqual((*expected, "open"), found.fates)
