--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY = $(VENV)/bin/python
 export EVENTLET_NO_GREENDNS = yes
 
-.PHONY: setup test lint format demo figures slopes
+.PHONY: setup test lint format demo figures slopes changes
 
 setup: $(VENV)/.installed
 
@@ -32,3 +32,6 @@
 
 slopes: setup
 	$(PY) -m tools.slopes
+
+changes: setup
+	$(PY) -m tools.changes
--- /dev/null
+++ b/tools/changes.py
@@ -0,0 +1,45 @@
+"""Builds CHANGES.md from the fragments in docs/changes/.
+
+Every change brings a fragment of its own, so that two changes made at the
+same time do not touch one file. Run ``make changes`` after adding one.
+"""
+
+import pathlib
+import sys
+import tomllib
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+HEAD = """\
+# Changes
+
+Built from `docs/changes/` by `make changes`; change a fragment, not this page.
+"""
+
+
+def build(root: pathlib.Path) -> str:
+    """Returns the page for the tree of the project.
+
+    Args:
+        root: Directory with pyproject.toml and docs/changes/.
+
+    Raises:
+        ValueError: A fragment is not a list.
+    """
+    project = tomllib.loads((root / "pyproject.toml").read_text("utf-8"))
+    parts = [HEAD, f"## {project['project']['version']}\n"]
+    for path in sorted((root / "docs" / "changes").glob("*.md")):
+        text = path.read_text("utf-8").strip()
+        if not text.startswith("- "):
+            raise ValueError(f"{path.name} does not start with '- '")
+        parts.append(f"### {path.stem}\n\n{text}\n")
+    return "\n".join(parts)
+
+
+def main() -> int:
+    """Writes CHANGES.md."""
+    (ROOT / "CHANGES.md").write_text(build(ROOT), encoding="utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/trefoilgw/cli/fleet.py
+++ b/trefoilgw/cli/fleet.py
@@ -91,13 +91,15 @@
     Attributes:
         kind: Its name.
         entries: Entries that stopped it.
-        failing_agents: Most agents at which it fails, as an entry saw it.
+        failing_agents: Most agents at which it failed, as an entry saw it.
+        judged_agents: Agents that had run it there.
         probe_in_s: Longest time until one job is let through.
     """
 
     kind: str
     entries: int
     failing_agents: int
+    judged_agents: int
     probe_in_s: float
 
 
@@ -188,11 +190,14 @@
     for reply in replies:
         for item in reply.values.get("stopped_kinds", ()):
             name = item["kind"]
-            known = found.get(name, StoppedKind(name, 0, 0, 0.0))
+            known = found.get(name, StoppedKind(name, 0, 0, 0, 0.0))
             found[name] = StoppedKind(
                 name,
                 known.entries + 1,
-                max(known.failing_agents, item["failing_agents"]),
+                *max(
+                    (known.failing_agents, known.judged_agents),
+                    (item["failing_agents"], item["judged_agents"]),
+                ),
                 max(known.probe_in_s, item["probe_in_s"]),
             )
     return [found[name] for name in sorted(found)]
--- a/trefoilgw/cli/shown.py
+++ b/trefoilgw/cli/shown.py
@@ -18,7 +18,15 @@
     kinds: Sequence[fleet.StoppedKind],
 ) -> list[str]:
     """Returns the state of the fleet."""
-    stored = located.stored.revision if located.stored else 0
+    # While the platform is down, the newest revision in force stands in.
+    newest = [reply.values.get("revision", 0) for reply in replies]
+    newest += [row.revision for row in agents]
+    if located.stored:
+        newest.append(located.stored.revision)
+    stored = max(newest)
+    epoch = max(
+        located.epoch, *(reply.values.get("epoch", 0) for reply in replies)
+    )
     rows = [
         (
             "entry",
@@ -26,7 +34,7 @@
             reply.values.get("domain", ""),
             reply.address,
             _revision(reply.values.get("revision"), stored),
-            _entry_state(reply, located.epoch),
+            _entry_state(reply, epoch),
         )
         for reply in replies
     ]
@@ -44,8 +52,8 @@
     lines = [_summary(located, replies, agents), *report.table(HEADER, rows)]
     lines += [
         f"kind {kind.kind} is stopped at {kind.entries} of {len(replies)} "
-        f"entries: fails at {kind.failing_agents} agents, probed in "
-        f"{kind.probe_in_s:.0f} s"
+        f"entries: fails at {kind.failing_agents} of {kind.judged_agents} "
+        f"agents, {_probe(kind.probe_in_s)}"
         for kind in kinds
     ]
     return lines
@@ -123,6 +131,13 @@
     return ", ".join(parts)
 
 
+def _probe(probe_in_s: float) -> str:
+    """Returns when a stopped kind is tried again."""
+    if probe_in_s > 0:
+        return f"the first job after {probe_in_s:.0f} s is a probe"
+    return "the next job is a probe"
+
+
 def _revision(revision: int | None, stored: int) -> str:
     """Returns the revision in force, marked if it is not the stored one."""
     if revision is None:
--- a/trefoilgw/cli/tests/test_main.py
+++ b/trefoilgw/cli/tests/test_main.py
@@ -233,7 +233,12 @@
             "ejected_for_s": 7.2,
             "verdict": "100% of its tasks failed, 0% at other agents",
         }
-        stopped = {"kind": "k", "failing_agents": 6, "probe_in_s": 12.0}
+        stopped = {
+            "kind": "k",
+            "failing_agents": 6,
+            "judged_agents": 8,
+            "probe_in_s": 12.0,
+        }
         first = self.entry(
             "a" * 16,
             {
@@ -271,23 +276,28 @@
         )
         self.assertRegex(output, "agent +t2 +d1 +- +4 .behind. +usable at 1")
         self.assertIn("3 entries, 2 agents, 1 ejected", output)
-        self.assertIn("kind k is stopped at 1 of 3 entries: fails at 6", output)
+        self.assertIn(
+            "kind k is stopped at 1 of 3 entries: fails at 6 of 8", output
+        )
         self.assertIn("127.0.0.1:1 does not answer", errors)
 
     def test_status_while_the_platform_is_down(self):
         """In an outage operators need the state most."""
-        second = self.entry("b" * 16, {"revision": 5})
+        second = self.entry("b" * 16, {"revision": 4, "epoch": 2})
         row = {
             "admin_address": second.admin_address,
             "incarnation": second.incarnation,
         }
-        first = self.entry("a" * 16, {"revision": 5, "roster": [row]})
+        values = {"revision": 5, "epoch": 3, "roster": [row]}
+        first = self.entry("a" * 16, values)
         self.server.switch(down=True)
         self.assertEqual(2, self.run_command("status")[0])
         code, found = self.run_json(f"status --entry {first.admin_address}")
         self.assertEqual((0, None), (code, found["stored_revision"]))
         self.assertEqual(2, len(found["entries"]))
         self.assertTrue(found["platform_error"])
+        _, output, _ = self.run_command(f"status --entry {first.admin_address}")
+        self.assertRegex(output, f"{'b' * 16} .* 4 .behind. .*epoch 2 .behind")
 
     def test_explain(self):
         job = "t1.a.1.f/%"
--- a/trefoilgw/entry/admin.py
+++ b/trefoilgw/entry/admin.py
@@ -68,7 +68,7 @@
             name: host.placement.free(name) for name in host.services
         },
         "agents": [_agent_row(host, s) for s in host.agents.values()],
-        "stopped_kinds": _stopped_kinds(host),
+        "stopped_kinds": _stopped_kinds(entry),
         "peers": [_peer_row(p) for p in host.peers.values()],
     }
 
@@ -94,17 +94,18 @@
     return rows
 
 
-def _stopped_kinds(host) -> list[dict]:
+def _stopped_kinds(entry) -> list[dict]:
     """Returns the kinds that are stopped as poison."""
+    host = entry.host
     now_s = host.now()
     return [
         {
-            "kind": name,
-            "failing_agents": len(record.failing),
-            "probe_in_s": host.outliers.retry_after_s(name, now_s),
+            "kind": change.kind,
+            "failing_agents": change.failing,
+            "judged_agents": change.agents,
+            "probe_in_s": host.outliers.retry_after_s(change.kind, now_s),
         }
-        for name, record in host.outliers.kinds.items()
-        if record.stopped_until_s is not None
+        for change in entry.agents.stopped.values()
     ]
 
 
--- a/trefoilgw/entry/agents.py
+++ b/trefoilgw/entry/agents.py
@@ -54,11 +54,13 @@
         host: State of this entry.
         config: Configuration in force and its exchange.
         ejected: Agents that get no work because they fail too much.
+        stopped: Why a kind is stopped, by its name; for operators.
     """
 
     host: hosts.Host
     config: configuring.Configuring
     ejected: set = attrs.field(factory=set)
+    stopped: dict = attrs.field(factory=dict)
     _numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
 
     def welcome(self, hello: messages.AgentHello) -> messages.Welcome:
@@ -214,8 +216,11 @@
                 case changes.Readmit(agent=agent):
                     self.ejected.discard(agent)
                     self._unblock(agent, "ejected")
-                case changes.PoisonKind() | changes.KindReleased():
-                    pass  # Admission asks for the state of a kind.
+                # Admission asks for the state of a kind.
+                case changes.PoisonKind(kind=kind):
+                    self.stopped[kind] = change
+                case changes.KindReleased(kind=kind):
+                    self.stopped.pop(kind, None)
                 case _:
                     raise TypeError(f"unknown change {change!r}")
             log.warning("outcomes judged", extra={"change": repr(change)})
--- a/trefoilgw/entry/tests/test_core.py
+++ b/trefoilgw/entry/tests/test_core.py
@@ -97,8 +97,8 @@
         session.blocked.add("ejected")
         until_s = host.now() + 1000.0
         host.outliers.agents[agent].ejected_until_s = until_s
-        kind = windows.KindRecord(failing={agent}, stopped_until_s=until_s)
-        host.outliers.kinds["k"] = kind
+        host.outliers.kinds["k"] = windows.KindRecord(stopped_until_s=until_s)
+        self.entry.agents.stopped["k"] = changes.PoisonKind("k", 3, 2)
         status = admin.status_of(self.entry)
         (row,), (stopped,) = status["agents"], status["stopped_kinds"]
         verdict = "90% of its tasks failed, 25% at other agents"
@@ -106,7 +106,9 @@
             (["ejected"], verdict), (row["blocked"], row["verdict"])
         )
         self.assertTrue(0 < row["ejected_for_s"] <= 1000)
-        self.assertEqual(("k", 1), (stopped["kind"], stopped["failing_agents"]))
+        self.assertTrue(0 < stopped.pop("probe_in_s") <= 1000)
+        expected = {"kind": "k", "failing_agents": 2, "judged_agents": 3}
+        self.assertEqual(expected, stopped)
         text = self.entry.admin.registry.exposition().decode()
         for line in (
             'trefoilgw_agents_blocked{reason="ejected"} 1.0',
