--- a/trefoilgw/cli/fleet.py
+++ b/trefoilgw/cli/fleet.py
@@ -46,12 +46,14 @@
         epoch: Epoch of the roster, 0 if the platform was not reached.
         stored: The configuration at the platform, None if not known.
         error: Why the platform was not reached.
+        domains: Failure domain by admin address, as far as a roster names it.
     """
 
     addresses: dict[str, str]
     epoch: int = 0
     stored: writes.Stored | None = None
     error: str = ""
+    domains: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -112,10 +114,12 @@
             platform is down.
     """
     addresses = dict.fromkeys(seeds, "")
+    domains = {}
     for reply in ask(addresses, "/admin/status"):
         addresses[reply.address] = reply.values.get("incarnation", "")
         for row in reply.values.get("roster", ()):
             addresses.setdefault(row["admin_address"], row["incarnation"])
+            domains[row["admin_address"]] = row.get("domain", "")
     found = client.get(registry.ROSTER_KEY)
     epoch = 0
     error = ""
@@ -126,16 +130,17 @@
                 epoch = roster.epoch
                 for entry in roster.entries:
                     addresses[entry.admin_address] = entry.incarnation
+                    domains[entry.admin_address] = entry.domain
             else:
                 error = roster.text
         case platform.Missing():
             pass
         case _:
-            return Located(addresses, error=found.detail)
+            return Located(addresses, error=found.detail, domains=domains)
     stored = writes.read_stored(client)
     if isinstance(stored, writes.NotWritten):
-        return Located(addresses, epoch, None, stored.detail)
-    return Located(addresses, epoch, stored, error)
+        return Located(addresses, epoch, None, stored.detail, domains)
+    return Located(addresses, epoch, stored, error, domains)
 
 
 def ask(addresses: dict[str, str], path: str) -> list[Reply]:
--- a/trefoilgw/cli/shown.py
+++ b/trefoilgw/cli/shown.py
@@ -31,7 +31,8 @@
         (
             "entry",
             reply.incarnation,
-            reply.values.get("domain", ""),
+            reply.values.get("domain")
+            or located.domains.get(reply.address, ""),
             reply.address,
             _revision(reply.values.get("revision"), stored),
             _entry_state(reply, epoch),
--- a/trefoilgw/cli/tests/test_main.py
+++ b/trefoilgw/cli/tests/test_main.py
@@ -268,7 +268,7 @@
         self.assertRegex(
             output, f"entry +{'b' * 16} .* 4 .behind. +leaving.*epoch 0 .behind"
         )
-        self.assertRegex(output, f"entry +{'c' * 16} .* [?] +no answer")
+        self.assertRegex(output, f"entry +{'c' * 16} +d1 .* [?] +no answer")
         self.assertRegex(
             output,
             "agent +t1 +d1 +- +5 +ejected at 1 of 2 entries; 100% of its tasks "
