--- a/trefoilgw/cli/tests/test_main.py
+++ b/trefoilgw/cli/tests/test_main.py
@@ -264,7 +264,9 @@
         client.put(platform.Put(registry.CONFIG_KEY, data))
         code, output, errors = self.run_command("status")
         self.assertEqual(0, code)
-        self.assertRegex(output, f"entry +{'a' * 16} +127[.0-9:]+ +5 +serving")
+        self.assertRegex(
+            output, f"entry +{'a' * 16} +d1 +127[.0-9:]+ +5 +serving"
+        )
         self.assertRegex(
             output, f"entry +{'b' * 16} .* 4 .behind. +leaving.*epoch 0 .behind"
         )
