--- a/trefoilgw/entry/agents.py
+++ b/trefoilgw/entry/agents.py
@@ -33,6 +33,7 @@
         acked: Batches whose end the agent has not been told yet.
         revision: Configuration revision that the agent named last.
         blocked: Why the agent gets no work; empty if it does.
+        verdict: What it was ejected for; empty if it never was.
     """
 
     agent: str
@@ -42,6 +43,7 @@
     acked: list = attrs.field(factory=list)
     revision: int = 0
     blocked: set = attrs.field(factory=set)
+    verdict: str = ""
 
 
 @attrs.define(eq=False)
@@ -52,11 +54,13 @@
         host: State of this entry.
         config: Configuration in force and its exchange.
         ejected: Agents that get no work because they fail too much.
+        stopped: Why a kind is stopped, by its name; for operators.
     """
 
     host: hosts.Host
     config: configuring.Configuring
     ejected: set = attrs.field(factory=set)
+    stopped: dict = attrs.field(factory=dict)
     _numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
 
     def welcome(self, hello: messages.AgentHello) -> messages.Welcome:
@@ -203,6 +207,7 @@
             match change:
                 case changes.Eject(agent=agent):
                     self.ejected.add(agent)
+                    self._keep_verdict(change)
                     self._block(agent, "ejected")
                 case changes.Probe(agent=agent):
                     self.ejected.discard(agent)
@@ -211,12 +216,24 @@
                 case changes.Readmit(agent=agent):
                     self.ejected.discard(agent)
                     self._unblock(agent, "ejected")
-                case changes.PoisonKind() | changes.KindReleased():
-                    pass  # Admission asks for the state of a kind.
+                # Admission asks for the state of a kind.
+                case changes.PoisonKind(kind=kind):
+                    self.stopped[kind] = change
+                case changes.KindReleased(kind=kind):
+                    self.stopped.pop(kind, None)
                 case _:
                     raise TypeError(f"unknown change {change!r}")
             log.warning("outcomes judged", extra={"change": repr(change)})
 
+    def _keep_verdict(self, change: changes.Eject) -> None:
+        """Keeps for operators why an agent was ejected."""
+        session = self.host.agents.get(change.agent)
+        if session is not None:
+            session.verdict = (
+                f"{change.failed_share:.0%} of its tasks failed, "
+                f"{change.expected_share:.0%} at other agents"
+            )
+
     def drain(self) -> None:
         """Blocks the agents that the configuration names as draining."""
         configuration = self.host.configuration
