Cut jobs by the cost of a batch and ask for credits by need

Cause: a job of 310 tasks was spread over the credits at hand alone. Under load each freed credit became a batch.

Change: guided self-scheduling counts the slots of all agents; the least size of a batch follows from its cost against the job's finish time; an ask names half of the waiting tasks; one open ask per peer; with more tasks waiting than credits, one ask per 100 ms. A peer that answered without credits is asked again only if it reports free ones. A failure on probation doesn't count for a kind that often fails elsewhere.

--- a/trefoilgw/membership/outliers.py
+++ b/trefoilgw/membership/outliers.py
@@ -96,7 +96,7 @@
             return
         if record.on_probation:
             record.successes += not failed
-            record.failures += failed
+            record.failures += failed and not stats.often_fails
             return
         window = record.windows.get(kind)
         if window is None:
@@ -318,13 +318,7 @@
     ) -> float | None:
         """Returns the other agents' median failure share for a kind."""
         if kind not in shares:
-            shares[kind] = windows.Shares(
-                sorted(
-                    other.share
-                    for other in self.kinds[kind].windows.values()
-                    if other.outcomes >= windows.COMPARED_OUTCOMES
-                )
-            )
+            shares[kind] = self.kinds[kind].shares()
         counted = window.outcomes >= windows.COMPARED_OUTCOMES
         others = len(shares[kind].values) - counted
         if others < min(2, len(self.agents) - 1):
--- a/trefoilgw/membership/tests/test_outliers.py
+++ b/trefoilgw/membership/tests/test_outliers.py
@@ -97,6 +97,25 @@
         feed(stats, AGENTS[:1], "k", 1, 0.0, now_s)
         self.assertEqual((membership.Readmit(AGENTS[0]),), stats.check(now_s))
 
+    def test_no_more_than_the_limit_at_once(self):
+        """Too few agents in service would overload the rest."""
+        stats = fleet()
+        for kind, bad in (("k1", 5), ("k2", 5)):
+            feed(stats, AGENTS[:bad], kind, 30, 1.0, 1.0)
+            feed(stats, AGENTS[bad:], kind, 30, 0.0, 1.0)
+        self.assertEqual(3, len(self.ejected(stats.check(1.0))))
+        self.assertEqual(set(), self.ejected(stats.check(2.0)))
+
+    def test_probation_allows_for_a_kind_that_often_fails(self):
+        """A mended agent must not stay out for its kind's own failures."""
+        stats = fleet()
+        feed(stats, AGENTS[1:], "k", 40, 0.4, 1.0)
+        feed(stats, AGENTS[:1], "k", 30, 1.0, 1.0)
+        self.assertEqual({AGENTS[0]}, self.ejected(stats.check(1.0)))
+        stats.check(11.0)
+        feed(stats, AGENTS[:1], "k", 8, 0.4, 11.0)
+        self.assertEqual((membership.Readmit(AGENTS[0]),), stats.check(12.0))
+
     def test_limit_holds_after_agents_left(self):
         """Too few agents in service would overload the rest."""
         stats = fleet()
--- a/trefoilgw/membership/windows.py
+++ b/trefoilgw/membership/windows.py
@@ -13,6 +13,8 @@
 # A window holds the weight of at most so many outcomes. After 28 (40 ln 2)
 # failures in a row the share is 0.5, however long the good time before was.
 WINDOW_OUTCOMES = 40.0
+# A kind fails often if its median failure share is at least this.
+OFTEN_FAILING_SHARE = 0.25
 # Outcomes that a window needs before its share is compared with others.
 COMPARED_OUTCOMES = 2.5
 
@@ -128,3 +130,19 @@
     stopped_until_s: float | None = None
     probing: bool = False
     released: bool = False
+
+    def shares(self) -> Shares:
+        """Returns the failure shares of the agents that ran it lately."""
+        return Shares(
+            sorted(
+                window.share
+                for window in self.windows.values()
+                if window.outcomes >= COMPARED_OUTCOMES
+            )
+        )
+
+    @property
+    def often_fails(self) -> bool:
+        """True if a failure says little about the agent that ran it."""
+        median = self.shares().median_without(None)
+        return median is not None and median >= OFTEN_FAILING_SHARE
--- a/trefoilgw/placement/agents.py
+++ b/trefoilgw/placement/agents.py
@@ -139,9 +139,11 @@
         far: Those in other domains.
         free: Available credits of all agents.
         total: Free and used credits of all usable agents.
+        slots: Slots of all agents.
     """
 
     near: Pool = attrs.field(factory=Pool)
     far: Pool = attrs.field(factory=Pool)
     free: int = 0
     total: int = 0
+    slots: int = 0
--- a/trefoilgw/placement/core.py
+++ b/trefoilgw/placement/core.py
@@ -206,7 +206,7 @@
             return ()
         spent = sum(count for _, _, count in chosen)
         run_s = self.run_times.run_time_s(kind)
-        sent = cutting.tasks_now(tasks, spent, pools.total, run_s)
+        sent = cutting.tasks_now(tasks, spent, len(chosen), pools.slots, run_s)
         parts = [count for _, _, count in chosen]
         if sent > spent:
             speeds = [
@@ -243,7 +243,7 @@
         self.run_times.declare(kind, run_time_s)
 
     def ask(
-        self, now_s: float, peers_free: Mapping[str, int]
+        self, now_s: float, peers_free: Mapping[str, int], waiting: int = 0
     ) -> lending.Ask | None:
         """Returns which peer to ask for credits, or None.
 
@@ -252,11 +252,12 @@
         Args:
             now_s: Monotonic time in seconds.
             peers_free: Free credits per connected peer, as last heard.
+            waiting: Tasks that wait, if known.
         """
         self.chooser.end_rests(now_s)
         self.entries = len(peers_free) + 1
         return self.asking.ask(
-            now_s, self.book.free, self.book.total, peers_free
+            now_s, self.book.free, self.book.total, peers_free, waiting
         )
 
     def lend(
--- a/trefoilgw/placement/credits.py
+++ b/trefoilgw/placement/credits.py
@@ -38,7 +38,8 @@
         self.states[state.agent] = state
         self.slots += state.slots
         for service in state.services:
-            self.services.setdefault(service, agents.ServiceState())
+            sums = self.services.setdefault(service, agents.ServiceState())
+            sums.slots += state.slots
 
     def leave(self, agent: str) -> None:
         """Drops an agent with all its credits."""
@@ -46,6 +47,8 @@
         if state is not None:
             self.set_usable(state, False)
             self.slots -= state.slots
+            for service in state.services:
+                self.services[service].slots -= state.slots
             del self.states[agent]
 
     def grant(
--- a/trefoilgw/placement/cutting.py
+++ b/trefoilgw/placement/cutting.py
@@ -7,25 +7,44 @@
 import math
 from collections.abc import Sequence
 
-# Cost of one more batch: two one-way latencies of 0.5 ms, and 32 us of CPU
-# for request and acknowledgement at both ends (measured, see design.md).
-MESSAGE_COST_S = 0.0011
-# A batch should run at least so many times longer than its messages take.
-MESSAGE_COST_FACTOR = 20.0
+# Processing of one more batch at the entry: its decisions, two messages and
+# the bookkeeping of its answer.
+BATCH_COST_S = 0.00015
+# Share of a job's finish time that its batches may cost.
+BATCH_COST_SHARE = 0.008
+# But a batch gets at most so many times its share of the tasks, or one credit
+# would run them one after the other long after the rest is done.
+LEAST_SHARES = 16
 # With this share of all credits at hand, waiting for the rest gains nothing.
 NEARLY_ALL_SHARE = 0.9
 
 
+def least_tasks(slots: int, run_time_s: float) -> int:
+    """Returns how many tasks a batch of a large job should have at least.
+
+    Args:
+        slots: Slots that the job could use in time.
+        run_time_s: Expected run time of a task in seconds.
+
+    Notes:
+        A job of n tasks ends after ``n * run_time_s / slots`` at best. With
+        b tasks a batch, its n / b batches cost the entry `BATCH_COST_S` each.
+    """
+    finish_s_per_task = max(run_time_s, 1e-3) / slots
+    return math.ceil(BATCH_COST_S / (BATCH_COST_SHARE * finish_s_per_task))
+
+
 def tasks_now(
-    tasks: int, credits: int, total_credits: int, run_time_s: float
+    tasks: int, credits: int, batches: int, slots: int, run_time_s: float
 ) -> int:
     """Returns how many of a job's waiting tasks to send with some credits.
 
     Args:
         tasks: Waiting tasks, at least 1.
         credits: Credits to spend, at least 1.
-        total_credits: Credits that could come free in time.
-        run_time_s: Expected run time of a task in seconds, 0 if unknown.
+        batches: Batches that they make, at least 1.
+        slots: Slots of all agents, whose credits may come free or be lent.
+        run_time_s: Expected run time of a task in seconds.
 
     Returns:
         From 1 to `tasks`.
@@ -33,21 +52,16 @@
     Notes:
         Guided self-scheduling (Polychronopoulos and Kuck, 1987): a processor
         that becomes free takes its share of the remaining work, here
-        ``tasks * credits / total_credits``. The rest waits for credits that
-        come free later, so that a job that starts on few credits doesn't
-        finish on those few alone. The cost of messages sets the least
-        number of rounds per batch.
+        ``tasks * credits / slots``. The rest waits for credits that come free
+        later, so that a job that starts on few credits doesn't finish on
+        those few alone. The cost of a batch bounds how small the parts get.
     """
-    if tasks <= credits:
-        return tasks
-    if credits >= NEARLY_ALL_SHARE * total_credits:
+    if tasks <= credits or credits >= NEARLY_ALL_SHARE * slots:
         return tasks
-    share = math.ceil(tasks * credits / max(1, total_credits))
-    rounds = 1
-    if run_time_s > 0.0:
-        least_s = MESSAGE_COST_FACTOR * MESSAGE_COST_S
-        rounds = max(1, math.ceil(least_s / run_time_s))
-    return min(tasks, max(share, rounds * credits))
+    share = math.ceil(tasks * credits / slots)
+    least = batches * least_tasks(slots, run_time_s)
+    least = min(least, LEAST_SHARES * share)
+    return min(tasks, max(share, least, credits))
 
 
 def split(tasks: int, speeds: Sequence[float]) -> list[int]:
--- a/trefoilgw/placement/lending.py
+++ b/trefoilgw/placement/lending.py
@@ -12,18 +12,18 @@
 # share, so work may wait while they are free.
 LOW_CREDITS = 2
 LOW_SHARE = 0.1
-# A peer that reports so many more free credits than this entry is asked for
-# half of the difference. Less would make the two ask each other in turn.
+# Difference of free credits that is assumed if a peer reported less; half of
+# the difference is asked for.
 GAP_CREDITS = 4
 # An ask that was not answered by then is forgotten at both ends.
 ASK_VALID_S = 0.5
-# After a peer had nothing to lend, the next one is asked no sooner; a round
-# trip takes 1 ms.
-NEXT_ASK_S = 0.005
 # Asks per second, and so many at once. In a flood at all entries work always
 # waits, and unbounded asks only move the same credits in a circle.
-ASK_RATE_S = 20.0
+ASK_RATE_S = 10.0
 ASK_BURST = 20.0
+# With more tasks waiting than this entry has credits, one more credit changes
+# little, and asks are made no more often than this.
+CROWDED_ASK_S = 0.1
 # A peer that had nothing to lend is left alone for a time that doubles.
 EMPTY_FIRST_S = 0.02
 EMPTY_LIMIT_S = 0.5
@@ -50,14 +50,24 @@
         asked_s: When an ask was sent that is still open, None if none is.
         empty_answers: Answers without credits in a row.
         quiet_until_s: The peer is not asked before.
+        keeps_asks: False once it answered without credits: it does not keep
+            asks for later, so it is asked only if it reports free credits.
     """
 
     asked_s: float | None = None
     empty_answers: int = 0
     quiet_until_s: float = float("-inf")
+    keeps_asks: bool = True
 
-    def is_open(self, now_s: float) -> bool:
-        """Tells whether the peer may be asked."""
+    def is_open(self, now_s: float, more_free: int) -> bool:
+        """Tells whether the peer may be asked.
+
+        Args:
+            now_s: Monotonic time in seconds.
+            more_free: Credits that it reported above those free here.
+        """
+        if not self.keeps_asks and more_free < GAP_CREDITS:
+            return False
         if self.asked_s is not None and now_s - self.asked_s < ASK_VALID_S:
             return False
         return now_s >= self.quiet_until_s
@@ -83,6 +93,7 @@
         free: int,
         total: int,
         peers_free: Mapping[str, int],
+        waiting: int,
     ) -> Ask | None:
         """Returns whom to ask, or None.
 
@@ -91,10 +102,13 @@
             free: Credits free here.
             total: Credits free or in use here.
             peers_free: Credits free at each connected peer, as last heard.
+            waiting: Tasks that wait here, 0 if not known.
         """
         low = max(LOW_CREDITS, round(LOW_SHARE * total))
         elapsed_s = now_s - self.asked_s
-        if free > low or elapsed_s < NEXT_ASK_S:
+        if free > low:
+            return None
+        if waiting > total and elapsed_s < CROWDED_ASK_S:
             return None
         allowance = min(ASK_BURST, self.allowance + elapsed_s * ASK_RATE_S)
         if allowance < 1.0:
@@ -102,7 +116,7 @@
         candidates = [
             (peer_free, entry)
             for entry, peer_free in peers_free.items()
-            if self._record(entry).is_open(now_s)
+            if self._record(entry).is_open(now_s, peer_free - free)
         ]
         if not candidates:
             return None
@@ -110,7 +124,8 @@
         self.asked_s = now_s
         self.allowance = allowance - 1.0
         self._record(entry).asked_s = now_s
-        return Ask(entry, max(GAP_CREDITS, peer_free - free) // 2)
+        half = max(GAP_CREDITS, peer_free - free) // 2
+        return Ask(entry, max(half, waiting // 2))
 
     def answered(self, entry: str, credits: int) -> None:
         """Records the answer of a peer; it may come late."""
@@ -122,6 +137,7 @@
             return
         quiet_s = min(EMPTY_LIMIT_S, EMPTY_FIRST_S * 2.0**peer.empty_answers)
         peer.empty_answers += 1
+        peer.keeps_asks = False
         peer.quiet_until_s = asked_s + quiet_s
 
     def answered_by_any(self, credits: int) -> None:
