Accept work at an entry without credits of its own

Cause: admission refused a job with no_target if the credits of the entry were zero. On an idle fleet the other entries hold all credits, and agents pay the share of a late entry only from answers, so an entry that was frozen, or that joined late, refused all its work and never asked a peer for credits.

The refusal now depends on the connected agents.

--- a/trefoilgw/entry/admit.py
+++ b/trefoilgw/entry/admit.py
@@ -67,7 +67,7 @@
             detail=f"tasks of kind {kind.name!r} fail on most agents",
             retry_after_s=host.outliers.retry_after_s(kind.name, now_s),
         )
-    if host.placement.total(kind.service) == 0:
+    if not _offered(host, kind.service):
         return outcomes.Refused(
             outcomes.Reason.NO_TARGET,
             not_run=True,
@@ -75,3 +75,15 @@
             retry_after_s=1.0,
         )
     return None
+
+
+def _offered(host: hosts.Host, service: str) -> bool:
+    """Returns whether a connected agent that may get work offers a service.
+
+    Credits don't tell: an entry that joins while other entries hold them all
+    has none of its own until it borrows some for work that waits.
+    """
+    return any(
+        not session.blocked and service in session.hello.services
+        for session in host.agents.values()
+    )
--- a/trefoilgw/entry/tests/test_filters.py
+++ b/trefoilgw/entry/tests/test_filters.py
@@ -239,6 +239,11 @@
         self.assert_refused(reply, Reason.NO_TARGET, True)
         self.assertEqual(503, reply.status)
 
+    def test_agent_without_credits_for_this_entry(self):
+        """An entry that joins late borrows; it must not deny the targets."""
+        self.rig.join(credits=0)
+        self.assertEqual(202, self.rig.submit().status)
+
     def test_refused_key_stays_refused(self):
         """A caller told "not run" may submit the work under another key."""
         key = self.rig.ticket()
