--- a/tools/tests/faults.py
+++ b/tools/tests/faults.py
@@ -179,8 +179,7 @@
         number = next(self.numbers)
         values = tuple(f"{number}-{index}" for index in range(tasks))
         payloads = [
-            {"run_ms": run_ms, "value": value, "kind": kind}
-            for value in values
+            {"run_ms": run_ms, "value": value, "kind": kind} for value in values
         ]
         body = {
             "kind": kind,
@@ -226,9 +225,7 @@
         """Submits through entries in turn until the end is known."""
         turns = itertools.cycle(processes)
         wait_until(
-            lambda: (
-                self.attempt(submission, next(turns)) and submission.final
-            ),
+            lambda: self.attempt(submission, next(turns)) and submission.final,
             f"end of {submission.key}",
         )
         return submission
--- a/tools/tests/test_faults_entries.py
+++ b/tools/tests/test_faults_entries.py
@@ -101,6 +101,11 @@
             ),
             "the resumed entry is back in the roster",
         )
+        self.settled()
+        later = [self.prepare(key=self.ticket(frozen)) for _ in range(6)]
+        for submission in later:
+            self.settle(submission, [frozen])
+            self.assertEqual("complete", submission.state, submission)
 
     def fleet_lapse(self):
         """Lets every lease at the platform lapse now."""
