Eject an outlier that is compared with one other agent

Cause: the median of the others needed two agents with outcomes of the same kind. Under light load an entry uses its own failure domain only, so in a domain of two agents nobody was ever compared.

Before: 4 agents, two in the entry's domain, one failing everything: 66 failures of 66 tasks there and no ejection. The new unit test fails without the change and passes with it.

--- a/trefoilgw/membership/outliers.py
+++ b/trefoilgw/membership/outliers.py
@@ -316,7 +316,11 @@
         window: windows.Window,
         shares: dict[str, windows.Shares],
     ) -> float | None:
-        """Returns the other agents' median failure share for a kind."""
+        """Returns the other agents' median failure share for a kind.
+
+        One other agent is enough: under light load an entry uses its own
+        failure domain only, which may have two agents.
+        """
         if kind not in shares:
             shares[kind] = windows.Shares(
                 sorted(
@@ -327,7 +331,7 @@
             )
         counted = window.outcomes >= windows.COMPARED_OUTCOMES
         others = len(shares[kind].values) - counted
-        if others < min(2, len(self.agents) - 1):
+        if not others:
             return None
         return shares[kind].median_without(window.share if counted else None)
 
--- a/trefoilgw/membership/tests/test_outliers.py
+++ b/trefoilgw/membership/tests/test_outliers.py
@@ -60,6 +60,13 @@
         self.assertEqual({AGENTS[0]}, self.ejected(changes))
         self.assertTrue(stats.may_run("k", 1.0))
 
+    def test_black_hole_beside_one_other_agent_in_use(self):
+        """A domain of two agents must not keep its black hole for ever."""
+        stats = fleet()
+        feed(stats, AGENTS[:1], "k", 40, 1.0, 1.0)
+        feed(stats, AGENTS[1:2], "k", 40, 0.0, 1.0)
+        self.assertEqual({AGENTS[0]}, self.ejected(stats.check(1.0)))
+
     def test_long_good_record_does_not_delay_ejection(self):
         """Windows must fade: an agent can break after a week of success."""
         stats = fleet()
