--- a/trefoilgw/tests/at_most_once_model.py
+++ b/trefoilgw/tests/at_most_once_model.py
@@ -9,6 +9,7 @@
 from trefoilgw.messages import core as messages
 from trefoilgw.outcomes import core as outcomes
 from trefoilgw.tests import at_most_once_homes as homes
+from trefoilgw.tests import at_most_once_world as worlds
 
 # Drawn by the sum of two choices, so those at the ends are rare.
 GAPS_S = (310, 31, 6, 3.2, 2, 1, 0.5, 0.1, 0.1, 0.1, 0.5, 1, 2, 6, 310)
@@ -17,29 +18,30 @@
 
 # How often each operation is tried first.
 WEIGHTS = {
-    "submit_new": 3,
-    "resubmit": 2,
-    "deliver_forward": 3,
+    "submit_new": 5,
+    "resubmit": 3,
+    "deliver_forward": 4,
     "cancel": 1,
     "withdraw": 1,
     "give_up": 1,
-    "dispatch": 12,
-    "resize": 1,
+    "dispatch": 20,
+    "resize": 2,
     "return_credits": 1,
-    "expire_home": 1,
+    "expire_home": 2,
     "remove_agent": 1,
     "change_roster": 1,
-    "learn_roster": 2,
-    "call_target": 8,
-    "finish": 4,
-    "check_agent": 1,
-    "ping": 3,
-    "notice_closed": 1,
-    "deliver_to_agent": 16,
-    "deliver_to_home": 12,
+    "learn_roster": 3,
+    "call_target": 16,
+    "finish": 10,
+    "check_agent": 2,
+    "limit_ledger": 1,
+    "ping": 5,
+    "notice_closed": 2,
+    "deliver_to_agent": 32,
+    "deliver_to_home": 24,
     "drop_message": 1,
-    "reconnect": 2,
-    "pass_time": 2,
+    "reconnect": 3,
+    "pass_time": 3,
     "restart_agent": 1,
     "restart_home": 1,
 }
@@ -54,6 +56,7 @@
     "return_credits",
     "remove_agent",
     "change_roster",
+    "limit_ledger",
     "drop_message",
     "reconnect",
     "pass_time",
@@ -137,6 +140,17 @@
         if b % 2:
             self.perform(node, node.slots.tick(self.now_s))
 
+    def limit_ledger(self, a, b, c):
+        """Leaves the ledgers room for few records and no results."""
+        if self.limit_records == worlds.LEDGER_RECORDS_SHORT:
+            return False
+        self.limit_records = worlds.LEDGER_RECORDS_SHORT
+        for node in self.nodes:
+            records = node.slots.ledger.records
+            records.limit_records = self.limit_records
+            records.limit_result_bytes = 0
+        return True
+
     def ping(self, a, b, c):
         links = [
             x for x in self.links if x.node.links.get(x.home.incarnation) is x
--- a/trefoilgw/tests/at_most_once_walks.py
+++ b/trefoilgw/tests/at_most_once_walks.py
@@ -10,7 +10,30 @@
 from trefoilgw.tests import at_most_once_model as model
 from trefoilgw.tests import at_most_once_world as worlds
 
-STEPS = 120
+STEPS = 80
+
+# Histories begin in one of these situations; from nothing at all, most would
+# end before anything of interest was under way.
+CONNECTED = (
+    *[("deliver_to_agent", 0, 0, 0)] * 4,
+    *[("deliver_to_home", 0, 0, 0)] * 8,
+)
+# The second of two dispatches of the home is in a stream that it replaced.
+CUT_OFF = (
+    *CONNECTED,
+    ("submit_new", 1, 0, 1),
+    ("dispatch", 7, 0, 0),
+    ("deliver_to_agent", 0, 0, 0),
+    ("call_target", 0, 0, 0),
+    ("dispatch", 7, 0, 0),
+    ("reconnect", 1, 0, 0),
+)
+SCENES = (
+    (),
+    CONNECTED,
+    CUT_OFF,
+    (("limit_ledger", 0, 0, 0), *CUT_OFF),
+)
 
 
 def walk(seed: int, steps: int = STEPS, **options) -> model.World:
@@ -23,6 +46,8 @@
     order = model.spread(frozenset(f for f in faults if rng.random() < 0.5))
     bits = rng.getrandbits
     try:
+        for step in SCENES[seed % len(SCENES)]:
+            world.apply(*step)
         for _ in range(steps):
             choice = rng.randrange(len(order))
             world.step(choice, bits(3), bits(3), bits(3), order)
--- a/trefoilgw/tests/at_most_once_world.py
+++ b/trefoilgw/tests/at_most_once_world.py
@@ -28,6 +28,9 @@
 DEADLINE_S = 30.0
 # Small, so that histories reach a crowded and a full table.
 RECORDS_LIMIT = 10
+# Records of an agent's ledger, as in the product and while it is short.
+LEDGER_RECORDS = 4096
+LEDGER_RECORDS_SHORT = 1
 
 
 class ViolationError(AssertionError):
@@ -124,6 +127,7 @@
         self.not_run: set = set()
         self.answered: set = set()
         self.accepted: dict[str, tuple] = {}
+        self.limit_records = LEDGER_RECORDS
         self.lease_until_s = collections.defaultdict(float)
         self.homes = [self.new_home(), self.new_home()]
         self.nodes = [self.new_node(), self.new_node()]
@@ -144,7 +148,9 @@
     def new_node(self, incarnation: str = "") -> Node:
         name = incarnation or self.new_name()
         book = credit_book.CreditBook(name, SLOTS)
-        return Node(name, slots.Slots(ledger.Ledger(), book))
+        node = Node(name, slots.Slots(ledger.Ledger(), book))
+        node.slots.ledger.records.limit_records = self.limit_records
+        return node
 
     def connect(self, home: Home, node: Node) -> None:
         """Opens a stream at the home; the agent reads the welcome later."""
@@ -194,6 +200,8 @@
             link.to_agent.clear()
             return
         node.links[entry] = link
+        names = tuple(home.incarnation for home in self.homes)
+        node.slots.expect(names, self.now_s)
         self.perform(node, node.slots.connect(entry, self.now_s))
 
     def agent_reads(self, link: Link, message) -> None:
