--- a/trefoilgw/tests/test_at_most_once.py
+++ b/trefoilgw/tests/test_at_most_once.py
@@ -28,7 +28,7 @@
     print_blob=False,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
-WALKS = 700
+WALKS = 1500
 # What the callers see if a guard is missing.
 TWICE = "started twice|said not to run|said not run"
 CHOICE = st.integers(0, 7)
