--- a/trefoilgw/tests/test_message_handling.py
+++ b/trefoilgw/tests/test_message_handling.py
@@ -10,18 +10,20 @@
 
 from trefoilgw.agent import connections
 from trefoilgw.agent import core as agent_core
+from trefoilgw.entry import routing
 from trefoilgw.entry.tests import rig as rigs
 from trefoilgw.messages import codec
 from trefoilgw.messages import core as messages
 from trefoilgw.outcomes import core as outcomes
 from trefoilgw.settings import core as settings
+from trefoilgw.slots import credits
 
 AGENTS = ("a" * 16, "b" * 16)
 PEER, OTHER = "c" * 16, "d" * 16
 JOB = "job"
 SLOTS = 4
 SETTINGS = hypothesis.settings(
-    max_examples=150,
+    max_examples=100,
     derandomize=True,
     deadline=None,
     database=None,
@@ -89,6 +91,32 @@
     tuple[int, ...]: st.lists(st.integers(0, 5), max_size=4).map(tuple),
     tuple[str, ...]: st.lists(st.sampled_from(WORDS), max_size=4).map(tuple),
 }
+# Ranges in which a message is about work that the other side knows; with any
+# value at all, hardly a batch would start or end.
+LIKELY = {
+    messages.TaskOutcome: {
+        "index": st.integers(0, 2),
+        "fate": st.sampled_from((*["completed"] * 3, "failed", "not_run", "?")),
+    },
+    messages.BatchDone: {
+        "batch": st.integers(0, 9),
+        "job": st.sampled_from((JOB, JOB, JOB, "cobre")),
+        "credits": st.integers(-1, SLOTS),
+    },
+    messages.Forward: {
+        "action": st.sampled_from(("submit", "read", "cancel")),
+    },
+    messages.TaskSpec: {"index": st.integers(-1, 3)},
+    messages.RunBatch: {
+        "batch": st.integers(0, 30),
+        "concurrency": st.integers(-1, SLOTS + 1),
+        "deadline_s": st.floats(-1.0, 9.0) | PLAIN[float],
+    },
+    messages.Resize: {
+        "batch": st.integers(0, 30),
+        "concurrency": st.integers(-1, SLOTS + 1),
+    },
+}
 
 
 def values_of(cls: type) -> st.SearchStrategy:
@@ -105,11 +133,19 @@
             fields[field.name] = values_of(value)
         else:
             fields[field.name] = PLAIN[field.type]
+    fields |= LIKELY.get(cls, {})
     return st.builds(cls, **fields)
 
 
 def any_of(classes: tuple[type, ...]) -> st.SearchStrategy:
-    return st.one_of([values_of(cls) for cls in classes])
+    """Returns messages of the classes, those about work more often."""
+    often = [cls for cls in classes if cls in LIKELY] * 3
+    return st.one_of([values_of(cls) for cls in (*classes, *often)])
+
+
+FOR_AGENT = st.lists(
+    st.tuples(st.integers(0, 1), any_of(FROM_ENTRY)), min_size=4, max_size=25
+)
 
 
 def on_the_wire(message):
@@ -118,6 +154,11 @@
     return decoded
 
 
+def raise_current(*args):
+    """Stands for a log call, so that the router hides no exception."""
+    raise  # noqa: PLE0704
+
+
 class EntryTest(unittest.TestCase):
     def setUp(self):
         logging.disable(logging.CRITICAL)
@@ -128,12 +169,17 @@
         st.lists(
             st.tuples(st.integers(0, 1), any_of(FROM_AGENT))
             | st.tuples(st.just(2), any_of(FROM_PEER)),
-            max_size=20,
+            min_size=4,
+            max_size=25,
         )
     )
     def test_messages_of_agents_and_peers(self, sent):
         """A message at an odd time must not end a handler or make credits."""
-        with mock.patch("eventlet.spawn_n", lambda call, *args: call(*args)):
+        with (
+            mock.patch("eventlet.spawn_n", lambda call, *args: call(*args)),
+            mock.patch("eventlet.sleep"),
+            mock.patch.object(routing.log, "exception", raise_current),
+        ):
             self.check_entry(sent)
 
     def check_entry(self, sent):
@@ -143,22 +189,39 @@
         peer = rigs.FakeStream(messages.PeerHello(1, entry, 1))
         rig.entry.peers.accepted(peer)
         streams.append(peer)
-        jobs = [f"cobre:{rig.submit_job(2)}" for _ in range(3)]
         for position, (target, message) in enumerate(sent):
+            if position % 4 == 0:
+                rig.submit(body=rigs.submission(2))
             if getattr(message, "job", "") == JOB:
-                job = jobs[position % len(jobs)]
-                message = attrs.evolve(message, job=job)
+                target, message = self.about_open_batch(rig, message)
             stream = streams[target]
             if not stream.closed:
                 stream.on_message(stream, on_the_wire(message))
-            rig.clock_s += 0.3
+            rig.clock_s += 0.1
             rig.entry.agents.check()
             rig.entry.agents.judge()
             rig.entry._expire()
             rig.later()
             rig.entry.pump()
             rig.entry.peers.ping()
-            self.assertGreaterEqual(rig.host.placement.free("proof"), 0)
+            self.check_credits(rig.host.placement.book)
+
+    def check_credits(self, book):
+        for state in book.states.values():
+            lent = state.credits.values()
+            self.assertGreaterEqual(min([*lent, state.in_use]), 0)
+            self.assertEqual(sum(lent), state.free)
+        usable = [state.available for state in book.states.values()]
+        self.assertEqual(sum(usable), book.free)
+
+    def about_open_batch(self, rig, message):
+        """Returns an agent that has a batch, and the message about it."""
+        known = list(rig.host.table.batches.by_number.values())
+        if not known:
+            return 0, message
+        batch = known[message.batch % len(known)]
+        message = attrs.evolve(message, batch=batch.number, job=batch.job.id)
+        return AGENTS.index(batch.agent), message
 
 
 class AgentTest(unittest.TestCase):
@@ -167,13 +230,12 @@
         self.addCleanup(logging.disable, logging.NOTSET)
 
     @SETTINGS
-    @hypothesis.given(
-        st.lists(
-            st.tuples(st.integers(0, 1), any_of(FROM_ENTRY)), max_size=25
-        )
-    )
+    @hypothesis.given(FOR_AGENT)
     def test_messages_of_entries(self, sent):
         """The same at the agent; every slot stays free, held or used."""
+        self.check_with_spawns(sent)
+
+    def check_with_spawns(self, sent):
         spawned = []
         with mock.patch(
             "eventlet.spawn_n", lambda call, *args: spawned.append((call, args))
@@ -195,7 +257,7 @@
         links = [self.open(agent, PEER, 1), self.open(agent, OTHER, 2)]
         for target, message in sent:
             agent._message(links[target], on_the_wire(message))
-            clock[0] += 0.3
+            clock[0] += 0.1
             agent.check()
             agent.tick()
             for call, args in spawned:
@@ -228,6 +290,21 @@
         self.assertEqual(SLOTS, sum(parts))
         self.assertLessEqual(agent.slots.running, SLOTS)
 
+    def test_lost_credit_is_found(self):
+        """Guards against a check that passes whatever the book does."""
+        search = hypothesis.settings(
+            SETTINGS, phases=[hypothesis.Phase.generate]
+        )
+
+        @search
+        @hypothesis.given(FOR_AGENT)
+        def check(sent):
+            self.check_with_spawns(sent)
+
+        lose = mock.patch.object(credits.CreditBook, "_end_use")
+        with lose, self.assertRaises(AssertionError):
+            check()
+
 
 if __name__ == "__main__":
     unittest.main()
