Reach expired keys in random histories, and check what was reached

The walks now fail if an end or refusal of the list was not reached, and records that are dropped early are one more mutation.

--- a/trefoilgw/tests/at_most_once_model.py
+++ b/trefoilgw/tests/at_most_once_model.py
@@ -12,7 +12,7 @@
 from trefoilgw.tests import at_most_once_world as worlds
 
 # Drawn by the sum of two choices, so those at the ends are rare.
-GAPS_S = (310, 31, 6, 3.2, 2, 1, 0.5, 0.1, 0.1, 0.1, 0.5, 1, 2, 6, 310)
+GAPS_S = (910, 310, 6, 3.2, 2, 1, 0.5, 0.1, 0.1, 0.1, 0.5, 1, 2, 31, 310)
 # Older streams matter only while bytes are left in them.
 LINKS_KEPT = 64
 
@@ -232,7 +232,7 @@
 
     def pass_time(self, a, b, c):
         """Lets time pass; a process that is not chosen was frozen."""
-        self.now_s += GAPS_S[(a + b) % len(GAPS_S)]
+        self.now_s += GAPS_S[a + b]
         for position, home in enumerate(self.homes):
             if c >> position & 1:
                 home.read_s = self.now_s
--- a/trefoilgw/tests/at_most_once_world.py
+++ b/trefoilgw/tests/at_most_once_world.py
@@ -127,6 +127,7 @@
         self.not_run: set = set()
         self.answered: set = set()
         self.accepted: dict[str, tuple] = {}
+        self.seen = collections.Counter()
         self.limit_records = LEDGER_RECORDS
         self.lease_until_s = collections.defaultdict(float)
         self.homes = [self.new_home(), self.new_home()]
@@ -353,6 +354,8 @@
         )
 
     def check_refused(self, job_id: str, refused: outcomes.Refused) -> None:
+        """Checks a refusal, of a submission or as the answer to one."""
+        self.seen[refused.reason] += 1
         if refused.not_run:
             for index in range(TASKS):
                 started = self.starts[job_id, index]
@@ -360,6 +363,7 @@
 
     def check_answer(self, job: job_model.Job) -> None:
         """Compares an answer with the starts so far, and keeps it."""
+        self.seen[job.doomed] += 1
         self.answered.add(job.id)
         tasks = [(job.id, index) for index in range(TASKS)]
         if job.state is job_model.State.REFUSED:
--- a/trefoilgw/tests/test_at_most_once.py
+++ b/trefoilgw/tests/test_at_most_once.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from trefoilgw.jobs import core as jobs
+from trefoilgw.jobs import retention
 from trefoilgw.keys import core as keys
 from trefoilgw.ledger import core as ledger
 from trefoilgw.ledger import marks
@@ -31,6 +32,16 @@
 WALKS = 1500
 # What the callers see if a guard is missing.
 TWICE = "started twice|said not to run|said not run"
+# Ends and refusals that histories must have reached.
+REASONS = {
+    outcomes.Reason.AGENT_LOST,
+    outcomes.Reason.CANCELLED,
+    outcomes.Reason.CAPACITY,
+    outcomes.Reason.DEADLINE,
+    outcomes.Reason.EXPIRED_KEY,
+    outcomes.Reason.HOME_PAUSED,
+    outcomes.Reason.OVERLOAD,
+}
 CHOICE = st.integers(0, 7)
 
 
@@ -57,12 +68,15 @@
         """The same in volume; every operation must have had work to do."""
         done = set()
         states = set()
+        seen = set()
         for seed in range(WALKS):
             world = walks.walk(seed)
             done |= {step[0] for step in world.history}
+            seen |= set(world.seen)
             states |= {job.state for _, job in world.accepted.values()}
         self.assertEqual(set(model.WEIGHTS), done)
         self.assertEqual(set(jobs.model.State), states)
+        self.assertLessEqual(REASONS, seen)
 
 
 class MutationTest(unittest.TestCase):
@@ -117,6 +131,15 @@
         )
         self.assertRegex(found, "accepted by two homes")
 
+    def test_records_dropped_early(self):
+        """A key whose record has gone is accepted as new."""
+        found = self.assert_found(
+            mock.patch.object(
+                retention.Retention, "is_over", lambda *args: True
+            )
+        )
+        self.assertRegex(found, "accepted twice|started twice")
+
     def test_without_lease(self):
         """A frozen agent starts tasks after their job was given up."""
         found = self.assert_found(
