--- a/trefoilgw/entry/place.py
+++ b/trefoilgw/entry/place.py
@@ -23,6 +23,8 @@
         return
     now_s = host.read_clock()
     for service in host.services:
+        if not host.admission.waiting(service):
+            continue
         while True:
             free = host.placement.free(service)
             if free <= 0:
@@ -101,6 +103,8 @@
 
 def _without_place(exchange: exchanges.Exchange, job: jobs.Job) -> list[int]:
     """Returns the waiting tasks that got no place in this pass."""
+    if not exchange.sendings:
+        return job.waiting
     placed = {
         index
         for sending in exchange.sendings
