--- a/trefoilgw/entry/place.py
+++ b/trefoilgw/entry/place.py
@@ -138,7 +138,8 @@
 def ask(host: hosts.Host, now_s: float) -> None:
     """Asks a peer for credits, if one has many more."""
     free = {name: peer.free_credits for name, peer in host.peers.items()}
-    wish = host.placement.ask(now_s, free)
+    waiting = host.admission.waiting_jobs
+    wish = host.placement.ask(now_s, free, waiting)
     if wish is not None:
         peer = host.peers[wish.entry]
         host.send(peer.stream, messages.CreditAsk(wish.credits))
