--- a/trefoilgw/entry/place.py
+++ b/trefoilgw/entry/place.py
@@ -23,9 +23,7 @@
         return
     now_s = host.read_clock()
     for service in host.services:
-        if not host.admission.waiting(service):
-            continue
-        while True:
+        while host.admission.waiting(service):
             free = host.placement.free(service)
             if free <= 0:
                 break
