--- a/trefoilgw/cli/fleet.py
+++ b/trefoilgw/cli/fleet.py
@@ -46,12 +46,14 @@
         epoch: Epoch of the roster, 0 if the platform was not reached.
         stored: The configuration at the platform, None if not known.
         error: Why the platform was not reached.
+        domains: Failure domain by admin address, as far as a roster names it.
     """
 
     addresses: dict[str, str]
     epoch: int = 0
     stored: writes.Stored | None = None
     error: str = ""
+    domains: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -66,6 +68,10 @@
         entries: Entries that it is connected to.
         blocked: Entries that send it nothing, by reason, such as
             ``ejected``.
+        address: Its admin address, empty if it has none.
+        verdicts: What it was ejected for, as the entries say.
+        probation: Entries at which it is on probation.
+        ejected_for_s: Longest time until it is probed, 0 if not ejected.
     """
 
     name: str
@@ -74,6 +80,29 @@
     revision: int
     entries: int
     blocked: dict[str, int]
+    address: str = ""
+    verdicts: tuple[str, ...] = ()
+    probation: int = 0
+    ejected_for_s: float = 0.0
+
+
+@attrs.frozen
+class StoppedKind:
+    """A kind that entries stopped because it fails on most agents.
+
+    Attributes:
+        kind: Its name.
+        entries: Entries that stopped it.
+        failing_agents: Most agents at which it failed, as an entry saw it.
+        judged_agents: Agents that had run it there.
+        probe_in_s: Longest time until one job is let through.
+    """
+
+    kind: str
+    entries: int
+    failing_agents: int
+    judged_agents: int
+    probe_in_s: float
 
 
 def locate(client: platform.Client, seeds: Iterable[str]) -> Located:
@@ -85,10 +114,12 @@
             platform is down.
     """
     addresses = dict.fromkeys(seeds, "")
+    domains = {}
     for reply in ask(addresses, "/admin/status"):
         addresses[reply.address] = reply.values.get("incarnation", "")
         for row in reply.values.get("roster", ()):
             addresses.setdefault(row["admin_address"], row["incarnation"])
+            domains[row["admin_address"]] = row.get("domain", "")
     found = client.get(registry.ROSTER_KEY)
     epoch = 0
     error = ""
@@ -99,16 +130,17 @@
                 epoch = roster.epoch
                 for entry in roster.entries:
                     addresses[entry.admin_address] = entry.incarnation
+                    domains[entry.admin_address] = entry.domain
             else:
                 error = roster.text
         case platform.Missing():
             pass
         case _:
-            return Located(addresses, error=found.detail)
+            return Located(addresses, error=found.detail, domains=domains)
     stored = writes.read_stored(client)
     if isinstance(stored, writes.NotWritten):
-        return Located(addresses, epoch, None, stored.detail)
-    return Located(addresses, epoch, stored, error)
+        return Located(addresses, epoch, None, stored.detail, domains)
+    return Located(addresses, epoch, stored, error, domains)
 
 
 def ask(addresses: dict[str, str], path: str) -> list[Reply]:
@@ -131,9 +163,16 @@
             row = rows.get(incarnation)
             if row is None:
                 row = AgentRow(
-                    item["agent"], incarnation, item["domain"], 0, 0, {}
+                    item["agent"],
+                    incarnation,
+                    item["domain"],
+                    0,
+                    0,
+                    {},
+                    item.get("admin_address", ""),
                 )
             blocked = dict(row.blocked)
+            verdict = item.get("verdict") if item.get("ejected_for_s") else ""
             for reason in item.get("blocked", ()):
                 blocked[reason] = blocked.get(reason, 0) + 1
             rows[incarnation] = attrs.evolve(
@@ -141,10 +180,34 @@
                 revision=max(row.revision, item["revision"]),
                 entries=row.entries + 1,
                 blocked=blocked,
+                verdicts=row.verdicts + ((verdict,) if verdict else ()),
+                probation=row.probation + bool(item.get("probation")),
+                ejected_for_s=max(
+                    row.ejected_for_s, item.get("ejected_for_s") or 0.0
+                ),
             )
     return sorted(rows.values(), key=lambda row: (row.name, row.incarnation))
 
 
+def stopped_kinds(replies: Iterable[Reply]) -> list[StoppedKind]:
+    """Returns the stopped kinds, each once, by name."""
+    found: dict[str, StoppedKind] = {}
+    for reply in replies:
+        for item in reply.values.get("stopped_kinds", ()):
+            name = item["kind"]
+            known = found.get(name, StoppedKind(name, 0, 0, 0, 0.0))
+            found[name] = StoppedKind(
+                name,
+                known.entries + 1,
+                *max(
+                    (known.failing_agents, known.judged_agents),
+                    (item["failing_agents"], item["judged_agents"]),
+                ),
+                max(known.probe_in_s, item["probe_in_s"]),
+            )
+    return [found[name] for name in sorted(found)]
+
+
 def _request(path: str) -> Callable[[tuple[str, str]], Reply]:
     """Returns a function that asks one entry."""
 
--- a/trefoilgw/entry/admin.py
+++ b/trefoilgw/entry/admin.py
@@ -71,7 +71,8 @@
             name: host.placement.total(name) for name in host.services
         },
         "batches_in_flight": len(host.in_flight),
-        "agents": [_agent_row(s) for s in host.agents.values()],
+        "agents": [_agent_row(host, s) for s in host.agents.values()],
+        "stopped_kinds": _stopped_kinds(entry),
         "peers": [_peer_row(p) for p in host.peers.values()],
     }
 
@@ -87,11 +88,36 @@
         customers = configuration.customers if configuration else ()
         ids = [f"{customer.name}:{key}" for customer in customers]
     found = [host.table.explain(job_id, now_s) for job_id in ids]
-    return [attrs.asdict(item) for item in found if item is not None]
-
-
-def _agent_row(session) -> dict:
+    rows = [attrs.asdict(item) for item in found if item is not None]
+    for row in rows:
+        for batch in row["open_batches"]:
+            session = host.agents.get(batch["agent"])
+            batch["name"] = session.hello.agent if session else ""
+            held = host.table.batches.by_number.get(batch["batch"])
+            batch["tasks"] = len(held.remaining) if held else 0
+    return rows
+
+
+def _stopped_kinds(entry) -> list[dict]:
+    """Returns the kinds that are stopped as poison."""
+    host = entry.host
+    now_s = host.now()
+    return [
+        {
+            "kind": change.kind,
+            "failing_agents": change.failing,
+            "judged_agents": change.agents,
+            "probe_in_s": host.outliers.retry_after_s(change.kind, now_s),
+        }
+        for change in entry.agents.stopped.values()
+    ]
+
+
+def _agent_row(host, session) -> dict:
     """Returns one agent for operators."""
+    record = host.outliers.agents.get(session.agent)
+    until_s = record.ejected_until_s if record else None
+    ejected_for_s = None if until_s is None else max(0.0, until_s - host.now())
     return {
         "agent": session.hello.agent,
         "incarnation": session.agent,
@@ -102,6 +128,9 @@
         "revision": session.revision,
         "session": session.number,
         "blocked": sorted(session.blocked),
+        "probation": bool(record and record.on_probation),
+        "ejected_for_s": ejected_for_s,
+        "verdict": session.verdict,
     }
 
 
