--- /dev/null
+++ b/tools/figures.py
@@ -0,0 +1,374 @@
+"""Measures the figures of section 16 of the design page in under a minute.
+
+Prints one ``name value unit`` a line in the order of that section, then
+baselines and further readings. What could not be measured is printed as
+``not-measured``; the reason goes to standard error. `docs/tools.md` says how
+each figure is measured.
+"""
+
+import base64
+import concurrent.futures
+import json
+import pathlib
+import sys
+import time
+
+import attrs
+
+from tools import central_queue
+from tools import fleet as fleets
+from tools import load_runs
+from tools import measures
+from tools import processes
+from tools import sample
+from trefoilgw.load import arrivals
+from trefoilgw.load import results
+from trefoilgw.load import scenario as scenarios
+
+SCENARIOS = pathlib.Path(__file__).resolve().parent / "scenarios"
+NAMES = {
+    "response_ratio_p50": "ratio",
+    "response_ratio_p99": "ratio",
+    "response_ratio_p99_85": "ratio",
+    "added_latency_p50_ms": "ms",
+    "added_latency_p99_ms": "ms",
+    "messages_per_task_single": "messages",
+    "messages_per_task_310": "messages",
+    "wasted_messages_pct": "%",
+    "flood_low_kept_pct": "%",
+    "flood_urgent_kept_pct": "%",
+    "config_in_force_s": "s",
+    "agent_rss_mb": "MB",
+    "entry_rss_mb": "MB",
+    "agent_control_cpu_pct": "%",
+    "agent_control_kb_s": "KB/s",
+    "entry_starts_per_core_s": "starts/s",
+}
+LOAD_PARTS = 2
+FLOOD_LOAD_PARTS = 3
+MEGABYTE = 1024 * 1024
+KILOBYTE = 1024
+CONFIG_TIMEOUT_S = 15.0
+CONFIG_KEY = "/trefoilgw/config"
+POLL_S = 0.01
+# Time for the longest tasks of the clicks, and of the other stages, to end
+# after the last arrival.
+LONG_TAIL_S = 5.3
+SHORT_TAIL_S = 2.0
+
+
+@attrs.define(eq=False)
+class Figures:
+    """Collected values.
+
+    Attributes:
+        values: By name; None if it could not be measured.
+        more: Further lines as (value, unit) by name.
+    """
+
+    values: dict = attrs.field(factory=dict)
+    more: dict = attrs.field(factory=dict)
+
+    def add(self, name: str, value: float, unit: str) -> None:
+        """Adds a further line."""
+        self.more[name] = (value, unit)
+
+    def lines(self) -> list[str]:
+        """Returns all lines in their order."""
+        lines = []
+        for name, unit in NAMES.items():
+            value = self.values.get(name)
+            text = "not-measured" if value is None else f"{value:.3f}"
+            lines.append(f"{name} {text} {unit}")
+        for name, (value, unit) in self.more.items():
+            lines.append(f"{name} {value:.3f} {unit}")
+        return lines
+
+
+@attrs.frozen
+class Stage:
+    """One load run on the fleet.
+
+    Attributes:
+        name: Name of its scenario.
+        started: Its load processes.
+        end_at: Unix time at which its work should have ended.
+    """
+
+    name: str
+    started: list[processes.Process]
+    end_at: float
+
+    def finish(self) -> results.Results:
+        """Waits for the results."""
+        return load_runs.finish(self.started, path_of(self.name))
+
+
+def path_of(name: str) -> str:
+    """Returns the path of a scenario of the figures."""
+    return str(SCENARIOS / f"figures-{name}.toml")
+
+
+def start_stage(
+    fleet: fleets.Fleet, name: str, parts: int, start_at: float, tail_s: float
+) -> Stage:
+    """Starts the load processes of a stage ahead of its first arrival."""
+    path = path_of(name)
+    started = load_runs.start(fleet, path, parts, start_at=start_at)
+    duration_s = scenarios.load(path).duration_s
+    return Stage(name, started, start_at + duration_s + tail_s)
+
+
+def wait_until(unix_s: float) -> None:
+    """Sleeps until a time of the wall clock."""
+    time.sleep(max(0.0, unix_s - time.time()))
+
+
+def measure_clicks(figures: Figures, fleet: fleets.Fleet) -> None:
+    """Measures the mix of clicks, at 70% load and then at 85%.
+
+    The second part starts at the last arrival of the first one, while the
+    longest tasks still run.
+    """
+    before = measures.read(fleet)
+    begun_at = time.time()
+    start_at = begun_at + load_runs.START_DELAY_S
+    normal = start_stage(fleet, "70", LOAD_PARTS, start_at, 0.0)
+    high = start_stage(fleet, "85", LOAD_PARTS, normal.end_at, LONG_TAIL_S)
+    baselines = start_baselines(fleet, start_at)
+    total = read_clicks(figures, "70", normal).total()
+    if total.counts["complete"]:
+        figures.values["response_ratio_p50"] = total.ratio_at(50)
+        figures.values["response_ratio_p99"] = total.ratio_at(99)
+        figures.values["added_latency_p50_ms"] = total.added_s_at(50) * 1000
+        figures.values["added_latency_p99_ms"] = total.added_s_at(99) * 1000
+    starts = total.counts["task_starts"]
+    attempt(finish_baselines, figures, baselines)
+    total = read_clicks(figures, "85", high).total()
+    if total.counts["complete"]:
+        figures.values["response_ratio_p99_85"] = total.ratio_at(99)
+    starts += total.counts["task_starts"]
+    wait_until(high.end_at)
+    used = measures.difference(before, measures.read(fleet))
+    if starts:
+        add_click_costs(figures, used, starts, time.time() - begun_at)
+
+
+def read_clicks(figures: Figures, name: str, stage: Stage) -> results.Results:
+    """Returns the results of a stage of clicks."""
+    run = stage.finish()
+    add_run_quality(figures, name, run)
+    return run
+
+
+def add_click_costs(
+    figures: Figures, used: measures.Reading, starts: int, took_s: float
+) -> None:
+    """Adds messages, bytes and CPU time of both click stages."""
+    messages = measures.task_messages(used)
+    if messages is not None:
+        figures.values["messages_per_task_single"] = messages / starts
+        direct = messages - measures.forwards(used)
+        figures.add(
+            "messages_per_task_single_without_forwards",
+            direct / starts,
+            "messages",
+        )
+    agents = used.agent_cpu_s
+    figures.values["agent_control_cpu_pct"] = (
+        100 * sum(agents) / len(agents) / took_s
+    )
+    moved = measures.stream_bytes(used, 'peer="agent"')
+    if moved is not None:
+        per_agent = moved / len(agents) / took_s
+        figures.values["agent_control_kb_s"] = per_agent / KILOBYTE
+    figures.values["entry_starts_per_core_s"] = starts / used.entry_cpu_s
+
+
+def measure_big_jobs_and_floods(figures: Figures, fleet: fleets.Fleet) -> None:
+    """Measures jobs of 310 tasks, then other work without and with floods."""
+    before = measures.read(fleet)
+    big = start_stage(
+        fleet, "310", 1, time.time() + load_runs.START_DELAY_S, SHORT_TAIL_S
+    )
+    base = start_stage(fleet, "base", 1, big.end_at, SHORT_TAIL_S)
+    floods = []
+    start_at = base.end_at
+    for name in ("low", "urgent"):
+        stage = start_stage(
+            fleet, f"flood-{name}", FLOOD_LOAD_PARTS, start_at, SHORT_TAIL_S
+        )
+        floods.append((name, stage))
+        start_at = stage.end_at
+    run = big.finish()
+    wait_until(big.end_at - 0.2)
+    used = measures.difference(before, measures.read(fleet))
+    add_run_quality(figures, "310", run)
+    add_big_job_costs(figures, used, run.counts()["task_starts"])
+    run = base.finish()
+    add_run_quality(figures, "base", run)
+    undisturbed = run.total(flood=False)
+    for name, stage in floods:
+        run = stage.finish()
+        add_run_quality(figures, f"flood_{name}", run)
+        add_flood(figures, name, undisturbed, run.total(flood=False))
+
+
+def add_big_job_costs(
+    figures: Figures, used: measures.Reading, starts: int
+) -> None:
+    """Adds messages and CPU time per task of large jobs."""
+    messages = measures.task_messages(used)
+    if messages is not None and starts:
+        figures.values["messages_per_task_310"] = messages / starts
+    if starts and used.entry_cpu_s:
+        per_core = starts / used.entry_cpu_s
+        figures.add("entry_starts_per_core_s_310", per_core, "starts/s")
+
+
+def add_flood(
+    figures: Figures,
+    name: str,
+    undisturbed: results.FlowResult,
+    other: results.FlowResult,
+) -> None:
+    """Adds what other work kept during a flood."""
+    complete = undisturbed.counts["complete"]
+    if not complete:
+        return
+    kept = other.counts["complete"] / complete
+    figures.values[f"flood_{name}_kept_pct"] = 100 * kept
+    factor = other.response_s_at(99) / undisturbed.response_s_at(99)
+    figures.add(f"flood_{name}_p99_factor", factor, "ratio")
+
+
+def add_run_quality(figures: Figures, name: str, run: results.Results) -> None:
+    """Adds faults and how late the generator was."""
+    counts = run.total(flood=False).counts
+    faults = sum(run.faults().values())
+    figures.add(f"faults_{name}", faults, "count")
+    lost = counts["lost"] + counts["unanswered"] + counts["failed"]
+    figures.add(f"not_complete_not_refused_{name}", lost, "jobs")
+    figures.add(f"refused_{name}", counts["refused"], "jobs")
+    lag_us = run.lag_us.get_value_at_percentile(99)
+    figures.add(f"generator_late_p99_ms_{name}", lag_us / 1000, "ms")
+
+
+def measure_configuration(figures: Figures, fleet: fleets.Fleet) -> None:
+    """Measures how long an accepted change takes to be in force everywhere.
+
+    The time counts from when the key-value service first showed the change;
+    then every process is asked over its admin port until all have it.
+    """
+    document = sample.document()
+    document["customers"][0]["weight"] = 2.0
+    stored = stored_revision(fleet)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        waiting = pool.submit(_watch_change, fleet, stored)
+        fleet.apply(document, "figures: change of a weight")
+        figures.values["config_in_force_s"] = waiting.result()
+
+
+def stored_revision(fleet: fleets.Fleet) -> int:
+    """Returns the store revision of the last write of the configuration."""
+    key = base64.b64encode(CONFIG_KEY.encode()).decode()
+    text = fleets.fetch(fleet.kv_address, "/v3/kv/range", {"key": key})
+    return int(json.loads(text)["kvs"][0]["mod_revision"])
+
+
+def _watch_change(fleet: fleets.Fleet, stored: int) -> float | None:
+    """Returns how long a change took, None if it was not seen in time."""
+    deadline_s = time.monotonic() + CONFIG_TIMEOUT_S
+    wanted = fleet.applied_revision + 1
+    while stored_revision(fleet) == stored:
+        if time.monotonic() > deadline_s:
+            return None
+        time.sleep(POLL_S)
+    seen_s = time.monotonic()
+    left = fleet.entries() + fleet.agents()
+    while left:
+        left = [p for p in left if fleet.status(p)["revision"] < wanted]
+        if time.monotonic() > deadline_s:
+            return None
+    return time.monotonic() - seen_s
+
+
+def measure_memory(figures: Figures, fleet: fleets.Fleet) -> None:
+    """Measures resident memory, of the largest process of a role."""
+    for role in ("agent", "entry"):
+        sizes = [process.rss_bytes() for process in fleet.of_role(role)]
+        figures.values[f"{role}_rss_mb"] = max(sizes) / MEGABYTE
+
+
+def start_baselines(fleet: fleets.Fleet, start_at: float) -> dict:
+    """Starts the baselines on targets of their own.
+
+    Returns:
+        Load processes by policy.
+    """
+    hosts = {
+        policy: fleet.launcher.start(
+            f"baseline-targets-{policy}",
+            "tools.standins.target",
+            "--count",
+            str(fleet.sizes.agents),
+        )
+        for policy in ("random", "in-turn", "reports")
+    }
+    return {
+        policy: load_runs.start_direct(
+            fleet, path_of("70"), policy, host.wait_ready()["all"], start_at
+        )
+        for policy, host in hosts.items()
+    }
+
+
+def finish_baselines(figures: Figures, started: dict) -> None:
+    """Adds the baselines at 70% load, and the model of a central queue."""
+    for policy, running in started.items():
+        total = load_runs.finish(running, path_of("70")).total()
+        name = f"baseline_{policy.replace('-', '_')}"
+        figures.add(f"{name}_ratio_p50", total.ratio_at(50), "ratio")
+        figures.add(f"{name}_ratio_p99", total.ratio_at(99), "ratio")
+    for load in ("70", "85"):
+        scenario = scenarios.load(path_of(load))
+        plan = arrivals.plan(scenario)
+        model = central_queue.simulate(plan, scenario.slots)
+        name = f"baseline_central_queue_model_ratio_p99_{load}"
+        figures.add(name, model.ratio_at(99), "ratio")
+
+
+def attempt(stage, *arguments) -> None:
+    """Runs a stage; a failure leaves its figures not measured."""
+    try:
+        stage(*arguments)
+    except Exception as error:
+        print(f"{stage.__name__} failed: {error!r}", file=sys.stderr)
+
+
+def measure(figures: Figures) -> None:
+    """Runs all stages on one fleet."""
+    with fleets.Fleet() as fleet:
+        before = measures.read(fleet)
+        attempt(measure_clicks, figures, fleet)
+        attempt(measure_big_jobs_and_floods, figures, fleet)
+        attempt(measure_memory, figures, fleet)
+        used = measures.difference(before, measures.read(fleet))
+        messages = measures.task_messages(used)
+        if messages:
+            wasted = measures.wasted_messages(used)
+            figures.values["wasted_messages_pct"] = 100 * wasted / messages
+        attempt(measure_configuration, figures, fleet)
+
+
+def main() -> int:
+    """Prints the figures."""
+    processes.exit_on_terminate()
+    figures = Figures()
+    attempt(measure, figures)
+    print("\n".join(figures.lines()), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/trefoilgw/entry/metrics.py
@@ -0,0 +1,154 @@
+"""Metrics of an entry, read from its counts and parts per scrape."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import attrs
+
+from trefoilgw.metrics import core as metrics
+
+
+def make_registry(entry) -> metrics.Registry:
+    """Returns the registry of an entry."""
+    registry = metrics.Registry()
+    host = entry.host
+    counts = host.counts
+    labelled = (
+        ("messages_sent", "Messages sent", "type", counts.messages_sent),
+        (
+            "messages_received",
+            "Messages received",
+            "type",
+            counts.messages_received,
+        ),
+        ("messages_wasted", "Messages without use", "cause", counts.wasted),
+        ("jobs_ended", "Jobs with an answer", "state", counts.jobs_ended),
+        ("requests_refused", "Refused requests", "reason", counts.refusals),
+    )
+    for name, text, label, values in labelled:
+        registry.read_counter(name, text, _rows(values), label)
+    for name, text, closed, field in (
+        ("stream_bytes_sent", "Bytes sent", counts.bytes_sent, "sent_bytes"),
+        (
+            "stream_bytes_received",
+            "Bytes received",
+            counts.bytes_received,
+            "received_bytes",
+        ),
+    ):
+        registry.read_counter(name, text, _bytes(host, closed, field), "peer")
+    plain = (
+        ("tasks_sent", "Tasks sent to agents", lambda: counts.tasks_sent),
+        ("tasks_retried", "Tasks sent again", lambda: counts.tasks_retried),
+        ("requests_forwarded", "Requests forwarded", lambda: counts.forwarded),
+        ("pauses", "Pauses that ended jobs", lambda: counts.pauses),
+        (
+            "messages_foreign",
+            "Messages of closed sessions",
+            lambda: counts.foreign_messages,
+        ),
+        (
+            "outcomes_ignored",
+            "Late, doubled or foreign outcomes",
+            lambda: host.table.ignored_outcomes,
+        ),
+    )
+    for name, text, read in plain:
+        registry.read_counter(name, text, _single(read))
+    gauges = (
+        ("jobs_running", "Jobs running", lambda: len(host.table.running)),
+        ("jobs_queued", "Jobs waiting", lambda: len(host.queued)),
+        ("records", "Keys with a record", lambda: host.table.records.size),
+        ("agents", "Agents connected", lambda: len(host.agents)),
+        ("peers", "Entries connected", lambda: len(host.peers)),
+        ("revision", "Configuration", lambda: entry.config.revision),
+        ("epoch", "Roster epoch", lambda: host.roster.epoch),
+    )
+    for name, text, read in gauges:
+        registry.read_gauge(name, text, _single(read))
+    registry.read_gauge(
+        "agents_blocked", "Agents without work", _blocked(host), "reason"
+    )
+    registry.read_gauge(
+        "kinds_stopped", "Kinds stopped as poison", _stopped(host)
+    )
+    _add_platform(registry, entry)
+    return registry
+
+
+def _add_platform(registry: metrics.Registry, entry) -> None:
+    """Adds what the connection to the platform counts."""
+
+    def events() -> list[metrics.Sample]:
+        part = entry.registry
+        return _rows(attrs.asdict(part.counts))() if part else []
+
+    def client_count(field: str) -> Callable:
+        return _single(
+            lambda: (
+                getattr(entry.registry.client, field) if entry.registry else 0
+            )
+        )
+
+    registry.read_counter(
+        "registry_events", "Leases, roster and watch", events, "event"
+    )
+    for name, text, field in (
+        ("platform_calls", "Calls to the platform", "calls"),
+        ("platform_failures", "Calls without an answer", "failures"),
+    ):
+        registry.read_counter(name, text, client_count(field))
+
+
+def _blocked(host) -> Callable:
+    """Returns a reader of the agents that get no work, by reason."""
+
+    def read() -> list[metrics.Sample]:
+        found = collections.Counter(
+            reason
+            for session in host.agents.values()
+            for reason in session.blocked
+        )
+        return _rows(found)()
+
+    return read
+
+
+def _stopped(host) -> Callable:
+    """Returns a reader of the number of stopped kinds."""
+    return _single(
+        lambda: sum(
+            record.stopped_until_s is not None
+            for record in host.outliers.kinds.values()
+        )
+    )
+
+
+def _bytes(host, closed: dict, field: str) -> Callable:
+    """Returns a reader of bytes by the role of the other side."""
+
+    def read() -> list[metrics.Sample]:
+        parts = {"agent": host.agents.values(), "entry": host.peers.values()}
+        return [
+            metrics.Sample(
+                closed.get(role, 0)
+                + sum(getattr(part.stream, field) for part in open_parts),
+                (role,),
+            )
+            for role, open_parts in parts.items()
+        ]
+
+    return read
+
+
+def _rows(values: dict) -> Callable[[], Iterable[metrics.Sample]]:
+    """Returns a reader of labelled counts."""
+    return lambda: [
+        metrics.Sample(value, (str(name),)) for name, value in values.items()
+    ]
+
+
+def _single(read: Callable[[], float]) -> Callable:
+    """Returns a reader of one value."""
+    return lambda: [metrics.Sample(read())]
--- /dev/null
+++ b/trefoilgw/entry/routing.py
@@ -0,0 +1,263 @@
+"""From a caller's request to the filters here or to the home elsewhere."""
+
+import json
+import logging
+
+import attrs
+
+from trefoilgw.callers import problems
+from trefoilgw.callers import values
+from trefoilgw.entry import answer
+from trefoilgw.entry import configuring
+from trefoilgw.entry import decode
+from trefoilgw.entry import exchange as exchanges
+from trefoilgw.entry import host as hosts
+from trefoilgw.entry import identify
+from trefoilgw.entry import peers
+from trefoilgw.keys import core as keys
+from trefoilgw.messages import core as messages
+from trefoilgw.outcomes import core as outcomes
+
+TICKETS_LIMIT = 1000
+NONCE_BITS = 64
+# Tickets of a peer that was silent for longer are not issued.
+PEER_FRESH_S = 2.5
+# Extra time for the home's answer, above what the caller waits.
+FORWARD_GRACE_S = 3.0
+
+log = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Router:
+    """Answers callers' requests and requests that peers forward.
+
+    Attributes:
+        host: State of this entry.
+        config: Configuration and roster.
+        peers: Streams to the other entries.
+        run: Runs an exchange through all filters.
+        ready_s: Monotonic time until which health needs an agent. A new
+            entry would refuse work that others have targets for; later, an
+            entry without agents still answers for jobs that ended.
+    """
+
+    host: hosts.Host
+    config: configuring.Configuring
+    peers: peers.Peers
+    run: object
+    ready_s: float = 0.0
+
+    def handle(self, request: values.Request) -> values.Reply:
+        """Answers one request of a caller."""
+        self.host.open_requests += 1
+        try:
+            reply = self._answer(request)
+        except Exception:
+            log.exception("request failed")
+            reply = problems.problem(
+                outcomes.Refused(outcomes.Reason.INTERNAL, not_run=False)
+            )
+        finally:
+            self.host.open_requests -= 1
+        if reply.reason:
+            self.host.counts.refused(reply.reason)
+        return reply
+
+    def issue(self, count: int) -> list[str]:
+        """Returns new tickets, in turn of this entry and of its peers.
+
+        Notes:
+            A caller uses up a batch in a row. If all its tickets named one
+            home, that home would get the caller's whole load for a while.
+        """
+        homes = self._homes()
+        tickets = []
+        for number in range(count):
+            incarnation, window = homes[number % len(homes)]
+            ticket = keys.Ticket(incarnation, window, self._nonce())
+            tickets.append(keys.format_key(ticket))
+        return tickets
+
+    def _homes(self) -> list[tuple[str, int]]:
+        """Returns the entries whose tickets are issued, and their windows.
+
+        Notes:
+            A peer's window is that of its last heartbeat. It accepts older
+            windows too, so a window that ended since does no harm.
+        """
+        host = self.host
+        now_s = host.read_clock()
+        homes = [(host.incarnation, host.windows.current(now_s))]
+        for incarnation, peer in host.peers.items():
+            heard = now_s - peer.heard_s < PEER_FRESH_S
+            if heard and peer.window >= 0 and not peer.leaving:
+                homes.append((incarnation, peer.window))
+        host.rng.shuffle(homes)
+        return homes
+
+    def _new_ticket(self) -> keys.Ticket:
+        """Returns a new ticket of this entry."""
+        host = self.host
+        window = host.windows.current(host.read_clock())
+        return keys.Ticket(host.incarnation, window, self._nonce())
+
+    def _nonce(self) -> str:
+        """Returns what makes a ticket unique."""
+        return f"{self.host.rng.getrandbits(NONCE_BITS):016x}"
+
+    def serve(self, peer: peers.Peer, forward: messages.Forward) -> None:
+        """Answers a request that a peer forwarded."""
+        try:
+            reply = self._serve(forward)
+        except Exception:
+            log.exception("forwarded request failed")
+            reply = problems.problem(
+                outcomes.Refused(outcomes.Reason.INTERNAL, not_run=False)
+            )
+        self.peers.reply(peer, forward.request, reply)
+
+    def _answer(self, request: values.Request) -> values.Reply:
+        """Answers one request."""
+        match request.action:
+            case values.Action.HEALTH:
+                return self._health()
+            case values.Action.EPOCH:
+                return _json(
+                    {
+                        "epoch": self.host.roster.epoch,
+                        "incarnation": self.host.incarnation,
+                    }
+                )
+            case values.Action.TICKETS:
+                return self._tickets(request)
+        return self._job_request(request)
+
+    def _job_request(self, request: values.Request) -> values.Reply:
+        """Answers a request about a job, here or through its home."""
+        if not request.key and request.action is values.Action.SUBMIT:
+            return self._run_here(request, self._new_ticket())
+        key = keys.parse_key(request.key)
+        if isinstance(key, outcomes.Refused):
+            return problems.problem(key)
+        home = keys.home_of(key, self.host.roster)
+        if isinstance(home, outcomes.Refused):
+            return problems.problem(home, attempt_forwarded=False)
+        if home == self.host.incarnation:
+            return self._run_here(request, key)
+        return self._forward(request, key, home)
+
+    def _run_here(self, request: values.Request, key: keys.Key):
+        """Runs the filters for a request whose home this is."""
+        exchange = exchanges.Exchange(request=request, key=key)
+        self.run(exchange)
+        return exchange.reply
+
+    def _forward(
+        self, request: values.Request, key: keys.Key, home: str
+    ) -> values.Reply:
+        """Has the home answer a request."""
+        customer = identify.customer_of(self.host, request.token)
+        if isinstance(customer, outcomes.Refused):
+            return problems.problem(attrs.evolve(customer, not_run=False))
+        text = keys.format_key(key)
+        peer = self.peers.reachable(home)
+        if peer is None:
+            return self._without_home(request, text, home)
+        reply = self.peers.forward(
+            peer,
+            messages.Forward(
+                request=0,
+                customer=customer,
+                action=str(request.action),
+                key=text,
+                body=request.body,
+                wait_s=request.wait_s,
+            ),
+            request.wait_s + FORWARD_GRACE_S,
+        )
+        if reply is None:
+            return _unreachable(forwarded=True)
+        return reply
+
+    def _without_home(
+        self, request: values.Request, key: str, home: str
+    ) -> values.Reply:
+        """Answers a request whose home can't be reached."""
+        if not self.config.is_lost(home, self.host.read_clock()):
+            return _unreachable(forwarded=False)
+        tasks = None
+        if request.action is values.Action.SUBMIT:
+            tasks = decode.count_tasks(request.body)
+        return answer.lost(key, tasks)
+
+    def _serve(self, forward: messages.Forward) -> values.Reply:
+        """Returns the answer to a forwarded request."""
+        request = values.Request(
+            values.Action(forward.action),
+            key=forward.key,
+            body=forward.body,
+            wait_s=forward.wait_s,
+        )
+        key = keys.parse_key(forward.key)
+        if isinstance(key, outcomes.Refused):
+            return problems.problem(key)
+        home = keys.home_of(key, self.host.roster)
+        if home != self.host.incarnation:
+            # Never passed on, so that two rosters make no loop.
+            return _unreachable(forwarded=True)
+        exchange = exchanges.Exchange(
+            request=request,
+            key=key,
+            customer=forward.customer,
+            forwarded=True,
+        )
+        self.run(exchange)
+        return exchange.reply
+
+    def _health(self) -> values.Reply:
+        """Answers the balancer."""
+        if self.host.leaving:
+            return _json({"status": "leaving"}, 503)
+        if self.host.configuration is None:
+            return _json({"status": "no_configuration"}, 503)
+        if not self.host.agents and self.host.now() < self.ready_s:
+            return _json({"status": "no_target"}, 503)
+        return _json({"status": "ok"})
+
+    def _tickets(self, request: values.Request) -> values.Reply:
+        """Issues tickets."""
+        customer = identify.customer_of(self.host, request.token)
+        if isinstance(customer, outcomes.Refused):
+            return problems.problem(customer)
+        if self.host.leaving:
+            return problems.problem(identify.LEAVING)
+        count = decode.read_count(request.body, TICKETS_LIMIT)
+        if count is None:
+            return problems.problem(
+                outcomes.Refused(
+                    outcomes.Reason.BAD_REQUEST,
+                    not_run=True,
+                    detail='the body must be {"count": n} with n from 1 to '
+                    f"{TICKETS_LIMIT}",
+                )
+            )
+        return _json({"tickets": self.issue(count)})
+
+
+def _json(fields: dict, status: int = 200) -> values.Reply:
+    """Returns a reply with a JSON object."""
+    return values.Reply(status, json.dumps(fields).encode())
+
+
+def _unreachable(forwarded: bool) -> values.Reply:
+    """Returns the refusal for a home that gives no answer."""
+    return problems.problem(
+        outcomes.Refused(
+            outcomes.Reason.HOME_UNREACHABLE,
+            not_run=False,
+            detail="the entry that this key belongs to gives no answer",
+            retry_after_s=1.0,
+        ),
+        attempt_forwarded=forwarded,
+    )
--- a/trefoilgw/placement/lending.py
+++ b/trefoilgw/placement/lending.py
@@ -7,11 +7,6 @@
 
 import attrs
 
-# Free credits at or below which this entry asks, or this share of all its
-# credits if that is more: admission keeps so many for flows within their
-# share, so work may wait while they are free.
-LOW_CREDITS = 2
-LOW_SHARE = 0.1
 # Difference of free credits that is assumed if a peer reported less; half of
 # the difference is asked for.
 GAP_CREDITS = 4
@@ -104,10 +99,7 @@
             peers_free: Credits free at each connected peer, as last heard.
             waiting: Tasks that wait here, 0 if not known.
         """
-        low = max(LOW_CREDITS, round(LOW_SHARE * total))
         elapsed_s = now_s - self.asked_s
-        if free > low:
-            return None
         if waiting > total and elapsed_s < CROWDED_ASK_S:
             return None
         allowance = min(ASK_BURST, self.allowance + elapsed_s * ASK_RATE_S)
