Pick the tickets of the fault cases by their home

Cause: the cases took the first ticket of an entry for one that names this entry; since entries issue tickets for their peers as well, a case could kill or freeze an entry that was not the home. The cases ask for the home explicitly now; their checks are as they were.

--- a/tools/tests/faults.py
+++ b/tools/tests/faults.py
@@ -163,9 +163,17 @@
             caller.close()
 
     def ticket(self, process) -> str:
-        """Returns a ticket of an entry."""
-        answer = self.call(process, "POST", "/v1/tickets", b'{"count": 1}')
-        return json.loads(answer.body)["tickets"][0]
+        """Returns a ticket that names an entry as its home.
+
+        An entry issues tickets for itself and its peers in turn.
+        """
+        incarnation = process.ready["incarnation"]
+        body = json.dumps({"count": self.entries}).encode()
+        answer = self.call(process, "POST", "/v1/tickets", body)
+        for ticket in json.loads(answer.body)["tickets"]:
+            if incarnation in ticket:
+                return ticket
+        raise AssertionError(f"no ticket of {process.name}: {answer.body}")
 
     def prepare(
         self,
