--- a/trefoilgw/agent/choice.py
+++ b/trefoilgw/agent/choice.py
@@ -5,6 +5,7 @@
 """
 
 import hashlib
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from trefoilgw.messages import core as messages
@@ -42,16 +43,35 @@
         The first `ENTRIES_PER_AGENT` reachable entries by weight, and the
         unreachable ones before them.
     """
-    ranked = sorted(
-        entries,
-        key=lambda entry: weight(agent, entry.incarnation),
-        reverse=True,
-    )
+    by_name = {entry.incarnation: entry for entry in entries}
+    down = {
+        name
+        for name, entry in by_name.items()
+        if entry.stream_address in unreachable
+    }
+    names = _first_reachable(agent, by_name, down, ENTRIES_PER_AGENT)
+    return tuple(by_name[name] for name in names)
+
+
+def seeds_to_dial(
+    agent: str,
+    seeds: Iterable[str],
+    unreachable: frozenset[str],
+    limit: int = ENTRIES_PER_AGENT,
+) -> list[str]:
+    """Returns the seeds to dial, chosen as `assigned` chooses entries."""
+    return _first_reachable(agent, seeds, unreachable, limit)
+
+
+def _first_reachable(
+    agent: str, names: Iterable[str], down: Collection[str], limit: int
+) -> list[str]:
+    """Returns names by weight until enough of them are not down."""
+    ranked = sorted(names, key=lambda name: weight(agent, name), reverse=True)
     chosen = []
-    reachable = 0
-    for entry in ranked:
-        if reachable == ENTRIES_PER_AGENT:
+    for name in ranked:
+        if limit <= 0:
             break
-        chosen.append(entry)
-        reachable += entry.stream_address not in unreachable
-    return tuple(chosen)
+        chosen.append(name)
+        limit -= name not in down
+    return chosen
--- a/trefoilgw/agent/connections.py
+++ b/trefoilgw/agent/connections.py
@@ -164,12 +164,7 @@
 
     def assigned(self) -> tuple[messages.RosterEntry, ...]:
         """Returns the entries of the roster that this agent serves."""
-        unreachable = frozenset(
-            address
-            for address, link in self.links.items()
-            if link.stream is None and link.failures >= UNREACHABLE_FAILURES
-        )
-        return choice.assigned(self.agent, self.roster, unreachable)
+        return choice.assigned(self.agent, self.roster, self._unreachable())
 
     def surplus_links(self) -> list[Link]:
         """Returns open links that the agent no longer needs.
@@ -194,25 +189,26 @@
             for address, link in self.links.items()
         )
         seeds = [seed for seed in self.seeds if not self._is_second(seed)]
-        if not reached:
-            return chosen | set(self._limited(seeds, 0))
-        unlisted = [
-            seed
-            for seed in seeds
-            if seed not in listed and not self._is_balancer(seed)
-        ]
-        return chosen | set(self._limited(unlisted, len(chosen)))
-
-    def _limited(self, seeds, others: int) -> list[str]:
-        """Returns the seeds to dial: none beyond the open streams' limit."""
-        open_seeds = [
-            seed
-            for seed in seeds
-            if seed in self.links and self.links[seed].stream is not None
-        ]
-        if others + len(open_seeds) >= choice.ENTRIES_PER_AGENT:
-            return open_seeds
-        return list(seeds)
+        room = choice.ENTRIES_PER_AGENT
+        if reached:
+            room -= len(chosen)
+            seeds = [
+                seed
+                for seed in seeds
+                if seed not in listed and not self._is_balancer(seed)
+            ]
+        dialed = choice.seeds_to_dial(
+            self.agent, seeds, self._unreachable(), room
+        )
+        return chosen.union(dialed)
+
+    def _unreachable(self) -> frozenset[str]:
+        """Returns the addresses that do not answer."""
+        return frozenset(
+            address
+            for address, link in self.links.items()
+            if link.stream is None and link.failures >= UNREACHABLE_FAILURES
+        )
 
     def _is_second(self, seed: str) -> bool:
         """Returns True if a seed led to an entry that is connected elsewhere.
