--- a/trefoilgw/agent/admin.py
+++ b/trefoilgw/agent/admin.py
@@ -68,7 +68,8 @@
         if method != "GET":
             return "405 Method Not Allowed", JSON, b'{"detail": "only GET"}'
         if path == "/metrics":
-            return "200 OK", metrics.CONTENT_TYPE, self.registry.exposition()
+            body = agent_metrics.exposition(self.registry)
+            return "200 OK", metrics.CONTENT_TYPE, body
         if path == "/admin/status":
             status = agent_metrics.status_of(self.agent)
             return "200 OK", JSON, json.dumps(status).encode()
--- a/trefoilgw/agent/metrics.py
+++ b/trefoilgw/agent/metrics.py
@@ -1,4 +1,11 @@
-"""Counters and state of an agent for operators."""
+"""Counters and state of an agent for operators.
+
+The text form is written here: prometheus_client would cost the agent 2 MB and
+brings OpenSSL back, which `trefoilgw.agent.footprint` leaves out.
+"""
+
+import pathlib
+import time
 
 import attrs
 
@@ -53,6 +60,27 @@
     return registry
 
 
+def exposition(registry: metrics.Registry) -> bytes:
+    """Returns the metrics in the Prometheus text form, version 0.0.4."""
+    lines = []
+    for family in registry.families.values():
+        suffix = "_total" if family.kind == "counter" else ""
+        name = f"trefoilgw_{family.name}{suffix}"
+        lines += _lines(name, family.kind, family.text)
+        for labels, value in family.values.items():
+            pairs = zip(family.label_names, labels, strict=True)
+            text = ",".join(f'{key}="{label}"' for key, label in pairs)
+            braces = f"{{{text}}}" if text else ""
+            lines.append(f"{name}{braces} {float(value)}")
+    name = "process_cpu_seconds_total"
+    lines += _lines(name, "counter", "User and system CPU time")
+    lines.append(f"{name} {time.process_time()}")
+    name = "process_resident_memory_bytes"
+    lines += _lines(name, "gauge", "Resident memory")
+    lines.append(f"{name} {float(_resident_bytes())}")
+    return ("\n".join(lines) + "\n").encode()
+
+
 def status_of(agent) -> dict:
     """Returns the state of an agent for operators."""
     return {
@@ -92,3 +120,17 @@
 def _single(read):
     """Returns a reader of one value without labels."""
     return lambda: [metrics.Sample(read())]
+
+
+def _lines(name: str, kind: str, text: str) -> list[str]:
+    """Returns the head of a family."""
+    return [f"# HELP {name} {text}", f"# TYPE {name} {kind}"]
+
+
+def _resident_bytes() -> int:
+    """Returns the resident memory of this process."""
+    status = pathlib.Path("/proc/self/status").read_text(encoding="ascii")
+    for line in status.splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) * 1024
+    return 0
--- a/trefoilgw/agent/tests/test_core.py
+++ b/trefoilgw/agent/tests/test_core.py
@@ -1,9 +1,12 @@
 """Contract of the agent with entries and a target on loopback."""
 
+import sys
 import time
 import unittest
+import unittest.mock
 
 import eventlet
+from prometheus_client import parser
 
 from trefoilgw.agent import core as agent_core
 from trefoilgw.agent.tests import scenes
@@ -211,15 +214,34 @@
             "GET /other HTTP/1.1": ("404", "nothing"),
             "POST /metrics HTTP/1.1": ("405", "only GET"),
         }
-        host, _, port = agent.admin_address.partition(":")
         for request, (status, text) in cases.items():
             with self.subTest(request):
-                sock = eventlet.connect((host, int(port)))
-                sock.sendall(request.encode() + b"\r\n\r\n")
-                reply = sock.makefile("rb").read().decode()
+                reply = self.ask(agent, request)
                 self.assertIn(status, reply.split("\r\n")[0])
                 self.assertIn(text, reply)
 
+    def test_metrics_are_in_the_prometheus_form(self):
+        """A scraper must be able to read every line."""
+        agent, _, _ = self.pair(admin_address="127.0.0.1:0")
+        unused = dict.fromkeys(("prometheus_client", "ssl"))
+        with unittest.mock.patch.dict(sys.modules, unused):
+            reply = self.ask(agent, "GET /metrics HTTP/1.1")
+        text = reply.partition("\r\n\r\n")[2]
+        families = parser.text_string_to_metric_families(text)
+        found = {family.name: family for family in families}
+        self.assertEqual("counter", found["trefoilgw_agent_events"].type)
+        labels = [s.labels for s in found["trefoilgw_agent_events"].samples]
+        self.assertIn({"event": "late_answers"}, labels)
+        self.assertEqual(8.0, found["trefoilgw_slots"].samples[0].value)
+        rss = found["process_resident_memory_bytes"].samples[0].value
+        self.assertGreater(rss, 0)
+
+    def ask(self, agent, request):
+        host, _, port = agent.admin_address.partition(":")
+        sock = eventlet.connect((host, int(port)))
+        sock.sendall(request.encode() + b"\r\n\r\n")
+        return sock.makefile("rb").read().decode()
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilgw/agent/tests/test_program.py
+++ b/trefoilgw/agent/tests/test_program.py
@@ -7,6 +7,7 @@
 import os
 import pathlib
 import signal
+import subprocess
 import sys
 import tempfile
 import unittest
@@ -17,6 +18,7 @@
 from trefoilgw.agent.tests import scenes
 from trefoilgw.messages import core as messages
 
+ROOT = pathlib.Path(__file__).resolve().parents[3]
 SETTINGS = """
 name = "agent-1"
 domain = "d1"
@@ -104,6 +106,30 @@
         self.assertEqual(program.EXIT_CANNOT_START, code)
         self.assertIn("can't listen", self.errors.getvalue())
 
+    def test_modules_that_the_agent_does_not_use(self):
+        """A library loaded in vain takes memory that work needs."""
+        script = (
+            "import sys\n"
+            "from trefoilgw.agent import footprint\n"
+            "footprint.leave_out_unused()\n"
+            "import eventlet\n"
+            "eventlet.monkey_patch()\n"
+            "from trefoilgw.agent import program\n"
+            "unused = 'cattrs cleo eventlet.wsgi prometheus_client _ssl'\n"
+            "print(*set(unused.split()) & set(sys.modules))\n"
+        )
+        child = [sys.executable, "-W", "ignore", "-c", script]
+        done = subprocess.run(child, capture_output=True, text=True, cwd=ROOT)
+        self.assertEqual(("", "\n"), (done.stderr, done.stdout))
+
+    def test_command(self):
+        """The command must load without the modules that it leaves out."""
+        child = [sys.executable, "-m", "trefoilgw.agent.main"]
+        child += ["--settings", "missing.toml"]
+        done = subprocess.run(child, capture_output=True, text=True, cwd=ROOT)
+        self.assertEqual(program.EXIT_CANNOT_START, done.returncode)
+        self.assertIn("missing.toml:1: can't read", done.stderr)
+
 
 if __name__ == "__main__":
     unittest.main()
