--- a/tools/figures.py
+++ b/tools/figures.py
@@ -54,7 +54,9 @@
 # Time for the longest tasks of the clicks, and of the other stages, to end
 # after the last arrival.
 LONG_TAIL_S = 5.3
-SHORT_TAIL_S = 2.0
+SHORT_TAIL_S = 1.5
+# From the end of the click stages to the first arrival of the next one.
+GAP_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -124,11 +126,12 @@
     time.sleep(max(0.0, unix_s - time.time()))
 
 
-def measure_clicks(figures: Figures, fleet: fleets.Fleet) -> None:
-    """Measures the mix of clicks, at 70% load and then at 85%.
+def measure_load(figures: Figures, fleet: fleets.Fleet) -> None:
+    """Runs all load stages, one after the other on one schedule.
 
-    The second part starts at the last arrival of the first one, while the
-    longest tasks still run.
+    The clicks at 85% load start at the last arrival of those at 70%, while
+    the longest tasks still run. The load processes of the later stages start
+    meanwhile and wait for their time.
     """
     before = measures.read(fleet)
     begun_at = time.time()
@@ -143,15 +146,18 @@
         figures.values["added_latency_p50_ms"] = total.added_s_at(50) * 1000
         figures.values["added_latency_p99_ms"] = total.added_s_at(99) * 1000
     starts = total.counts["task_starts"]
+    later = start_later_stages(fleet, high.end_at + GAP_S)
     attempt(finish_baselines, figures, baselines)
     total = read_clicks(figures, "85", high).total()
     if total.counts["complete"]:
         figures.values["response_ratio_p99_85"] = total.ratio_at(99)
     starts += total.counts["task_starts"]
     wait_until(high.end_at)
-    used = measures.difference(before, measures.read(fleet))
+    middle = measures.read(fleet)
     if starts:
+        used = measures.difference(before, middle)
         add_click_costs(figures, used, starts, time.time() - begun_at)
+    finish_later_stages(figures, fleet, middle, later)
 
 
 def read_clicks(figures: Figures, name: str, stage: Stage) -> results.Results:
@@ -185,30 +191,38 @@
     figures.values["entry_starts_per_core_s"] = starts / used.entry_cpu_s
 
 
-def measure_big_jobs_and_floods(figures: Figures, fleet: fleets.Fleet) -> None:
-    """Measures jobs of 310 tasks, then other work without and with floods."""
-    before = measures.read(fleet)
-    big = start_stage(
-        fleet, "310", 1, time.time() + load_runs.START_DELAY_S, SHORT_TAIL_S
-    )
-    base = start_stage(fleet, "base", 1, big.end_at, SHORT_TAIL_S)
-    floods = []
-    start_at = base.end_at
-    for name in ("low", "urgent"):
-        stage = start_stage(
-            fleet, f"flood-{name}", FLOOD_LOAD_PARTS, start_at, SHORT_TAIL_S
-        )
-        floods.append((name, stage))
+def start_later_stages(fleet: fleets.Fleet, start_at: float) -> list[Stage]:
+    """Starts jobs of 310 tasks, then other work without and with floods."""
+    stages = []
+    for name, parts in (
+        ("310", 1),
+        ("base", 1),
+        ("flood-low", FLOOD_LOAD_PARTS),
+        ("flood-urgent", FLOOD_LOAD_PARTS),
+    ):
+        stage = start_stage(fleet, name, parts, start_at, SHORT_TAIL_S)
+        stages.append(stage)
         start_at = stage.end_at
-    run = big.finish()
-    wait_until(big.end_at - 0.2)
+    return stages
+
+
+def finish_later_stages(
+    figures: Figures,
+    fleet: fleets.Fleet,
+    before: measures.Reading,
+    stages: list[Stage],
+) -> None:
+    """Adds the figures of large jobs and of the floods."""
+    big, base, low, urgent = stages
+    wait_until(big.end_at)
     used = measures.difference(before, measures.read(fleet))
+    run = big.finish()
     add_run_quality(figures, "310", run)
     add_big_job_costs(figures, used, run.counts()["task_starts"])
     run = base.finish()
     add_run_quality(figures, "base", run)
     undisturbed = run.total(flood=False)
-    for name, stage in floods:
+    for name, stage in (("low", low), ("urgent", urgent)):
         run = stage.finish()
         add_run_quality(figures, f"flood_{name}", run)
         add_flood(figures, name, undisturbed, run.total(flood=False))
@@ -350,13 +364,12 @@
     """Runs all stages on one fleet."""
     with fleets.Fleet() as fleet:
         before = measures.read(fleet)
-        attempt(measure_clicks, figures, fleet)
-        attempt(measure_big_jobs_and_floods, figures, fleet)
+        attempt(measure_load, figures, fleet)
         attempt(measure_memory, figures, fleet)
         used = measures.difference(before, measures.read(fleet))
         messages = measures.task_messages(used)
-        if messages:
-            wasted = measures.wasted_messages(used)
+        wasted = measures.wasted_messages(used)
+        if messages and wasted is not None:
             figures.values["wasted_messages_pct"] = 100 * wasted / messages
         attempt(measure_configuration, figures, fleet)
 
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -81,6 +81,15 @@
     return values
 
 
+def parse_families(text: str) -> frozenset[str]:
+    """Returns the names of all families, those without a sample included."""
+    return frozenset(
+        line.split()[2]
+        for line in text.splitlines()
+        if line.startswith("# TYPE ")
+    )
+
+
 def total(values: dict[str, float], name: str, part: str = "") -> float:
     """Returns the sum over the labels of a metric.
 
@@ -281,8 +290,11 @@
 
     def metrics(self, process: processes.Process) -> dict[str, float]:
         """Returns the metrics of an entry or agent."""
-        text = fetch(process.ready["admin"], "/metrics").decode()
-        return parse_metrics(text)
+        return parse_metrics(self.metrics_text(process))
+
+    def metrics_text(self, process: processes.Process) -> str:
+        """Returns the metrics of an entry or agent in Prometheus' text form."""
+        return fetch(process.ready["admin"], "/metrics").decode()
 
     def starts(self) -> list[dict]:
         """Returns the tally of every target."""
--- a/tools/tests/test_figures.py
+++ b/tools/tests/test_figures.py
@@ -81,6 +81,9 @@
         self.assertEqual(12.0, measures.task_messages(reading))
         self.assertEqual(2.0, measures.forwards(reading))
         empty = measures.Reading(1.0, (), {})
+        self.assertIsNone(measures.wasted_messages(empty))
+        counted = measures.Reading(1.0, (), {}, frozenset({measures.WASTED}))
+        self.assertEqual(0.0, measures.wasted_messages(counted))
         self.assertIsNone(measures.task_messages(empty))
         self.assertIsNone(measures.stream_bytes(empty, ""))
 
