--- a/trefoilgw/admission/customers.py
+++ b/trefoilgw/admission/customers.py
@@ -119,6 +119,7 @@
             self.quota.set_rate(part, now_s)
         limit = sharing.limit_part(float(self.limit_tasks), "", running)
         self.own_limit_tasks = max(1, int(limit))
+        self.unpark()
 
 
 def configured(
