--- a/tools/tests/faults.py
+++ b/tools/tests/faults.py
@@ -20,6 +20,8 @@
 
 LIMIT_S = 60.0
 POLL_S = 0.05
+# More than entries in any case, so that each of them is named.
+TICKETS_TAKEN = 16
 CUSTOMER = "cobre-calco"
 
 
@@ -168,7 +170,7 @@
         An entry issues tickets for itself and its peers in turn.
         """
         incarnation = process.ready["incarnation"]
-        body = json.dumps({"count": self.entries}).encode()
+        body = json.dumps({"count": TICKETS_TAKEN}).encode()
         answer = self.call(process, "POST", "/v1/tickets", body)
         for ticket in json.loads(answer.body)["tickets"]:
             if incarnation in ticket:
