Wake whoever waits for a socket that is closed here

eventlet leaves such a greenthread in its hub until a socket gets the same descriptor number. Until then the stream stays in memory; and if a pipe gets the number first, as when a test starts a process, reading it fails as a second simultaneous read. Seen as two errors in tests that start a process after tests of listeners; a new test fails without the change. The close function is public now, for other owners of sockets.

--- a/trefoilgw/streams/core.py
+++ b/trefoilgw/streams/core.py
@@ -19,6 +19,7 @@
 import attrs
 import eventlet
 from eventlet import event
+from eventlet import hubs
 from eventlet.green import socket
 
 from trefoilgw.messages import codec
@@ -144,7 +145,7 @@
             return
         self.closed = True
         self._notify()
-        _shut(self.sock)
+        shut(self.sock)
         eventlet.spawn_n(self.on_closed, self, reason)
 
     def flush(self, timeout_s: float = 1.0) -> None:
@@ -235,10 +236,20 @@
         self.sent_bytes += len(frame)
 
 
-def _shut(sock: socket.socket) -> None:
-    """Closes a socket; a second close is harmless."""
+def shut(sock: socket.socket) -> None:
+    """Closes a socket and wakes whoever waits for it.
+
+    A second close is harmless.
+
+    Notes:
+        eventlet leaves a greenthread waiting whose socket another one closes,
+        until the number of the descriptor is used again by a socket. If a pipe
+        uses it first, that fails as a "second simultaneous read".
+    """
     with contextlib.suppress(OSError):  # The peer may have been first.
         sock.shutdown(stdlib_socket.SHUT_RDWR)
+    if sock.fileno() >= 0:
+        hubs.notify_opened(sock.fileno())
     sock.close()
 
 
@@ -277,7 +288,7 @@
             return stream
     except (OSError, codec.FrameError, ValueError, DialError) as error:
         if sock is not None:
-            _shut(sock)
+            shut(sock)
         raise DialError(f"{address}: {error}") from error
 
 
@@ -335,7 +346,7 @@
     def close(self) -> None:
         """Stops accepting; open streams stay."""
         if self._sock is not None:
-            _shut(self._sock)
+            shut(self._sock)
 
     def _accept_loop(self) -> None:
         """Accepts connections until closed."""
@@ -365,7 +376,7 @@
         if accepted:
             self.on_stream(stream)
         else:
-            _shut(sock)
+            shut(sock)
 
     def _server_handshake(self, stream: Stream) -> bool:
         """Returns True once the client was welcomed."""
--- a/trefoilgw/streams/tests/test_core.py
+++ b/trefoilgw/streams/tests/test_core.py
@@ -4,6 +4,7 @@
 import unittest
 
 import eventlet
+from eventlet import hubs
 from eventlet import queue
 from eventlet.green import socket
 
@@ -107,6 +108,21 @@
         closed.get(timeout=TIMEOUT_S)
         self.assertEqual(1, arrived.qsize())
 
+    def test_local_close_wakes_whoever_waits(self):
+        """A forgotten reader keeps its stream, and breaks a later pipe."""
+        client, server = self.connect()
+        for stream in (client, server):
+            stream.start(lambda *_: None, lambda *_: None)
+        numbers = [s.sock.fileno() for s in (client, server)]
+        numbers.append(self.listener._sock.fileno())
+        readers = hubs.get_hub().listeners["read"]
+        while not set(numbers) <= set(readers):
+            eventlet.sleep(0)
+        for stream in (client, server):
+            stream.close("done")
+        self.listener.close()
+        self.assertEqual(set(), set(numbers) & set(readers))
+
     def test_garbage_closes_the_stream(self):
         """Bytes of another protocol must not hang the reader."""
         client, server = self.connect()
