--- a/trefoilgw/agent/tests/scenes.py
+++ b/trefoilgw/agent/tests/scenes.py
@@ -122,6 +122,9 @@
         self.address = f"{host}:{port}"
         eventlet.spawn_n(self._accept)
 
+    def stop(self):
+        streams.shut(self.sock)
+
     def release(self):
         self.held = False
         if not self._released.ready():
--- a/trefoilgw/agent/tests/test_connections.py
+++ b/trefoilgw/agent/tests/test_connections.py
@@ -9,6 +9,7 @@
 from trefoilgw.agent import connections
 from trefoilgw.agent.tests import scenes
 from trefoilgw.messages import core as messages
+from trefoilgw.streams import core as streams
 
 AGENT = "f" * 16
 
@@ -128,7 +129,7 @@
         other = messages.RosterEntry("a" * 16, entry.address, "", "d1")
         port = int(entry.address.split(":")[1])
         balancer = eventlet.listen(("127.0.0.2", 0))
-        self.addCleanup(balancer.close)
+        self.addCleanup(streams.shut, balancer)
         entry.roster, entry.epoch = (other,), 1
 
         def forward():
--- a/trefoilgw/agent/tests/test_core.py
+++ b/trefoilgw/agent/tests/test_core.py
@@ -24,7 +24,7 @@
 
     def target(self, **fields):
         made = scenes.Target(**fields)
-        self.addCleanup(made.sock.close)
+        self.addCleanup(made.stop)
         self.addCleanup(made.release)
         return made
 
@@ -67,7 +67,7 @@
     def test_unreachable_target_is_not_run(self):
         """A target that is down must not cost the job its tasks."""
         _, entry, target = self.pair()
-        target.sock.close()
+        target.stop()
         entry.send(batch(tasks=1))
         (outcome,) = entry.next(messages.BatchDone).outcomes
         self.assertEqual(
--- a/trefoilgw/agent/tests/test_program.py
+++ b/trefoilgw/agent/tests/test_program.py
@@ -63,7 +63,7 @@
     def test_ready_line_and_graceful_leave(self):
         """SIGTERM must finish what runs and end with 0."""
         target, entry = scenes.Target(held=True), scenes.Entry("e")
-        self.addCleanup(target.sock.close)
+        self.addCleanup(target.stop)
         self.addCleanup(entry.stop)
         running = eventlet.spawn(
             self.run_program,
--- a/trefoilgw/targets/tests/test_core.py
+++ b/trefoilgw/targets/tests/test_core.py
@@ -7,6 +7,7 @@
 from eventlet import queue
 
 from trefoilgw.outcomes import core as outcomes
+from trefoilgw.streams import core as streams
 from trefoilgw.targets import core as targets
 
 TIMEOUT_S = 20.0
@@ -87,7 +88,7 @@
 class TargetTest(unittest.TestCase):
     def serve(self, reply, connections=4, **fields):
         server = Server(reply)
-        self.addCleanup(server.sock.close)
+        self.addCleanup(streams.shut, server.sock)
         client = targets.Client("127.0.0.1", server.port, connections, **fields)
         self.addCleanup(client.close_idle, True)
         return server, client
@@ -190,7 +191,7 @@
     def test_unreachable_target_is_not_run(self):
         """A refused connection proves that nothing was sent."""
         server, client = self.serve(lambda sock, head: answer())
-        server.sock.close()
+        streams.shut(server.sock)
         fate = self.run_one(client)
         self.assertIsInstance(fate, outcomes.NotRun)
         self.assertEqual(REASON.TARGET_UNREACHABLE, fate.reason)
@@ -295,7 +296,7 @@
         _, head, _ = server.requests.get(timeout=TIMEOUT_S)
         lines = head.split("\r\n")
         self.assertEqual("DELETE /run/t1.k%2F%C3%A4/3 HTTP/1.1", lines[0])
-        server.sock.close()
+        streams.shut(server.sock)
         client.close_idle(True)
         self.assertFalse(client.stop("job", 0))
 
