--- a/trefoilgw/agent/admin.py
+++ b/trefoilgw/agent/admin.py
@@ -61,14 +61,15 @@
     def close(self) -> None:
         """Stops listening."""
         if self._sock is not None:
-            self._sock.close()
+            streams.shut(self._sock)
 
     def answer(self, method: str, path: str) -> tuple[str, str, bytes]:
         """Returns status line, content type and body for a request."""
         if method != "GET":
             return "405 Method Not Allowed", JSON, b'{"detail": "only GET"}'
         if path == "/metrics":
-            return "200 OK", metrics.CONTENT_TYPE, self.registry.exposition()
+            body = agent_metrics.exposition(self.registry)
+            return "200 OK", metrics.CONTENT_TYPE, body
         if path == "/admin/status":
             status = agent_metrics.status_of(self.agent)
             return "200 OK", JSON, json.dumps(status).encode()
