--- a/trefoilgw/placement/lending.py
+++ b/trefoilgw/placement/lending.py
@@ -18,7 +18,7 @@
 ASK_BURST = 20.0
 # With more tasks waiting than this entry has credits, one more credit changes
 # little, and asks are made no more often than this.
-CROWDED_ASK_S = 0.2
+CROWDED_ASK_S = 0.1
 # A peer that had nothing to lend is left alone for a time that doubles.
 EMPTY_FIRST_S = 0.02
 EMPTY_LIMIT_S = 0.5
