Bound the time that a caller may leave an answer unread

A caller that reads nothing held up a planned stop for ever. Forwarded requests count as open during a stop as well, a cancelled job leaves the queue at once, and redial state of former entries is dropped.

--- a/trefoilgw/callers/protocol.py
+++ b/trefoilgw/callers/protocol.py
@@ -49,6 +49,7 @@
         line_limit_bytes: Largest single line of them.
         send_limit_s: Seconds from the first byte of a request to its last.
         idle_limit_s: Seconds that a connection may stay without a request.
+        stall_limit_s: Seconds that an answer may wait for the caller to read.
         slow_senders: Connections cut off so far.
     """
 
@@ -57,6 +58,7 @@
     line_limit_bytes: int = 8 * 1024
     send_limit_s: float = 10.0
     idle_limit_s: float = 75.0
+    stall_limit_s: float = 30.0
     slow_senders: int = 0
 
 
@@ -73,11 +75,10 @@
         status: int,
         detail: str,
         reason: outcomes.Reason = outcomes.Reason.BAD_REQUEST,
-        not_run: bool = True,
     ):
         super().__init__(detail)
         self.status = status
-        self.refused = outcomes.Refused(reason, not_run, detail)
+        self.refused = outcomes.Refused(reason, True, detail)
 
 
 class DisconnectedError(Exception):
@@ -110,7 +111,7 @@
 
     def handle_one_request(self):
         """Reads and answers one request."""
-        self.requestline = self.command = self.request_version = ""
+        self.command = self.request_version = ""
         self.headers = Headers()
         if not self._await_request():
             self.close_connection = True
@@ -165,6 +166,7 @@
         head = "\r\n".join(lines).encode("latin-1")
         if self.command == "HEAD":
             answer = b""
+        self.connection.settimeout(self.limits.stall_limit_s)
         self.connection.sendall(head + answer)
 
     def _await_request(self) -> bool:
@@ -240,8 +242,7 @@
 
     def _parse_request_line(self, line: bytes) -> None:
         """Sets command, path and version."""
-        self.requestline = line.decode("latin-1")
-        words = self.requestline.split(" ")
+        words = line.decode("latin-1").split(" ")
         if len(words) != 3 or not _TOKEN.fullmatch(words[0]):
             raise BadRequestError(400, "the request line is not valid")
         self.command, self.path, self.request_version = words
@@ -321,17 +322,9 @@
         raise BadRequestError(431, "the trailers are too large")
 
     def _too_large(self) -> BadRequestError:
-        """Returns the refusal of a body above the limit.
-
-        The body may repeat a submission that ran, so a refusal with a key
-        does not claim that nothing ran.
-        """
-        return BadRequestError(
-            413,
-            f"the body exceeds {self.limits.body_limit_bytes} bytes",
-            outcomes.Reason.TOO_LARGE,
-            not_run="idempotency-key" not in self.headers,
-        )
+        """Returns the refusal of a body above the limit."""
+        text = f"the body exceeds {self.limits.body_limit_bytes} bytes"
+        return BadRequestError(413, text, outcomes.Reason.TOO_LARGE)
 
     def _send_continue(self) -> None:
         """Asks for the body if the caller waits to be asked."""
@@ -342,6 +335,7 @@
         """Answers a request that can't be read, and closes."""
         self.close_connection = True
         if "idempotency-key" in self.headers:
+            # The request may repeat one that ran.
             error.refused = attrs.evolve(error.refused, not_run=False)
         body = problems.document(error.refused, error.status)
         head = (
@@ -351,10 +345,11 @@
             "Connection: close\r\n\r\n"
         )
         try:
+            self.connection.settimeout(self.limits.stall_limit_s)
             self.connection.sendall(head.encode() + body)
             self._discard()
         except OSError:
-            return  # The caller is gone; there is nobody to tell.
+            return  # The caller is gone.
 
     def _discard(self) -> None:
         """Reads what is still under way, so that the answer arrives.
--- a/trefoilgw/callers/tests/test_core.py
+++ b/trefoilgw/callers/tests/test_core.py
@@ -292,6 +292,18 @@
         self.assertEqual(200, read_answer(reader).status)
 
 
+class SlowReaderTest(ServerTestCase):
+    limits = {"stall_limit_s": 0.05}
+
+    def test_answer_that_is_not_read(self):
+        """A caller that reads nothing must not hold up a planned stop."""
+        self.reply = values.Reply(200, b"x" * (32 * 1024 * 1024))
+        sock, reader = self.connect()
+        sock.sendall(b"GET /healthz HTTP/1.1\r\n\r\n")
+        reader.readline()
+        self.assertTrue(self.server.stop(30.0))
+
+
 class StopTest(ServerTestCase):
     def test_stop_waits_for_open_requests(self):
         """A planned stop must not interrupt a request."""
--- a/trefoilgw/entry/followups.py
+++ b/trefoilgw/entry/followups.py
@@ -25,10 +25,10 @@
         case jobs.StrikeBatches(job=job, batches=batches, reason=reason):
             _forget(host, job)
             _strike(host, batches, reason)
+        case jobs.Cancelled(job=job, ended=True):
+            follow(host, jobs.JobEnded(job), now_s)
         case jobs.Cancelled(job=job, batches=batches):
-            if job.ended and not batches:
-                _forget(host, job)
-                host.wake(job.id)
+            _forget(host, job)
             _strike(host, batches, outcomes.Reason.CANCELLED)
         case jobs.RetryTasks(job=job, indices=indices):
             _retry(host, job, indices, now_s)
--- a/trefoilgw/entry/peers.py
+++ b/trefoilgw/entry/peers.py
@@ -14,6 +14,7 @@
 from trefoilgw.entry import configuring
 from trefoilgw.entry import host as hosts
 from trefoilgw.entry import lending
+from trefoilgw.entry import redials
 from trefoilgw.messages import codec
 from trefoilgw.messages import core as messages
 from trefoilgw.outcomes import core as outcomes
@@ -23,8 +24,6 @@
 SUSPICION_S = 3.0
 # A stream that was silent for longer is closed and dialled again.
 SILENCE_LIMIT_S = 10.0
-REDIAL_FIRST_S = 0.1
-REDIAL_LIMIT_S = 5.0
 _RETRY_STATUSES = (429, 503)
 
 log = logging.getLogger(__name__)
@@ -57,23 +56,6 @@
     pending: dict = attrs.field(factory=dict)
 
 
-@attrs.define
-class Redial:
-    """When an address may be dialled again.
-
-    Attributes:
-        attempts: Failures in a row.
-        next_s: Monotonic time before which it is left alone.
-        dialling: True while an attempt is under way.
-        incarnation: Entry that answered there last.
-    """
-
-    attempts: int = 0
-    next_s: float = 0.0
-    dialling: bool = False
-    incarnation: str = ""
-
-
 @attrs.define(eq=False)
 class Peers:
     """Keeps one stream to each other entry.
@@ -131,9 +113,7 @@
             if now_s - peer.heard_s > SILENCE_LIMIT_S:
                 peer.stream.close("silent for too long")
         own = self.host.incarnation
-        members = self.host.roster.entries
-        for name in [n for n in self.last_heard if n not in members]:
-            del self.last_heard[name]
+        self._forget_former()
         for entry in self.config.entries:
             name = entry.incarnation
             if name == own or name in self.host.peers:
@@ -148,6 +128,17 @@
             if name != own and name not in self.host.peers:
                 self._dial_if_due(address, redial, 0.0)
 
+    def _forget_former(self) -> None:
+        """Drops what is kept of entries that left the roster."""
+        members = self.host.roster.entries
+        for name in [n for n in self.last_heard if n not in members]:
+            del self.last_heard[name]
+        known = {entry.stream_address for entry in self.config.entries}
+        known.update(self.seeds)
+        for address, redial in list(self.redials.items()):
+            if address not in known and not redial.dialling:
+                del self.redials[address]
+
     def ping(self) -> None:
         """Sends a heartbeat to every peer."""
         now_s = self.host.read_clock()
@@ -228,12 +219,12 @@
                 messages.ForwardReply(request, reply.status, reply.body),
             )
 
-    def _redial(self, address: str) -> Redial:
+    def _redial(self, address: str) -> redials.Redial:
         """Returns the state of an address."""
-        return self.redials.setdefault(address, Redial())
+        return self.redials.setdefault(address, redials.Redial())
 
     def _dial_if_due(
-        self, address: str, redial: Redial, patience_s: float
+        self, address: str, redial: redials.Redial, patience_s: float
     ) -> None:
         """Starts an attempt unless one is under way or too recent."""
         now_s = self.host.now()
@@ -244,7 +235,7 @@
         redial.dialling = True
         eventlet.spawn_n(self._dial, address, redial)
 
-    def _dial(self, address: str, redial: Redial) -> None:
+    def _dial(self, address: str, redial: redials.Redial) -> None:
         """Opens a stream to another entry."""
         hello = messages.PeerHello(
             messages.PROTOCOL_VERSION, self.config.own, self.config.revision
@@ -255,15 +246,11 @@
             log.debug("dial failed", extra={"error": str(error)})
             if "refused: self" in str(error):
                 redial.incarnation = self.host.incarnation
-            limit_s = min(REDIAL_LIMIT_S, REDIAL_FIRST_S * 2**redial.attempts)
-            wait_s = self.host.rng.uniform(REDIAL_FIRST_S, limit_s)
-            redial.attempts = min(redial.attempts + 1, 16)
-            redial.next_s = self.host.now() + wait_s
+            redial.failed(self.host.now(), self.host.rng)
             return
         finally:
             redial.dialling = False
-        redial.attempts = 0
-        redial.next_s = self.host.now() + REDIAL_FIRST_S
+        redial.succeeded(self.host.now())
         welcome = stream.welcome
         redial.incarnation = welcome.incarnation
         known = {entry.incarnation: entry for entry in welcome.entries}
--- a/trefoilgw/entry/routing.py
+++ b/trefoilgw/entry/routing.py
@@ -108,6 +108,7 @@
 
     def serve(self, peer: peers.Peer, forward: messages.Forward) -> None:
         """Answers a request that a peer forwarded."""
+        self.host.open_requests += 1
         try:
             reply = self._serve(forward)
         except Exception:
@@ -115,6 +116,8 @@
             reply = problems.problem(
                 outcomes.Refused(outcomes.Reason.INTERNAL, not_run=False)
             )
+        finally:
+            self.host.open_requests -= 1
         self.peers.reply(peer, forward.request, reply)
 
     def _answer(self, request: values.Request) -> values.Reply:
--- a/trefoilgw/jobs/core.py
+++ b/trefoilgw/jobs/core.py
@@ -272,7 +272,8 @@
             return model.Cancelled(job, ())
         waiting = tuple(job.waiting)
         result = self.settle(job, waiting, fates.Reason.CANCELLED, now_s)
-        return model.Cancelled(job, getattr(result, "batches", ()))
+        struck = getattr(result, "batches", ())
+        return model.Cancelled(job, struck, ended=job.ended)
 
     def expire(
         self, now_s: float
--- a/trefoilgw/jobs/model.py
+++ b/trefoilgw/jobs/model.py
@@ -234,10 +234,12 @@
     Attributes:
         job: The job; it ends once the outcomes of its batches are known.
         batches: Batches to strike.
+        ended: True if the job ended just now.
     """
 
     job: Job
     batches: tuple[BatchTarget, ...]
+    ended: bool = False
 
 
 @attrs.frozen
