--- a/trefoilgw/entry/peers.py
+++ b/trefoilgw/entry/peers.py
@@ -12,9 +12,9 @@
 from trefoilgw.callers import problems
 from trefoilgw.callers import values
 from trefoilgw.entry import configuring
+from trefoilgw.entry import dialling
 from trefoilgw.entry import host as hosts
 from trefoilgw.entry import lending
-from trefoilgw.entry import redials
 from trefoilgw.messages import codec
 from trefoilgw.messages import core as messages
 from trefoilgw.outcomes import core as outcomes
@@ -219,12 +219,12 @@
                 messages.ForwardReply(request, reply.status, reply.body),
             )
 
-    def _redial(self, address: str) -> redials.Redial:
+    def _redial(self, address: str) -> dialling.Redial:
         """Returns the state of an address."""
-        return self.redials.setdefault(address, redials.Redial())
+        return self.redials.setdefault(address, dialling.Redial())
 
     def _dial_if_due(
-        self, address: str, redial: redials.Redial, patience_s: float
+        self, address: str, redial: dialling.Redial, patience_s: float
     ) -> None:
         """Starts an attempt unless one is under way or too recent."""
         now_s = self.host.now()
@@ -235,7 +235,7 @@
         redial.dialling = True
         eventlet.spawn_n(self._dial, address, redial)
 
-    def _dial(self, address: str, redial: redials.Redial) -> None:
+    def _dial(self, address: str, redial: dialling.Redial) -> None:
         """Opens a stream to another entry."""
         hello = messages.PeerHello(
             messages.PROTOCOL_VERSION, self.config.own, self.config.revision
