--- a/trefoilgw/entry/configuring.py
+++ b/trefoilgw/entry/configuring.py
@@ -22,6 +22,10 @@
 # Incarnations remembered after they are gone from the history of the
 # platform's record; 9 hosts fail and 130 are replaced a day.
 SEEN_LIMIT = 10_000
+# A document may have 1 MB and an entry some hundred agents; copies for all of
+# them at once would take as many MB.
+PUSHED_BYTES = 8 * 1024 * 1024
+PUSH_PAUSE_S = 0.05
 
 log = logging.getLogger(__name__)
 
@@ -88,7 +92,7 @@
         for kind in parsed.kinds:
             host.placement.declare(kind.name, kind.run_time_s)
         log.info("configuration in force", extra={"revision": revision})
-        self._tell_agents()
+        self._tell_agents(revision, list(host.agents.values()))
         self.on_change()
         host.pump()
         return True
@@ -166,8 +170,16 @@
             return False
         return incarnation not in self.host.roster.entries
 
-    def _tell_agents(self) -> None:
-        """Pushes the configuration to the agents that are behind."""
-        for session in self.host.agents.values():
-            if session.revision < self.revision:
+    def _tell_agents(self, revision: int, sessions: list) -> None:
+        """Pushes the configuration to agents that are behind, in groups."""
+        if revision != self.revision:
+            return  # A newer one is on its way to all of them.
+        group = max(1, PUSHED_BYTES // len(self.rollout.document))
+        for session in sessions[:group]:
+            if session.revision < revision and not session.stream.closed:
                 self.push(session.stream)
+        rest = sessions[group:]
+        if rest:
+            self.host.schedule(
+                PUSH_PAUSE_S, lambda: self._tell_agents(revision, rest)
+            )
--- a/trefoilgw/entry/tests/test_agents.py
+++ b/trefoilgw/entry/tests/test_agents.py
@@ -1,5 +1,7 @@
 import unittest
+from unittest import mock
 
+from trefoilgw.entry import configuring
 from trefoilgw.entry.tests import rig
 from trefoilgw.messages import core as messages
 from trefoilgw.outcomes import core as outcomes
@@ -191,6 +193,19 @@
         (push,) = stream.take(messages.ConfigPush)
         self.assertEqual(2, push.revision)
 
+    def test_large_documents_go_out_in_groups(self):
+        """Copies for all agents at once would use up the memory."""
+        streams = [self.rig.join(f"{i:016x}", 0) for i in range(5)]
+        document = rig.document(2)
+        with mock.patch.object(configuring, "PUSHED_BYTES", 2 * len(document)):
+            self.rig.entry.config.offer(2, document)
+            pushed = []
+            for _ in range(3):
+                taken = [s.take(messages.ConfigPush) for s in streams]
+                pushed.append(sum(map(len, taken)))
+                self.rig.later()
+        self.assertEqual([2, 2, 1], pushed)
+
     def test_never_goes_back(self):
         """An old configuration must not come back into force."""
         config = self.rig.entry.config
