Round guaranteed shares

Cause: test_flow_within_its_share_never_waits_behind_a_flood failed for the weights 0.25, 0.1, 0.25 and 30 credits: rounding made a share of 5 credits slightly more than 5, so a flow with 5 credits went before one within its share.

Change: shares are rounded to 9 digits. The case is an explicit example of the test, which fails without the change.

--- a/trefoilgw/admission/pools.py
+++ b/trefoilgw/admission/pools.py
@@ -24,6 +24,8 @@
 # A flow floods if it demands so many times its fair share. Demand varies by
 # chance, and a flow just above its share is no flood.
 FLOOD_FACTOR = 2.0
+# Rounding of weights must not turn a share of 5 credits into 6.
+SHARE_DIGITS = 9
 # Demand in credits below which an idle flow is no longer judged.
 FORGOTTEN_DEMAND = 0.01
 # A flow that used less than its fair share is served ahead of others until it
@@ -201,7 +203,8 @@
     def guaranteed(self, flow: flows.FlowState) -> float:
         """Returns the credits that a flow finds at any time, at least 1."""
         weights = max(self.configured_weight, flow.weight)
-        return max(1.0, self.total * flow.weight / weights)
+        share = self.total * flow.weight / weights
+        return max(1.0, round(share, SHARE_DIGITS))
 
     def fair(self, flow: flows.FlowState) -> float:
         """Returns a flow's share among the flows active now, at least 1."""
--- a/trefoilgw/admission/tests/test_fairness.py
+++ b/trefoilgw/admission/tests/test_fairness.py
@@ -123,6 +123,11 @@
         ),
         st.integers(0, 30),
     )
+    @hypothesis.example(
+        {"a": 0.25, "b": 0.1, "c": 0.25},
+        [("b", 5), ("a", 13), ("a", 13), ("b", 5), ("c", 1)],
+        4,
+    )
     def test_flow_within_its_share_never_waits_behind_a_flood(
         self, weights, offers, steps
     ):
