--- a/tools/standins/kv.py
+++ b/tools/standins/kv.py
@@ -32,6 +32,7 @@
 
 from tools.standins import kv_store
 from tools.standins import kv_wire
+from tools.standins import listening
 
 REQUEST_LIMIT = 4096
 LEASE_CHECK_S = 0.1
@@ -148,14 +149,7 @@
         Returns:
             The bound address.
         """
-        host, _, port = address.rpartition(":")
-        self._sock = eventlet.listen((host, int(port)), backlog=1024)
-        # Accepted sockets inherit the option.
-        self._sock.setsockopt(
-            stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1
-        )
-        bound_host, bound_port = self._sock.getsockname()[:2]
-        self.address = f"{bound_host}:{bound_port}"
+        self._sock, self.address = listening.listen(address)
         self._threads = [
             eventlet.spawn(
                 wsgi.server,
--- /dev/null
+++ b/tools/standins/listening.py
@@ -0,0 +1,24 @@
+"""Opens the listening socket of a stand-in."""
+
+import socket as stdlib_socket
+
+import eventlet
+
+BACKLOG = 1024
+
+
+def listen(address: str):
+    """Listens with small answers sent at once.
+
+    Args:
+        address: ``ip:port``; port 0 takes a free one.
+
+    Returns:
+        The green socket and the bound address.
+    """
+    host, _, port = address.rpartition(":")
+    sock = eventlet.listen((host, int(port)), backlog=BACKLOG)
+    # Accepted sockets inherit the option.
+    sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
+    bound_host, bound_port = sock.getsockname()[:2]
+    return sock, f"{bound_host}:{bound_port}"
--- a/tools/standins/target.py
+++ b/tools/standins/target.py
@@ -29,6 +29,8 @@
 from eventlet import semaphore
 from eventlet import wsgi
 
+from tools.standins import listening
+
 REQUEST_LIMIT = 4096
 JSON_HEADERS = (("Content-Type", "application/json"),)
 
@@ -110,14 +112,7 @@
         Returns:
             The bound address.
         """
-        host, _, port = address.rpartition(":")
-        self._sock = eventlet.listen((host, int(port)), backlog=1024)
-        # Accepted sockets inherit the option.
-        self._sock.setsockopt(
-            stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1
-        )
-        bound_host, bound_port = self._sock.getsockname()[:2]
-        self.address = f"{bound_host}:{bound_port}"
+        self._sock, self.address = listening.listen(address)
         self._server = eventlet.spawn(
             wsgi.server,
             self._sock,
--- a/trefoilgw/streams/core.py
+++ b/trefoilgw/streams/core.py
@@ -8,7 +8,6 @@
 
 import contextlib
 import errno
-import hashlib
 import hmac
 import logging
 import os
@@ -24,6 +23,7 @@
 
 from trefoilgw.messages import codec
 from trefoilgw.messages import core as messages
+from trefoilgw.streams import proofs
 
 HANDSHAKE_TIMEOUT_S = 3.0
 READ_BYTES = 64 * 1024
@@ -50,21 +50,6 @@
     return host, int(port)
 
 
-def hello_proof(key: bytes, nonce: bytes, hello) -> bytes:
-    """Returns the proof of a hello whose own proof field is empty."""
-    bare = attrs.evolve(hello, proof=b"")
-    return hmac.digest(key, nonce + codec.encode(bare), hashlib.sha256)
-
-
-def welcome_proof(
-    key: bytes, nonce: bytes, client_proof: bytes, welcome
-) -> bytes:
-    """Returns the proof of a welcome, bound to the client's proof."""
-    bare = attrs.evolve(welcome, proof=b"")
-    text = b"welcome" + nonce + client_proof + codec.encode(bare)
-    return hmac.digest(key, text, hashlib.sha256)
-
-
 @attrs.define(eq=False)
 class Stream:
     """One open stream.
@@ -297,12 +282,12 @@
     challenge = stream.receive_one()
     if not isinstance(challenge, messages.Challenge):
         raise DialError("no challenge from the server")
-    proof = hello_proof(key, challenge.nonce, hello)
+    proof = proofs.of_hello(key, challenge.nonce, hello)
     stream.send_now(attrs.evolve(hello, proof=proof))
     answer = stream.receive_one()
     match answer:
         case messages.Welcome():
-            expected = welcome_proof(key, challenge.nonce, proof, answer)
+            expected = proofs.of_welcome(key, challenge.nonce, proof, answer)
             if not hmac.compare_digest(expected, answer.proof):
                 raise DialError("the server does not know the key")
             return answer
@@ -389,7 +374,7 @@
             self.refused_hellos += 1
             stream.send_now(answer)
             return False
-        proof = welcome_proof(self.key, nonce, hello.proof, answer)
+        proof = proofs.of_welcome(self.key, nonce, hello.proof, answer)
         stream.hello = hello
         stream.welcome = attrs.evolve(answer, proof=proof)
         stream.send_now(stream.welcome)
@@ -404,7 +389,7 @@
                 "version",
                 f"version {hello.version} is not {messages.PROTOCOL_VERSION}",
             )
-        expected = hello_proof(self.key, nonce, hello)
+        expected = proofs.of_hello(self.key, nonce, hello)
         if not hmac.compare_digest(expected, hello.proof):
             return messages.HelloRefused("key", "the proof is wrong")
         return None
