--- a/trefoilgw/streams/core.py
+++ b/trefoilgw/streams/core.py
@@ -179,7 +179,7 @@
                 self.received_bytes += len(data)
                 self._deliver(self._decoder.feed(data))
         except EOFError:
-            reason = "closed here"  # eventlet's word for a local close
+            reason = "closed locally"
         except (OSError, codec.FrameError) as error:
             reason = f"read failed: {error}"
         except Exception:
