Keep credits that can't be sent to a peer, share the listening socket and the guard

Cause: the first answer to a peer's request for credits was not checked, so credits put on a closed stream were lost to both entries. Lending now sends at one place and takes back what was not sent. The admin and the callers' server use the listening socket of the streams, and the router guards both kinds of request at one place.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -303,11 +303,6 @@
             for process in self.targets()
         ]
 
-    def reset_tally(self) -> None:
-        """Empties the tally of every target."""
-        for process in self.targets():
-            fetch(_http(process.ready), "/control/reset", {})
-
     def set_faults(self, number: int, **faults) -> None:
         """Switches the faults of a target; see `target.Faults`."""
         target = self.process(f"target-{number}")
--- a/trefoilgw/agent/admin.py
+++ b/trefoilgw/agent/admin.py
@@ -50,13 +50,9 @@
         Raises:
             OSError: The address can't be bound.
         """
-        # eventlet would let a second process bind the same port.
-        self._sock = eventlet.listen(
-            streams.parse_address(address), reuse_port=False
-        )
-        host, port = self._sock.getsockname()[:2]
+        self._sock, bound = streams.listen(address)
         eventlet.spawn_n(self._accept)
-        return f"{host}:{port}"
+        return bound
 
     def close(self) -> None:
         """Stops listening."""
--- a/trefoilgw/callers/server.py
+++ b/trefoilgw/callers/server.py
@@ -39,10 +39,7 @@
         Raises:
             OSError: The address can't be bound.
         """
-        self._sock = eventlet.listen(
-            streams.parse_address(address), backlog=1024
-        )
-        host, port = self._sock.getsockname()[:2]
+        self._sock, bound = streams.listen(address)
         own = type("_Protocol", (protocol.Protocol,), {"limits": self.limits})
         self._thread = eventlet.spawn(
             wsgi.server,
@@ -53,7 +50,7 @@
             log_output=False,
             debug=False,
         )
-        return f"{host}:{port}"
+        return bound
 
     def stop(self, timeout_s: float) -> bool:
         """Takes no new connections and waits for open requests.
--- a/trefoilgw/entry/lending.py
+++ b/trefoilgw/entry/lending.py
@@ -8,7 +8,7 @@
     """Answers a peer that asked for credits, now or once some are free."""
     lent = host.placement.lend(credits, entry, now_s)
     if lent:
-        host.send(host.peers[entry].stream, messages.CreditLend(lent))
+        _send(host, entry, lent)
 
 
 def lend_owed(host: hosts.Host, now_s: float) -> None:
@@ -18,8 +18,16 @@
         if owed is None:
             return
         entry, lent = owed
-        peer = host.peers.get(entry)
-        if peer is None or not host.send(
-            peer.stream, messages.CreditLend(lent)
-        ):
-            host.placement.borrowed(lent)
+        _send(host, entry, lent)
+
+
+def _send(
+    host: hosts.Host, entry: str, lent: tuple[messages.LentCredits, ...]
+) -> None:
+    """Sends credits to a peer, or keeps them if it is gone."""
+    peer = host.peers.get(entry)
+    sent = peer is not None and host.send(
+        peer.stream, messages.CreditLend(lent)
+    )
+    if not sent:
+        host.placement.take_back(lent)
--- a/trefoilgw/entry/routing.py
+++ b/trefoilgw/entry/routing.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+from collections.abc import Callable
 
 import attrs
 
@@ -50,16 +51,7 @@
 
     def handle(self, request: values.Request) -> values.Reply:
         """Answers one request of a caller."""
-        self.host.open_requests += 1
-        try:
-            reply = self._answer(request)
-        except Exception:
-            log.exception("request failed")
-            reply = problems.problem(
-                outcomes.Refused(outcomes.Reason.INTERNAL, not_run=False)
-            )
-        finally:
-            self.host.open_requests -= 1
+        reply = self._guarded(self._answer, request)
         if reply.reason:
             self.host.counts.refused(reply.reason)
         return reply
@@ -108,17 +100,22 @@
 
     def serve(self, peer: peers.Peer, forward: messages.Forward) -> None:
         """Answers a request that a peer forwarded."""
+        reply = self._guarded(self._serve, forward)
+        self.peers.reply(peer, forward.request, reply)
+
+    def _guarded(self, answer_one: Callable, request) -> values.Reply:
+        """Counts a request as open; a fault becomes an unknown outcome."""
         self.host.open_requests += 1
         try:
-            reply = self._serve(forward)
+            return answer_one(request)
         except Exception:
-            log.exception("forwarded request failed")
-            reply = problems.problem(
+            name = type(request).__name__
+            log.exception("request failed", extra={"request": name})
+            return problems.problem(
                 outcomes.Refused(outcomes.Reason.INTERNAL, not_run=False)
             )
         finally:
             self.host.open_requests -= 1
-        self.peers.reply(peer, forward.request, reply)
 
     def _answer(self, request: values.Request) -> values.Reply:
         """Answers one request."""
--- a/trefoilgw/entry/tests/test_credits.py
+++ b/trefoilgw/entry/tests/test_credits.py
@@ -58,6 +58,15 @@
             [messages.CreditLend(lent)], peer.take(messages.CreditLend)
         )
 
+    def test_keeps_credits_that_cannot_be_sent(self):
+        """Credits put on a closed stream would be lost to both entries."""
+        self.rig.join(A, 8)
+        peer = self.meet(0)
+        peer.closed = True
+        peer.on_message(peer, messages.CreditAsk(4))
+        self.assertEqual([], peer.take(messages.CreditLend))
+        self.assertEqual(8, self.host.placement.free("proof"))
+
     def test_lends_what_is_free(self):
         """A credit that is lent must not be spent here as well."""
         self.rig.join(A, 8)
--- a/trefoilgw/placement/agents.py
+++ b/trefoilgw/placement/agents.py
@@ -39,7 +39,6 @@
         available: Credits that may be spent now, kept by `credits`.
         total: Free and used credits, 0 while it is not usable; likewise.
         slowness: Its run times relative to those of all agents, 1 is normal.
-        samples: Run times that `slowness` was learned from.
         reported: Tasks at its target, as last reported; for baselines.
     """
 
@@ -56,7 +55,6 @@
     available: int = 0
     total: int = 0
     slowness: float = 1.0
-    samples: int = 0
     reported: int = 0
 
     @property
@@ -66,7 +64,6 @@
 
     def learn(self, ratio: float) -> None:
         """Learns from a run time relative to the mean of its kind."""
-        self.samples += 1
         ratio = min(ratio, SLOWNESS_RATIO_LIMIT)
         self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
 
--- a/trefoilgw/placement/core.py
+++ b/trefoilgw/placement/core.py
@@ -323,6 +323,21 @@
             self.asking.answered(entry, count)
         else:
             self.asking.answered_by_any(count)
+        return self.take_back(lent)
+
+    def take_back(
+        self, lent: Iterable[messages.LentCredits]
+    ) -> tuple[messages.LentCredits, ...]:
+        """Makes credits free here that answer no ask.
+
+        For credits that could not be sent to a peer.
+
+        Args:
+            lent: The credits.
+
+        Returns:
+            Credits of agents that are not connected here.
+        """
         unknown = []
         for item in lent:
             if item.agent in self.book.states:
--- a/trefoilgw/placement/tests/test_core.py
+++ b/trefoilgw/placement/tests/test_core.py
@@ -272,6 +272,16 @@
         place.borrowed((messages.LentCredits("a00", "e1", 1),), "e1")
         self.assertEqual("e1", place.ask(0.003, {"e1": 9, "e3": 5}).entry)
 
+    def test_credits_that_could_not_be_sent(self):
+        """They must be free again, and an ask of this entry stays open."""
+        place = fleet(1, credits=4, entry="e2")
+        self.assertIsNotNone(place.ask(0.0, {"e1": 9}))
+        lent = place.lend(2, "e3", 0.0)
+        self.assertEqual(2, place.free("s"))
+        self.assertEqual((), place.take_back(lent))
+        self.assertEqual((4, 4), (place.free("s"), place.total("s")))
+        self.assertIsNone(place.ask(0.002, {"e1": 9}))
+
     def test_empty_answer_silences_the_peer(self):
         """Asking a peer without credits again and again wastes messages."""
         place = fleet(1, credits=0, entry="e2")
--- a/trefoilgw/streams/__init__.py
+++ b/trefoilgw/streams/__init__.py
@@ -2,8 +2,16 @@
 
 from trefoilgw.streams.core import dial
 from trefoilgw.streams.core import DialError
+from trefoilgw.streams.core import listen
 from trefoilgw.streams.core import Listener
 from trefoilgw.streams.core import parse_address
 from trefoilgw.streams.core import Stream
 
-__all__ = ["DialError", "Listener", "Stream", "dial", "parse_address"]
+__all__ = [
+    "DialError",
+    "Listener",
+    "Stream",
+    "dial",
+    "listen",
+    "parse_address",
+]
--- a/trefoilgw/streams/core.py
+++ b/trefoilgw/streams/core.py
@@ -30,6 +30,7 @@
 # A peer that reads this little is as good as dead; its stream is closed.
 OUTBOX_LIMIT_BYTES = 32 * 1024 * 1024
 NONCE_BYTES = 16
+LISTEN_BACKLOG = 1024
 
 log = logging.getLogger(__name__)
 
@@ -238,6 +239,26 @@
     sock.close()
 
 
+def listen(address: str) -> tuple[socket.socket, str]:
+    """Returns a listening socket and its address as ``ip:port``.
+
+    Args:
+        address: ``ip:port``; port 0 takes a free one.
+
+    Raises:
+        OSError: The address can't be bound.
+
+    Notes:
+        By default eventlet lets a second process bind the same port, and the
+        two would share the connections at random.
+    """
+    sock = eventlet.listen(
+        parse_address(address), backlog=LISTEN_BACKLOG, reuse_port=False
+    )
+    host, port = sock.getsockname()[:2]
+    return sock, f"{host}:{port}"
+
+
 def _tune(sock: socket.socket) -> None:
     """Sends small frames at once."""
     sock.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
@@ -323,10 +344,9 @@
         Raises:
             OSError: The address can't be bound.
         """
-        self._sock = eventlet.listen(parse_address(address), backlog=1024)
-        host, port = self._sock.getsockname()[:2]
+        self._sock, bound = listen(address)
         eventlet.spawn_n(self._accept_loop)
-        return f"{host}:{port}"
+        return bound
 
     def close(self) -> None:
         """Stops accepting; open streams stay."""
--- a/trefoilgw/streams/tests/test_core.py
+++ b/trefoilgw/streams/tests/test_core.py
@@ -146,6 +146,18 @@
         self.assertTrue(self.accepted.empty())
 
 
+class ListenTest(unittest.TestCase):
+    def test_a_port_is_bound_once(self):
+        """Two processes on one port would share its streams at random."""
+        # A port of the kernel's choice is never shared, so it is named.
+        free, address = streams.listen("127.0.0.3:0")
+        streams.shut(free)
+        sock, _ = streams.listen(address)
+        self.addCleanup(streams.shut, sock)
+        with self.assertRaises(OSError):
+            streams.listen(address)
+
+
 class AddressTest(unittest.TestCase):
     def test_bad_addresses(self):
         for text in ("", "host", "1.2.3.4:", "1.2.3.4:x", "1.2.3.4:70000"):
