--- a/trefoilgw/callers/protocol.py
+++ b/trefoilgw/callers/protocol.py
@@ -21,6 +21,7 @@
 from eventlet import greenio
 from eventlet import wsgi
 
+from trefoilgw.callers import disconnects
 from trefoilgw.callers import problems
 from trefoilgw.callers import values
 from trefoilgw.outcomes import core as outcomes
@@ -141,17 +142,22 @@
     def _answer(self, body: bytes) -> None:
         """Calls the application and sends its answer in one write."""
         started = []
+        watch = disconnects.DisconnectWatch(self.connection)
 
         def start_response(status, headers, exc_info=None):
             started[:] = [status, headers]
 
         try:
-            parts = self.server.app(self._environ(body), start_response)
+            environ = self._environ(body)
+            environ["trefoilgw.watch"] = watch.start
+            parts = self.server.app(environ, start_response)
             answer = b"".join(parts)
         except Exception:
             log.exception("request failed")
             self.close_connection = True
             started, answer = [values.status_line(500), []], b""
+        finally:
+            watch.cancel()
         status, headers = started
         if self.conn_state[2] is wsgi.STATE_CLOSE:
             self.close_connection = True  # The server is stopping.
--- a/trefoilgw/platform/core.py
+++ b/trefoilgw/keyvalue/core.py
@@ -17,8 +17,8 @@
 import attrs
 import urllib3
 
-from trefoilgw.platform import gateway
-from trefoilgw.platform import values
+from trefoilgw.keyvalue import gateway
+from trefoilgw.keyvalue import values
 
 # Answers hold at most two values of 1 MB in base64, or a page of records.
 ANSWER_LIMIT_BYTES = 32 * 1024 * 1024
@@ -150,7 +150,7 @@
     ):
         """Starts a watch in a greenthread; see `watches.Watch`."""
         # Late: the operator's command needs no greenthreads.
-        from trefoilgw.platform import watches
+        from trefoilgw.keyvalue import watches
 
         self.calls += 1
         watch = watches.Watch(self.address, prefix, on_event, on_lost)
--- a/trefoilgw/platform/gateway.py
+++ b/trefoilgw/keyvalue/gateway.py
@@ -2,7 +2,7 @@
 
 import base64
 
-from trefoilgw.platform import values
+from trefoilgw.keyvalue import values
 
 # gRPC status codes that the gateway puts into its errors.
 NOT_FOUND = 5
--- a/trefoilgw/platform/tests/test_watches.py
+++ b/trefoilgw/keyvalue/tests/test_watches.py
@@ -7,7 +7,7 @@
 from tools.standins import kv
 from tools.standins import kv_store
 from trefoilgw import platform
-from trefoilgw.platform import watches
+from trefoilgw.keyvalue import watches
 
 TIMEOUT_S = 60.0
 
@@ -63,7 +63,7 @@
             "/t/", fail, self.lost.put, self.server.store.revision + 1
         )
         self.addCleanup(watch.cancel)
-        with self.assertLogs("trefoilgw.platform.watches", "ERROR"):
+        with self.assertLogs("trefoilgw.keyvalue.watches", "ERROR"):
             for name in ("a", "b"):
                 self.client.put(platform.Put(f"/t/{name}", b""))
                 seen.get(timeout=TIMEOUT_S)
--- a/trefoilgw/platform/watches.py
+++ b/trefoilgw/keyvalue/watches.py
@@ -13,9 +13,9 @@
 import eventlet
 import urllib3
 
-from trefoilgw.platform import core as platform
-from trefoilgw.platform import gateway
-from trefoilgw.platform import values
+from trefoilgw.keyvalue import core as platform
+from trefoilgw.keyvalue import gateway
+from trefoilgw.keyvalue import values
 
 # One revision may carry a document of 1 MB and its audit entry in base64.
 LINE_LIMIT_BYTES = 16 * 1024 * 1024
--- a/trefoilgw/messages/core.py
+++ b/trefoilgw/messages/core.py
@@ -15,14 +15,20 @@
 CLASSES: dict[int, type] = {}
 
 
-def message(code: int):
-    """Returns a decorator that makes a frozen attrs class with a code."""
+def message(code: int, hello: bool = False):
+    """Returns a decorator that makes a frozen attrs class with a code.
+
+    Args:
+        code: The code, which no other class may have.
+        hello: Whether a client may open a stream with the message.
+    """
 
     def decorate(cls: type) -> type:
         decorated = attrs.frozen(cls)
         if code in CLASSES:
             raise ValueError(f"message code {code} is used twice")
         decorated.code = code
+        decorated.opens_stream = hello
         CLASSES[code] = decorated
         return decorated
 
@@ -123,7 +129,7 @@
     version: int
 
 
-@message(2)
+@message(2, hello=True)
 class AgentHello:
     """An agent announces itself and its target.
 
@@ -152,7 +158,7 @@
     proof: bytes = b""
 
 
-@message(3)
+@message(3, hello=True)
 class PeerHello:
     """An entry opens a stream to another entry."""
 
--- a/trefoilgw/platform/__init__.py
+++ b/trefoilgw/platform/__init__.py
@@ -1,31 +1,12 @@
-"""Client of the platform's key-value service."""
+"""Translation between the platform's messages and the product's types.
 
-from trefoilgw.platform.core import Client
-from trefoilgw.platform.values import Committed
-from trefoilgw.platform.values import Compare
-from trefoilgw.platform.values import Conflict
-from trefoilgw.platform.values import Delete
-from trefoilgw.platform.values import Lease
-from trefoilgw.platform.values import Missing
-from trefoilgw.platform.values import Page
-from trefoilgw.platform.values import Put
-from trefoilgw.platform.values import Read
-from trefoilgw.platform.values import Rejected
-from trefoilgw.platform.values import Unavailable
-from trefoilgw.platform.values import Value
+The only package that knows the platform's names, paths, headers and body
+forms. It decides nothing and keeps no state but connections.
+"""
 
-__all__ = [
-    "Client",
-    "Committed",
-    "Compare",
-    "Conflict",
-    "Delete",
-    "Lease",
-    "Missing",
-    "Page",
-    "Put",
-    "Read",
-    "Rejected",
-    "Unavailable",
-    "Value",
-]
+from trefoilgw.platform.callers import Application
+from trefoilgw.platform.reports import ReportsApplication
+from trefoilgw.platform.store import Store
+from trefoilgw.platform.targets import TargetClient
+
+__all__ = ["Application", "ReportsApplication", "Store", "TargetClient"]
--- /dev/null
+++ b/trefoilgw/platform/store.py
@@ -0,0 +1,298 @@
+"""Client of the platform's store.
+
+Each call is made once and returns a value that says what is known afterwards;
+what a lost answer means is up to the caller. The values are those of the
+product's own key-value client.
+"""
+
+import base64
+import binascii
+import json
+import urllib.parse
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import attrs
+import urllib3
+
+from trefoilgw.keyvalue import values
+from trefoilgw.platform import configurations
+from trefoilgw.platform import fields
+from trefoilgw.work import core as work
+
+CALL_TIMEOUT_S = 1.0
+# What a watch may take beyond the time that it was asked to wait.
+WATCH_EXTRA_S = 0.7
+CONNECTIONS = 4
+
+_HEADERS = {"Content-Type": "application/json"}
+
+
+@attrs.frozen
+class Changes:
+    """Changes that a watch returned.
+
+    Attributes:
+        values: Keys that were written, as written.
+        deleted: Keys that are gone.
+        revision: Where the next watch goes on.
+    """
+
+    values: tuple[values.Value, ...]
+    deleted: tuple[str, ...]
+    revision: int
+
+
+@attrs.frozen
+class HistoryGone:
+    """The store no longer knows what changed; read the keys again."""
+
+
+@attrs.define(eq=False)
+class Store:
+    """Calls the store; calls may run in several greenthreads.
+
+    Attributes:
+        address: ``ip:port`` of the store.
+        calls: Calls made so far.
+    """
+
+    address: str
+    calls: int = 0
+    _pool: urllib3.HTTPConnectionPool = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        host, _, port = self.address.rpartition(":")
+        self._pool = urllib3.HTTPConnectionPool(
+            host, int(port), maxsize=CONNECTIONS
+        )
+
+    def get(
+        self, key: str
+    ) -> tuple[values.Value | values.Missing, int] | values.Failure:
+        """Reads one key; returns it with the store's revision."""
+        path = "/kv-key?" + urllib.parse.urlencode({"key": key})
+
+        def convert(status: int, body: fields.Fields):
+            revision = body.whole("storeRevision", 0)
+            if status == 404:
+                return values.Missing(), revision
+            return _value(body), revision
+
+        return self._call("GET", path, None, convert, (200, 404), False)
+
+    def list_stale(self, prefix: str) -> values.Page | values.Failure:
+        """Reads keys by prefix, perhaps as they were seconds ago."""
+        query = {"prefix": prefix, "allowStale": "1"}
+        path = "/kv-range?" + urllib.parse.urlencode(query)
+
+        def convert(status: int, body: fields.Fields) -> values.Page:
+            return values.Page(
+                tuple(_value(x) for x in body.objects("items")),
+                body.whole("storeRevision", 0),
+                body.flag("hasMore"),
+            )
+
+        return self._call("GET", path, None, convert, (200,), False)
+
+    def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> Changes | HistoryGone | values.Failure:
+        """Waits for changes by prefix and returns them.
+
+        Args:
+            prefix: Start of the keys.
+            after_revision: Only later changes are returned.
+            wait_s: Seconds after which the answer comes without changes.
+        """
+        query = {
+            "prefix": prefix,
+            "after": after_revision,
+            "waitMs": int(wait_s * 1000),
+        }
+        path = "/kv-watch?" + urllib.parse.urlencode(query)
+
+        def convert(status: int, body: fields.Fields):
+            if status == 410:
+                return HistoryGone()
+            events = body.objects("events")
+            return Changes(
+                tuple(_value(x) for x in events if not x.flag("tombstone")),
+                tuple(x.text("key") for x in events if x.flag("tombstone")),
+                body.whole("storeRevision"),
+            )
+
+        timeout_s = wait_s + WATCH_EXTRA_S
+        return self._call(
+            "GET", path, None, convert, (200, 410), False, timeout_s
+        )
+
+    def txn(
+        self,
+        compares: Sequence[values.Compare],
+        operations: Sequence[values.Put | values.Delete],
+    ) -> values.Committed | values.Conflict | values.Missing | values.Failure:
+        """Carries out all operations if all comparisons hold, else none.
+
+        Returns:
+            `Missing` if a lease that a write names does not exist.
+        """
+        body = {
+            "expectedRev": [
+                {"key": x.key, "revision": x.mod_revision} for x in compares
+            ],
+            "writes": [
+                _write(x) for x in operations if isinstance(x, values.Put)
+            ],
+            "remove": [
+                x.key for x in operations if isinstance(x, values.Delete)
+            ],
+        }
+
+        def convert(status: int, answer: fields.Fields):
+            if status == 404:
+                return values.Missing()
+            if status == 200:
+                return values.Committed(answer.whole("revision"))
+            found = {x.key: x for x in map(_value, answer.objects("items"))}
+            return values.Conflict(
+                tuple(found.get(x.key, values.Missing()) for x in compares)
+            )
+
+        return self._call(
+            "POST", "/kv-txn", body, convert, (200, 404, 412), True
+        )
+
+    def grant_lease(self, ttl_s: float) -> values.Lease | values.Failure:
+        """Makes a lease that lapses `ttl_s` seconds after its renewal."""
+        body = {"ttlMs": int(ttl_s * 1000)}
+
+        def convert(status: int, answer: fields.Fields) -> values.Lease:
+            ttl_ms = answer.whole("ttlMs")
+            return values.Lease(answer.whole("lease"), ttl_ms // 1000)
+
+        return self._call("POST", "/kv-lease", body, convert, (200,), True)
+
+    def keep_alive(
+        self, lease: values.Lease
+    ) -> values.Lease | values.Missing | values.Failure:
+        """Renews a lease; `Missing` says that it has ended."""
+
+        def convert(status: int, answer: fields.Fields):
+            return values.Missing() if status == 404 else lease
+
+        path = f"/kv-keep/{lease.number}"
+        return self._call("POST", path, {}, convert, (200, 404), True)
+
+    def end_lease(
+        self, lease: values.Lease
+    ) -> values.Committed | values.Failure:
+        """Ends a lease and deletes its keys."""
+
+        def convert(status: int, answer: fields.Fields) -> values.Committed:
+            return values.Committed(0)
+
+        path = f"/kv-lease-end/{lease.number}"
+        return self._call("DELETE", path, None, convert, (200, 404), True)
+
+    def close(self) -> None:
+        """Closes the idle connections."""
+        self._pool.close()
+
+    def _call(
+        self,
+        method: str,
+        path: str,
+        body: dict | None,
+        convert: Callable,
+        expected: tuple[int, ...],
+        writes: bool,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ):
+        """Makes one call and returns the converted answer."""
+        self.calls += 1
+        data = None if body is None else json.dumps(body).encode()
+        try:
+            response = self._pool.request(
+                method,
+                path,
+                body=data,
+                headers=_HEADERS,
+                timeout=urllib3.Timeout(total=timeout_s),
+                retries=False,
+            )
+        except urllib3.exceptions.NewConnectionError as error:
+            return values.Unavailable(str(error), False)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            text = f"{type(error).__name__}: {error}"
+            return values.Unavailable(text, writes)
+        status = response.status
+        if status not in expected:
+            # These two say that nothing was done.
+            refused = status in (429, 503)
+            text = f"status {status}"
+            return values.Unavailable(text, writes and not refused)
+        try:
+            answer = fields.parse(response.data or b"{}")
+            return convert(status, fields.Fields(answer))
+        except fields.FieldError as error:
+            return values.Unavailable(f"unreadable answer: {error}", writes)
+
+
+@attrs.define(eq=False)
+class ConfigurationSource:
+    """The operators' configuration in the store.
+
+    Attributes:
+        store: The store.
+    """
+
+    store: Store
+
+    def read(self) -> tuple[bytes, int] | values.Failure:
+        """Returns the document, empty if there is none, and the revision."""
+        answer = self.store.get(configurations.KEY)
+        if not isinstance(answer, tuple):
+            return answer
+        value, revision = answer
+        data = value.data if isinstance(value, values.Value) else b""
+        return data, revision
+
+    def watch(
+        self, after_revision: int, wait_s: float
+    ) -> tuple[bytes, int] | HistoryGone | values.Failure:
+        """Waits for a new document; empty if none came."""
+        answer = self.store.watch(configurations.KEY, after_revision, wait_s)
+        if not isinstance(answer, Changes):
+            return answer
+        found = [x for x in answer.values if x.key == configurations.KEY]
+        newest = max(found, key=lambda x: x.mod_revision, default=None)
+        return newest.data if newest else b"", answer.revision
+
+    @staticmethod
+    def decode(data: bytes) -> work.Configuration | str:
+        """Returns the configuration in a document, or what is wrong."""
+        try:
+            return configurations.decode(data)
+        except fields.FieldError as error:
+            return str(error)
+
+
+def _value(item: fields.Fields) -> values.Value:
+    """Returns an item as the store describes it."""
+    try:
+        data = base64.b64decode(item.text("value", ""), validate=True)
+    except binascii.Error as error:
+        raise fields.FieldError(f"{item.place}value: {error}") from error
+    return values.Value(
+        data,
+        item.whole("revision", 0),
+        item.text("key"),
+        item.whole("lease", 0),
+    )
+
+
+def _write(put: values.Put) -> dict:
+    """Returns one write of a transaction."""
+    data = base64.b64encode(put.data).decode()
+    return {"key": put.key, "value": data, "lease": put.lease}
--- a/trefoilgw/registry/core.py
+++ b/trefoilgw/registry/core.py
@@ -19,8 +19,8 @@
 from eventlet import semaphore
 
 from trefoilgw import platform
+from trefoilgw.keyvalue import watches
 from trefoilgw.messages import core as messages
-from trefoilgw.platform import watches
 from trefoilgw.records import core as records
 from trefoilgw.registry import counters
 from trefoilgw.registry import leases
--- /dev/null
+++ b/trefoilgw/runner/__init__.py
@@ -0,0 +1,1 @@
+"""Program beside a target that starts and stops its runs."""
--- /dev/null
+++ b/trefoilgw/runner/driving.py
@@ -0,0 +1,227 @@
+"""Carries orders out at the target and keeps the lease of its runs.
+
+An order without an answer may be carried out later. The driver therefore
+stops such a run and reports it as never run only once the target has confirmed
+the stop, after which it refuses the start, or once the lease that the start
+named has certainly ended.
+"""
+
+import logging
+from collections.abc import Callable
+
+import attrs
+import eventlet
+
+from trefoilgw.platform import targets
+from trefoilgw.room import core as room
+from trefoilgw.work import core as work
+from trefoilgw.work import orders
+
+# A third of the shortest lease, so that one lost call does no harm.
+HOLD_WAIT_S = 0.4
+RETRY_S = 0.1
+# Clocks of targets may be this much slow.
+CLOCK_ERROR = 0.02
+# Delay of an order beyond the end of its lease that is still allowed for.
+LAPSE_SLACK_S = 0.05
+
+log = logging.getLogger(__name__)
+
+Key = tuple[str, int]
+
+
+@attrs.define(eq=False)
+class Driver:
+    """Speaks to one target.
+
+    Attributes:
+        client: Client of the target.
+        keeper: State of its room.
+        lease_s: Length of the runs' lease.
+        now: Clock in seconds.
+        on_change: Called after each change of the keeper.
+        clock_s: Time by which the target's clock is ahead, None if unknown.
+        lease_until_s: When everything at the target has certainly lapsed.
+        confirmed: Number of the last end taken note of.
+        settled_s: When the target last confirmed a start or a stop of a run.
+        stopping: Attempts for which a stop is being repeated.
+        foreign: Attempts found at the target that nobody here asked for.
+    """
+
+    client: targets.TargetClient
+    keeper: room.RoomKeeper
+    lease_s: float
+    now: Callable[[], float]
+    on_change: Callable[[], None]
+    clock_s: float | None = None
+    lease_until_s: float = 0.0
+    confirmed: int = 0
+    settled_s: dict[Key, float] = attrs.field(factory=dict)
+    stopping: set[Key] = attrs.field(factory=set)
+    foreign: set[Key] = attrs.field(factory=set)
+
+    def target_changed(self) -> None:
+        """Forgets what was known of an earlier life of the target."""
+        self.clock_s = None
+        self.confirmed = 0
+        self.settled_s.clear()
+        self.stopping.clear()
+        self.foreign.clear()
+
+    def start(self, task: str, run: int, payload: str) -> None:
+        """Starts an attempt; spawn it as a greenthread."""
+        target = self.keeper.target
+        if target is None or self.clock_s is None:
+            self.keeper.run_refused(task, run, "target_unknown")
+            self.on_change()
+            return
+        answer = self.client.start(
+            target.instance, task, run, payload, self._lease_end_s()
+        )
+        match answer:
+            case orders.Accepted(clock_s=clock_s):
+                self._set_clock(clock_s)
+                self.settled_s[task, run] = self.now()
+                self.keeper.run_started(task, run)
+            case orders.Refused(reason=reason, clock_s=clock_s):
+                self._set_clock(clock_s)
+                self.keeper.run_refused(task, run, str(reason))
+            case orders.OtherInstance():
+                self.keeper.run_refused(task, run, "other_instance")
+            case orders.NoAnswer(reached=False):
+                self.keeper.run_refused(task, run, "unreachable")
+            case orders.NoAnswer(detail=detail):
+                log.info(
+                    "start not answered",
+                    extra={"task": task, "run": run, "detail": detail},
+                )
+                self.stop(task, run)
+        self.on_change()
+
+    def stop(self, task: str, run: int) -> None:
+        """Stops an attempt for certain; spawn it as a greenthread."""
+        key = (task, run)
+        if key in self.stopping:
+            return
+        self.stopping.add(key)
+        target = self.keeper.target
+        lapsed_s = self.now() + self._lapse_s()
+        while target is not None and target is self._same_life(target):
+            answer = self.client.stop(target.instance, task, run)
+            if isinstance(answer, orders.Accepted):
+                self._set_clock(answer.clock_s)
+                self.settled_s[key] = self.now()
+                return
+            if isinstance(answer, orders.Refused | orders.OtherInstance):
+                break
+            if self.now() > lapsed_s and key not in self.keeper.runs:
+                break
+            eventlet.sleep(RETRY_S)
+        self.stopping.discard(key)
+
+    def _same_life(self, target: work.Target) -> work.Target | None:
+        """Returns the target if it is still the one that was meant."""
+        known = self.keeper.target
+        same = known is not None and known.born_ms == target.born_ms
+        return target if same else None
+
+    def run(self) -> None:
+        """Keeps the lease and takes in ends; spawn it as a greenthread."""
+        while True:
+            if self.keeper.target is None:
+                eventlet.sleep(RETRY_S)
+                continue
+            try:
+                usable = self._hold(self.keeper.target)
+            except Exception:
+                log.exception("hold failed")
+                usable = False
+            self.on_change()
+            if not usable:
+                eventlet.sleep(RETRY_S)
+
+    def _hold(self, target: work.Target) -> bool:
+        """Extends the lease once; returns False if that did not work."""
+        sent_s = self.now()
+        lease_end_s = None
+        wait_s = 0.0
+        if self.clock_s is not None:
+            lease_end_s = self._lease_end_s()
+            wait_s = HOLD_WAIT_S
+        answer = self.client.hold(
+            target.instance, lease_end_s, self.confirmed, wait_s
+        )
+        if self._same_life(target) is None:
+            return True
+        match answer:
+            case orders.Held():
+                self._set_clock(answer.clock_s)
+                return self._take_in(target, answer, sent_s)
+            case orders.OtherInstance():
+                self._target_gone("another instance answers")
+            case orders.NoAnswer(reached=False, detail=detail):
+                # Nothing listens on this host, so nothing runs there.
+                self._silent(detail)
+            case orders.NoAnswer(detail=detail):
+                if self.now() > self.lease_until_s:
+                    self._silent(detail)
+        return False
+
+    def _silent(self, detail: str) -> None:
+        """Notes that the target can't be reached and runs nothing."""
+        if self.keeper.reachable:
+            log.warning("target lost", extra={"detail": detail})
+        self.keeper.target_silent("target_lost")
+
+    def _target_gone(self, reason: str) -> None:
+        """Notes that this life of the target is over."""
+        log.warning("target gone", extra={"detail": reason})
+        self.keeper.target_left("target_gone")
+        self.target_changed()
+
+    def _take_in(
+        self, target: work.Target, held: orders.Held, sent_s: float
+    ) -> bool:
+        """Compares what the target lists with what was asked for."""
+        if held.born_ms and target.born_ms and held.born_ms != target.born_ms:
+            self._target_gone("it has started anew")
+            return False
+        if not self.keeper.reachable:
+            log.info("target back", extra={"instance": target.instance})
+            self.keeper.reachable = True
+        now_s = self.now()
+        for end in held.ended:
+            self.confirmed = max(self.confirmed, end.number)
+            self._forget((end.task, end.run))
+            self.keeper.run_ended(end.task, end.run, end.ending, now_s)
+        for key in list(self.settled_s):
+            # The answer is newer than the order only if it was asked later.
+            if self.settled_s[key] < sent_s and key not in held.running:
+                self._forget(key)
+                self.keeper.run_ended(*key, work.Ending.STOPPED, now_s)
+        self.foreign &= held.running
+        for key in held.running - self.keeper.runs.keys() - self.foreign:
+            self.foreign.add(key)
+            log.warning("foreign run", extra={"task": key[0], "run": key[1]})
+            eventlet.spawn_n(self.stop, *key)
+        return True
+
+    def _forget(self, key: Key) -> None:
+        """Forgets an attempt that has ended."""
+        self.settled_s.pop(key, None)
+        self.stopping.discard(key)
+
+    def _set_clock(self, clock_s: float | None) -> None:
+        """Learns the target's clock from an answer."""
+        if clock_s is not None:
+            self.clock_s = clock_s - self.now()
+
+    def _lapse_s(self) -> float:
+        """Returns the seconds after which a lease has certainly ended."""
+        return self.lease_s * (1.0 + CLOCK_ERROR) + LAPSE_SLACK_S
+
+    def _lease_end_s(self) -> float:
+        """Returns the end of a new lease on the target's clock."""
+        now_s = self.now()
+        self.lease_until_s = now_s + self._lapse_s()
+        return now_s + self.clock_s + self.lease_s
--- /dev/null
+++ b/trefoilgw/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Program that takes callers' jobs and places their tasks."""
--- /dev/null
+++ b/trefoilgw/scheduler/program.py
@@ -0,0 +1,334 @@
+"""Composition root of the scheduler.
+
+The way of a request: `callers.server` reads it, `platform.callers` decodes and
+routes it, `Program.submit` admits it and waits, `scheduling` queues, places
+and gathers, and `platform.callers` answers.
+"""
+
+import gc
+import logging
+import os
+import signal
+import sys
+import time
+
+import attrs
+import eventlet
+from eventlet import event
+
+from trefoilgw.callers import server
+from trefoilgw.logs import core as logs
+from trefoilgw.messages import runs
+from trefoilgw.platform import callers as platform_callers
+from trefoilgw.platform import hosting as platform_hosting
+from trefoilgw.platform import store as platform_store
+from trefoilgw.scheduler import configuring as configuring_part
+from trefoilgw.scheduler import peers as peers_part
+from trefoilgw.scheduler import roster as roster_part
+from trefoilgw.scheduler import runners as runners_part
+from trefoilgw.scheduling import actions
+from trefoilgw.scheduling import core as scheduling
+from trefoilgw.scheduling import jobs
+from trefoilgw.timers import clock
+from trefoilgw.timers import core as timer_service
+from trefoilgw.work import core as work
+from trefoilgw.work import hosting
+
+TICK_S = 0.02
+SILENCE_EVERY_S = 0.1
+# Until the balancer has missed two answers, new connections still come.
+BALANCER_S = 2.3
+# Left of the time between SIGTERM and SIGKILL when the last jobs are ended.
+STOP_MARGIN_S = 0.5
+# Hardly any garbage is cyclic; a full collection would stop the program.
+GC_THRESHOLDS = (20_000, 20, 1_000_000)
+
+log = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Program:
+    """A scheduler and its parts.
+
+    Attributes:
+        settings: Settings of the host.
+        incarnation: 16 hex digits, new at every process start.
+        decisions: Decisions about jobs.
+        waiters: Callers that wait for a job, by key.
+        leaving: True after SIGTERM.
+        known: Addresses of all schedulers that are known.
+    """
+
+    settings: hosting.HostSettings
+    incarnation: str = attrs.field(factory=lambda: os.urandom(8).hex())
+    decisions: scheduling.Scheduler = attrs.field(init=False)
+    timers: timer_service.TimerService = attrs.field(init=False)
+    store: platform_store.Store = attrs.field(init=False)
+    configuring: configuring_part.Configuring = attrs.field(init=False)
+    roster: roster_part.Roster = attrs.field(init=False)
+    peers: peers_part.Peers = attrs.field(init=False)
+    clients: runners_part.Clients = attrs.field(init=False)
+    callers: server.HttpServer = attrs.field(init=False)
+    ready: server.HttpServer = attrs.field(init=False)
+    waiters: dict[str, list[event.Event]] = attrs.field(factory=dict)
+    leaving: bool = False
+    known: set[str] = attrs.field(factory=set)
+
+    def __attrs_post_init__(self):
+        settings = self.settings
+        address = settings.stream_address
+        self.decisions = scheduling.Scheduler(settings.domain)
+        self.timers = timer_service.TimerService(now=clock.boottime)
+        self.store = platform_store.Store(settings.store_address)
+        self.configuring = configuring_part.Configuring(
+            platform_store.ConfigurationSource(self.store), self._adopted
+        )
+        self.roster = roster_part.Roster(
+            self.store, settings.name, address, self._listed
+        )
+        self.peers = peers_part.Peers(
+            peers_part.hello_of(self.incarnation, address), self._peer_message
+        )
+        self.clients = runners_part.Clients(
+            self.incarnation,
+            self.decisions,
+            clock.boottime,
+            self.flush,
+            self._peer_connected,
+            self._news,
+        )
+        application = platform_callers.Application(
+            lambda: self.configuring.current,
+            self.submit,
+            lambda key: key in self.decisions.admitted,
+            self._cancel,
+            self._count_waiting,
+            self._rejected,
+        )
+        self.callers = server.HttpServer(application)
+        self.ready = server.HttpServer(self._answer_ready)
+
+    def start(self) -> None:
+        """Starts all parts.
+
+        Raises:
+            OSError: An address can't be bound.
+        """
+        settings = self.settings
+        self.ready.listen(settings.ready_address)
+        self.callers.listen(settings.callers_address)
+        self.clients.listen(settings.stream_address)
+        self._know(set(settings.seed_streams()) | {settings.stream_address})
+        for loop in (self.timers.run, self.configuring.run, self.roster.run):
+            eventlet.spawn_n(loop)
+        self.timers.every(TICK_S, self._tick)
+        self.timers.every(SILENCE_EVERY_S, self.clients.close_silent)
+
+    def leave(self) -> None:
+        """Lets the balancer notice, then ends with the last answer."""
+        self.leaving = True
+        log.info("leaving", extra={"jobs": len(self.decisions.admitted)})
+        started_s = clock.boottime()
+        end_s = started_s + self.settings.stop_limit_s - STOP_MARGIN_S
+        eventlet.sleep(min(BALANCER_S, end_s - started_s))
+        self.callers.close()
+        while self.waiters and clock.boottime() < end_s:
+            eventlet.sleep(TICK_S)
+        for key in list(self.decisions.admitted):
+            self.decisions.cancel(key)
+            self._conclude(key, actions.Unfinished("leaving"))
+        self.flush()
+        self.roster.leave()
+        eventlet.sleep(TICK_S)
+        log.info("stopped")
+
+    # Requests.
+
+    def submit(
+        self, spec: work.JobSpec, connection: platform_callers.Connection
+    ) -> actions.Outcome | None:
+        """Runs a job and returns its outcome, None if its caller left."""
+        now_s = clock.boottime()
+        result = self.decisions.submit(spec, int(time.time() * 1000), now_s)
+        if isinstance(result, actions.Rejected):
+            self._log_rejected(spec.key, spec.queue.name, result)
+            return result
+        self._log_admitted(result, now_s)
+        waiter = event.Event()
+        self.waiters.setdefault(spec.key, []).append(waiter)
+        connection.watch(lambda: self._caller_gone(spec.key, waiter))
+        self.flush()
+        return waiter.wait()
+
+    def _caller_gone(self, key: str, waiter: event.Event) -> None:
+        """Stops a job for which nobody waits any more."""
+        waiting = self.waiters.get(key, [])
+        if waiter not in waiting:
+            return
+        waiting.remove(waiter)
+        waiter.send(None)
+        if not waiting:
+            del self.waiters[key]
+            log.info("caller gone", extra={"job": key})
+            self.decisions.cancel(key)
+            self.flush()
+
+    def _cancel(self, key: str) -> bool:
+        """Stops a job on a caller's order."""
+        known = self.decisions.cancel(key)
+        if known:
+            log.info("job cancelled", extra={"job": key})
+            self._conclude(key, actions.Unfinished("cancelled"))
+            self.flush()
+        return known
+
+    def _conclude(self, key: str, outcome: actions.Outcome) -> None:
+        """Answers all callers that wait for a job."""
+        for waiter in self.waiters.pop(key, []):
+            waiter.send(outcome)
+
+    def _count_waiting(self, queue: str) -> int:
+        """Returns how many jobs of a queue have not begun."""
+        return sum(
+            not x.started and x.spec.queue.name == queue
+            for x in self.decisions.admitted.values()
+        )
+
+    def _answer_ready(self, environ: dict, start_response) -> list[bytes]:
+        """Answers the balancer."""
+        ready = not self.leaving and self.configuring.current is not None
+        status = "200 OK" if ready else "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return [b""]
+
+    # Decisions.
+
+    def flush(self) -> None:
+        """Carries out what was decided."""
+        for action in self.decisions.take_actions():
+            match action:
+                case actions.Tell(runner=runner, message=message):
+                    self.clients.send(runner, message)
+                case actions.Answer(key=key, outcome=outcome):
+                    self._log_ended(key, outcome)
+                    self._conclude(key, outcome)
+
+    def _tick(self) -> None:
+        """Does what is due."""
+        self.decisions.schedulers = 1 + len(self.peers.streams)
+        self.decisions.tick(clock.boottime())
+        self.flush()
+
+    # Other schedulers and the store.
+
+    def _know(self, addresses: set[str]) -> None:
+        """Passes on addresses of schedulers that are new."""
+        if addresses == self.known:
+            return
+        self.known = addresses
+        self.peers.set_addresses(addresses)
+        message = runs.Schedulers(tuple(sorted(addresses)))
+        self.clients.broadcast(message, runners=True)
+
+    def _listed(self, addresses: frozenset[str]) -> None:
+        """Takes the list in the store, which may be old."""
+        alive = set(self.peers.streams) | {self.settings.stream_address}
+        seeds = set(self.settings.seed_streams())
+        self._know(set(addresses) | alive | seeds)
+
+    def _peer_connected(self, address: str) -> None:
+        """Notes a peer that has opened a stream."""
+        self._know(self.known | {address})
+
+    def _peer_message(self, message: object) -> None:
+        """Takes news of a peer."""
+        match message:
+            case runs.ConfigurationPush(document=document):
+                self.configuring.adopt(document, "peer")
+            case runs.Schedulers(addresses=addresses):
+                self._know(self.known | set(addresses))
+
+    def _adopted(self, document: bytes, version: int) -> None:
+        """Passes a new configuration on."""
+        message = runs.ConfigurationPush(version, document)
+        self.clients.broadcast(message, runners=False)
+
+    def _news(self) -> list:
+        """Returns what a new client must know."""
+        found = [runs.Schedulers(tuple(sorted(self.known)))]
+        current = self.configuring.current
+        if current is not None:
+            document = self.configuring.document
+            found.append(runs.ConfigurationPush(current.version, document))
+        return found
+
+    # Log lines.
+
+    def _log_admitted(self, job: jobs.Job, now_s: float) -> None:
+        """Writes the line of an admission."""
+        log.info(
+            "job admitted",
+            extra={
+                "job": job.key,
+                "queue": job.spec.queue.name,
+                "tasks": len(job.tasks),
+                "expected_s": round(job.expected_s, 3),
+                "slack_s": round(job.latest_start_s - now_s, 3),
+                "line": len(self.decisions.line),
+            },
+        )
+
+    def _log_rejected(
+        self, key: str, queue: str, rejected: actions.Rejected
+    ) -> None:
+        """Writes the line of a rejection."""
+        log.info(
+            "job rejected",
+            extra={
+                "job": key,
+                "queue": queue,
+                "reason": rejected.reason,
+                "retry_after_s": round(rejected.retry_after_s, 3),
+                "line": len(self.decisions.line),
+            },
+        )
+
+    def _log_ended(self, key: str, outcome: actions.Outcome) -> None:
+        """Writes the line of a job's end."""
+        match outcome:
+            case actions.Failed(task=task):
+                extra = {"task": task}
+            case (
+                actions.Rejected(reason=reason)
+                | actions.Unfinished(reason=reason)
+            ):
+                extra = {"reason": reason}
+            case _:
+                extra = {}
+        kind = type(outcome).__name__.lower()
+        log.info("job ended", extra={"job": key, "outcome": kind, **extra})
+
+    def _rejected(self, path: str, reason: str) -> None:
+        """Writes the line of a request that has no meaning here."""
+        log.info("request rejected", extra={"path": path, "reason": reason})
+
+
+def run() -> int:
+    """Runs a scheduler until SIGTERM or SIGINT; returns the exit status."""
+    settings = platform_hosting.load()
+    logs.configure("scheduler", stream=sys.stdout, host=settings.name)
+    if settings.unsupported:
+        log.error("not supported", extra={"what": settings.unsupported})
+        return 2
+    program = Program(settings)
+    stop = event.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.ready() or stop.send())
+    program.start()
+    log.info("started", extra={"incarnation": program.incarnation})
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+    stop.wait()
+    program.leave()
+    return 0
--- /dev/null
+++ b/trefoilgw/scheduling/__init__.py
@@ -0,0 +1,19 @@
+"""What a scheduler decides: admission, order of waiting work, placement."""
+
+from trefoilgw.scheduling.actions import Answer
+from trefoilgw.scheduling.actions import Completed
+from trefoilgw.scheduling.actions import Failed
+from trefoilgw.scheduling.actions import Rejected
+from trefoilgw.scheduling.actions import Tell
+from trefoilgw.scheduling.actions import Unfinished
+from trefoilgw.scheduling.core import Scheduler
+
+__all__ = [
+    "Answer",
+    "Completed",
+    "Failed",
+    "Rejected",
+    "Scheduler",
+    "Tell",
+    "Unfinished",
+]
--- /dev/null
+++ b/trefoilgw/scheduling/core.py
@@ -0,0 +1,547 @@
+"""A scheduler's decisions about the jobs of its callers.
+
+The state machine takes submissions, reports of runners and the passing of
+time, and leaves actions for the program to carry out. A task is sent to a
+runner with free room at once; otherwise it waits, and the scheduler bids for
+room that comes free. At any time at most one attempt at a task can run.
+"""
+
+import bisect
+import logging
+from collections.abc import Iterable
+
+import attrs
+
+from trefoilgw.messages import runs as messages
+from trefoilgw.scheduling import actions
+from trefoilgw.scheduling import admission
+from trefoilgw.scheduling import jobs
+from trefoilgw.scheduling import placing
+from trefoilgw.scheduling import runners
+from trefoilgw.scheduling import runtimes
+from trefoilgw.work import core as work
+
+# Bids that differ only in figures are sent no more often than this.
+BID_EVERY_S = 0.02
+# Jobs behind the first one that doesn't fit which may use what is left.
+BACKFILL_JOBS_LIMIT = 4
+# A run that takes this many times its expected time, and this much longer, is
+# stopped and placed elsewhere once.
+STRAGGLER_FACTOR = 2.5
+STRAGGLER_EXTRA_S = 0.3
+# Skipped in run numbers when a target has seen higher ones: the clocks of
+# hosts may be seconds apart.
+RUN_NUMBER_SKIP = 60_000
+# Share of the expected run time by which a job may start late and, as run
+# times vary, still meet its objective.
+START_TOLERANCE = 0.25
+RETRY_AFTER_LEAST_S = 0.1
+
+log = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Scheduler:
+    """State of one scheduler.
+
+    Attributes:
+        domain: Its failure domain.
+        schedulers: How many schedulers share the runners, itself included.
+        admitted: Jobs that have not ended, by key.
+        line: Jobs with waiting tasks, most urgent first.
+        views: Runners by name.
+        times: Learned run times.
+        grants: Rate at which it gets room.
+        arrivals: Rates of admitted work by queue.
+        pending: Actions not yet taken by the program.
+        ticked_s: Time of the last tick.
+    """
+
+    domain: str
+    schedulers: int = 1
+    admitted: dict[str, jobs.Job] = attrs.field(factory=dict)
+    line: list[jobs.Job] = attrs.field(factory=list)
+    views: dict[str, runners.View] = attrs.field(factory=dict)
+    times: runtimes.RunTimes = attrs.field(factory=runtimes.RunTimes)
+    grants: admission.GrantRate = attrs.field(factory=admission.GrantRate)
+    arrivals: dict[str, admission.ArrivalRate] = attrs.field(factory=dict)
+    pending: list = attrs.field(factory=list)
+    ticked_s: float = 0.0
+    _order: int = 0
+
+    def take_actions(self) -> list:
+        """Returns and forgets the pending actions."""
+        taken, self.pending = self.pending, []
+        return taken
+
+    # Submissions.
+
+    def submit(
+        self, spec: work.JobSpec, first_run: int, now_s: float
+    ) -> jobs.Job | actions.Rejected:
+        """Admits or rejects a job.
+
+        Args:
+            spec: The job.
+            first_run: Number for its first attempts, above all numbers that
+                attempts at its tasks had before.
+            now_s: Current time.
+        """
+        known = self.admitted.get(spec.key)
+        if known is not None:
+            return known
+        job = self._job_of(spec, first_run, now_s)
+        slack_s = job.latest_start_s - now_s
+        if not any(x.offers(spec.queue.service) for x in self.views.values()):
+            return actions.Rejected("no_target", 1.0)
+        wait_s = self._predicted_wait_s(job, now_s)
+        if wait_s > slack_s:
+            retry_s = max(RETRY_AFTER_LEAST_S, wait_s - slack_s)
+            return actions.Rejected("overload", retry_s)
+        rate = self.arrivals.setdefault(
+            spec.queue.name, admission.ArrivalRate(slack_s=slack_s)
+        )
+        rate.record(job.waiting_work(), slack_s, now_s)
+        self.admitted[job.key] = job
+        bisect.insort(self.line, job, key=lambda x: x.rank)
+        self._place(now_s)
+        return job
+
+    def _job_of(
+        self, spec: work.JobSpec, first_run: int, now_s: float
+    ) -> jobs.Job:
+        """Returns the state of a new job."""
+        queue = spec.queue
+        tasks = []
+        for task in spec.tasks:
+            expected_s = self.times.expected_s(queue.name, task.declared_s)
+            tasks.append(jobs.Task(task, expected_s, first_run))
+        longest_s = max(x.expected_s for x in tasks)
+        slack_s = (queue.stretch - 1.0) * longest_s + queue.latency_s
+        self._order += 1
+        return jobs.Job(
+            spec, tasks, self._order, now_s, longest_s, now_s + slack_s
+        )
+
+    def _predicted_wait_s(self, job: jobs.Job, now_s: float) -> float:
+        """Returns the seconds until the last task of a job has room."""
+        service = job.spec.queue.service
+        ahead = sum(
+            x.waiting_work()
+            for x in self.line
+            if x.rank < job.rank and x.spec.queue.service == service
+        )
+        own = job.waiting_work()
+        if not ahead:
+            own -= self._fitting_work(job)
+        if ahead + own <= 0.0:
+            return 0.0
+        slack_s = job.latest_start_s - now_s
+        urgent = sum(
+            x.millicores(now_s)
+            for x in self.arrivals.values()
+            if x.slack_s < slack_s / 2
+        )
+        rate = self.grants.millicores(self._share(service))
+        return admission.predicted_wait_s(ahead + own, rate, urgent)
+
+    def _fitting_work(self, job: jobs.Job) -> float:
+        """Returns the work of the tasks that free room can take now."""
+        service = job.spec.queue.service
+        room = [
+            x.free()
+            for x in self.views.values()
+            if x.offers(service) and not x.suspect
+        ]
+        fitting = 0.0
+        for task in job.tasks:
+            demand = task.spec.demand
+            for index, free in enumerate(room):
+                if demand.fits_in(free):
+                    room[index] = free.minus(demand)
+                    fitting += task.work
+                    break
+        return fitting
+
+    def _share(self, service: str) -> float:
+        """Returns the fair share of a service's room in millicores."""
+        total = sum(
+            x.report.capacity.cpu_millicores
+            for x in self.views.values()
+            if x.offers(service) and not x.suspect
+        )
+        return total / max(1, self.schedulers)
+
+    def cancel(self, key: str) -> bool:
+        """Ends a job whose caller no longer wants it."""
+        job = self.admitted.get(key)
+        if job is None:
+            return False
+        self._drop(job)
+        return True
+
+    def _drop(self, job: jobs.Job) -> None:
+        """Forgets a job and stops its runs."""
+        del self.admitted[job.key]
+        self._leave_line(job)
+        for task in job.sent():
+            self._stop(task)
+
+    def _leave_line(self, job: jobs.Job) -> None:
+        """Takes a job out of the waiting line."""
+        if job in self.line:
+            self.line.remove(job)
+
+    def _stop(self, task: jobs.Task) -> None:
+        """Asks for the end of a task's attempt."""
+        ref = messages.RunRef(task.spec.name, task.run)
+        self._tell(task.runner, messages.StopRuns((ref,)))
+
+    def _answer(self, job: jobs.Job, outcome: actions.Outcome) -> None:
+        """Ends a job with an answer."""
+        self._drop(job)
+        self.pending.append(actions.Answer(job.key, outcome))
+
+    # Runners.
+
+    def runner_joined(
+        self, name: str, incarnation: str, domain: str, now_s: float
+    ) -> None:
+        """Notes a new stream from a runner."""
+        view = self.views.get(name)
+        if view is None:
+            view = runners.View(name, incarnation, domain)
+            self.views[name] = view
+        view.join(incarnation, now_s)
+
+    def runner_closed(self, name: str) -> None:
+        """Notes that a runner's stream broke; its runs may go on."""
+        view = self.views.get(name)
+        if view is not None:
+            view.connected = False
+
+    def runner_holds(
+        self, name: str, message: messages.Holding, now_s: float
+    ) -> None:
+        """Compares a runner's runs with the tasks that were sent to it."""
+        held = {(x.task, x.run) for x in message.runs}
+        known = set()
+        for job in list(self.admitted.values()):
+            for task in job.sent():
+                if task.runner != name:
+                    continue
+                key = (task.spec.name, task.run)
+                known.add(key)
+                if key not in held:
+                    self._wait_again(job, task)
+        unknown = tuple(messages.RunRef(*x) for x in sorted(held - known))
+        if unknown:
+            self._tell(name, messages.StopRuns(unknown))
+        self._place(now_s)
+
+    def runner_pinged(self, name: str, sent_s: float, now_s: float) -> None:
+        """Renews the scheduler's authority at a runner."""
+        view = self.views[name]
+        view.renewed_s = now_s
+        self._tell(name, messages.RunnerPong(sent_s))
+
+    def room_reported(
+        self, name: str, report: messages.RoomReport, now_s: float
+    ) -> None:
+        """Takes a runner's report and uses the room."""
+        self.views[name].reported(report)
+        self._place(now_s)
+
+    def run_ended(
+        self, name: str, message: messages.RunEnded, now_s: float
+    ) -> None:
+        """Takes the end of an attempt."""
+        found = self._find(message.task, message.run)
+        if found is None:
+            return
+        job, task = found
+        match work.Ending(message.ending):
+            case work.Ending.DONE:
+                self._task_done(name, job, task, message.run_s)
+            case work.Ending.FAILED:
+                self._task_failed(name, job, task)
+            case work.Ending.NOT_RUN:
+                self._task_refused(name, job, task, message.reason)
+            case work.Ending.STOPPED | work.Ending.LOST:
+                self._wait_again(job, task)
+        self._place(now_s)
+
+    def _find(self, name: str, run: int) -> tuple[jobs.Job, jobs.Task] | None:
+        """Returns the task whose latest attempt this is."""
+        job = self.admitted.get(name.partition(".")[0])
+        if job is None:
+            return None
+        for task in job.tasks:
+            if task.spec.name == name and task.run == run:
+                return (
+                    (job, task) if task.state is jobs.TaskState.SENT else None
+                )
+        return None
+
+    def _task_done(
+        self, name: str, job: jobs.Job, task: jobs.Task, run_s: float
+    ) -> None:
+        """Notes a success and answers once all tasks are done."""
+        task.state = jobs.TaskState.DONE
+        queue = job.spec.queue.name
+        view = self.views.get(name)
+        if view is not None:
+            view.learn(run_s, task.expected_s)
+            self.times.observe(
+                queue, task.spec.declared_s, run_s / view.slowness
+            )
+        if all(x.state is jobs.TaskState.DONE for x in job.tasks):
+            self._answer(job, actions.Completed())
+
+    def _task_failed(self, name: str, job: jobs.Job, task: jobs.Task) -> None:
+        """Notes a failure; the job fails with the last allowed one."""
+        task.failures += 1
+        task.barred.add(name)
+        self._wait_again(job, task)
+        if task.failures >= job.spec.queue.attempts_limit:
+            self._answer(job, actions.Failed(task.spec.name))
+
+    def _task_refused(
+        self, name: str, job: jobs.Job, task: jobs.Task, reason: str
+    ) -> None:
+        """Notes that an attempt never ran."""
+        view = self.views.get(name)
+        if view is not None:
+            view.blocked = True
+        self._wait_again(job, task)
+        if reason == "old":
+            task.run += RUN_NUMBER_SKIP
+
+    def _wait_again(self, job: jobs.Job, task: jobs.Task) -> None:
+        """Puts a task back into the waiting line."""
+        task.state = jobs.TaskState.WAITING
+        task.moving = False
+        task.run += 1
+        if len(task.barred) >= len(self.views):
+            task.barred.clear()
+        if job not in self.line:
+            bisect.insort(self.line, job, key=lambda x: x.rank)
+
+    # Placement.
+
+    def _place(self, now_s: float) -> None:
+        """Sends waiting tasks to runners with free room, then bids."""
+        batches: dict[str, dict[jobs.Job, list[jobs.Task]]] = {}
+        roomy = [x for x in self.views.values() if x.usable and x.has_room()]
+        skipped = 0
+        for job in list(self.line) if roomy else ():
+            if skipped >= BACKFILL_JOBS_LIMIT:
+                break
+            service = job.spec.queue.service
+            for task in job.waiting():
+                view = placing.choose(roomy, task, service, self.domain, now_s)
+                if view is None:
+                    skipped += 1
+                    break
+                self._mark_sent(job, task, view, now_s)
+                view.unseen.append((view.sends + 1, task.spec.demand))
+                batches.setdefault(view.name, {}).setdefault(job, []).append(
+                    task
+                )
+        for name, batch in batches.items():
+            self._send(self.views[name], batch, 0)
+        self._bid(now_s)
+
+    def _mark_sent(
+        self,
+        job: jobs.Job,
+        task: jobs.Task,
+        view: runners.View,
+        now_s: float,
+    ) -> None:
+        """Notes that a task goes to a runner."""
+        task.state = jobs.TaskState.SENT
+        task.runner = view.name
+        task.sent_s = now_s
+        job.started = True
+        if view.suspect:
+            view.probed_s = now_s
+        if not job.waiting():
+            self._leave_line(job)
+        if self.line:
+            self.grants.record(task.work)
+
+    def _send(
+        self,
+        view: runners.View,
+        batch: dict[jobs.Job, list[jobs.Task]],
+        offer: int,
+    ) -> None:
+        """Sends attempts to a runner in one message."""
+        view.sends += 1
+        groups = tuple(
+            messages.RunGroup(
+                job.spec.payload,
+                tuple(
+                    messages.RunOrder(
+                        x.spec.name,
+                        x.run,
+                        messages.Room.of(x.spec.demand),
+                        x.expected_s,
+                    )
+                    for x in tasks
+                ),
+            )
+            for job, tasks in batch.items()
+        )
+        self._tell(view.name, messages.StartRuns(offer, groups))
+
+    def room_offered(
+        self, name: str, offer: messages.Offer, now_s: float
+    ) -> None:
+        """Uses room that a runner reserved, in order of urgency."""
+        view = self.views[name]
+        left = offer.room.demand
+        batch: dict[jobs.Job, list[jobs.Task]] = {}
+        for job in list(self.line):
+            if not view.offers(job.spec.queue.service):
+                continue
+            for task in job.waiting():
+                demand = task.spec.demand
+                if name in task.barred or not demand.fits_in(left):
+                    continue
+                left = left.minus(demand)
+                self._mark_sent(job, task, view, now_s)
+                batch.setdefault(job, []).append(task)
+            if left.cpu_millicores <= 0:
+                break
+        self._send(view, batch, offer.number)
+        self._bid(now_s)
+
+    def _bid(self, now_s: float) -> None:
+        """Tells the runners what waits."""
+        bids: dict[str, messages.Bid | None] = {}
+        for view in self.views.values():
+            if not view.usable:
+                continue
+            service = view.report.service
+            if service not in bids:
+                bids[service] = self._bid_for(service, now_s)
+            self._send_bid(view, bids[service], now_s)
+
+    def _bid_for(self, service: str, now_s: float) -> messages.Bid | None:
+        """Returns the bid for room of a service, None without work."""
+        waiting = [x for x in self.line if x.spec.queue.service == service]
+        if not waiting:
+            return None
+        wanted = work.Demand()
+        for job in waiting:
+            for task in job.waiting():
+                wanted = wanted.plus(task.spec.demand)
+        head = waiting[0]
+        demand = head.waiting()[0].spec.demand
+        return messages.Bid(
+            round(head.latest_start_s - now_s, 3),
+            messages.Room.of(demand),
+            messages.Room.of(wanted),
+        )
+
+    def _send_bid(
+        self, view: runners.View, bid: messages.Bid | None, now_s: float
+    ) -> None:
+        """Sends a bid unless the runner has one that is recent enough."""
+        if bid is None:
+            if view.bid is None:
+                return
+            none = messages.Room(0, 0, 0)
+            message = messages.Bid(0.0, none, none)
+        else:
+            if view.bid is not None and now_s - view.bid_s < BID_EVERY_S:
+                return
+            if view.bid is not None and _same_bid(view.bid, bid, view, now_s):
+                return
+            message = bid
+        view.bid = bid
+        view.bid_s = now_s
+        self._tell(view.name, message)
+
+    # Time.
+
+    def tick(self, now_s: float) -> None:
+        """Does what is due; call it every few tens of milliseconds."""
+        elapsed_s = now_s - self.ticked_s if self.ticked_s else 0.0
+        self.ticked_s = now_s
+        if self.line:
+            self.grants.pass_time(elapsed_s)
+        self._give_up_uncertain(now_s)
+        self._reject_hopeless(now_s)
+        self._move_stragglers(now_s)
+        self._place(now_s)
+
+    def _give_up_uncertain(self, now_s: float) -> None:
+        """Places tasks again whose attempts have certainly ended."""
+        gone = {
+            x.name
+            for x in self.views.values()
+            if not x.connected and now_s - x.renewed_s >= runners.UNCERTAIN_S
+        }
+        if not gone:
+            return
+        for job in list(self.admitted.values()):
+            for task in job.sent():
+                if task.runner in gone:
+                    self._wait_again(job, task)
+        for name in gone:
+            del self.views[name]
+
+    def _reject_hopeless(self, now_s: float) -> None:
+        """Rejects jobs that have not run and can't start in time."""
+        for job in list(self.line):
+            late_s = now_s - job.latest_start_s
+            if not job.started and late_s > START_TOLERANCE * job.expected_s:
+                self._answer(
+                    job, actions.Rejected("deadline", RETRY_AFTER_LEAST_S)
+                )
+
+    def _move_stragglers(self, now_s: float) -> None:
+        """Stops runs that stand still, to run them elsewhere."""
+        for job in self.admitted.values():
+            for task in job.sent():
+                if task.moving or task.barred:
+                    continue
+                view = self.views.get(task.runner)
+                elapsed_s = now_s - task.sent_s
+                limit_s = STRAGGLER_FACTOR * task.expected_s
+                overdue = elapsed_s > limit_s + STRAGGLER_EXTRA_S
+                if view is None or not view.connected or not overdue:
+                    continue
+                if self._room_elsewhere(job, task):
+                    task.moving = True
+                    task.barred.add(task.runner)
+                    self._stop(task)
+
+    def _room_elsewhere(self, job: jobs.Job, task: jobs.Task) -> bool:
+        """Returns whether another sound runner serves the task's service."""
+        others: Iterable[runners.View] = self.views.values()
+        return any(
+            x.name != task.runner
+            and not x.suspect
+            and x.offers(job.spec.queue.service)
+            for x in others
+        )
+
+    def _tell(self, runner: str, message: object) -> None:
+        """Queues a message to a runner."""
+        self.pending.append(actions.Tell(runner, message))
+
+
+def _same_bid(
+    old: messages.Bid, new: messages.Bid, view: runners.View, now_s: float
+) -> bool:
+    """Returns whether a runner's knowledge of a bid is still right."""
+    drift_s = old.slack_s - (now_s - view.bid_s) - new.slack_s
+    return (
+        old.room == new.room
+        and old.wanted == new.wanted
+        and abs(drift_s) < BID_EVERY_S
+    )
--- /dev/null
+++ b/trefoilgw/scheduling/jobs.py
@@ -0,0 +1,92 @@
+"""Jobs and tasks as the scheduler holds them."""
+
+import enum
+
+import attrs
+
+from trefoilgw.work import core as work
+
+
+class TaskState(enum.Enum):
+    """Where a task stands."""
+
+    WAITING = "waiting"
+    SENT = "sent"
+    DONE = "done"
+
+
+@attrs.define(eq=False)
+class Task:
+    """One task of a job.
+
+    Attributes:
+        spec: What was submitted.
+        expected_s: Expected run time in seconds.
+        run: Number of its latest attempt.
+        state: Where it stands.
+        runner: Name of the runner of the latest attempt.
+        sent_s: When that attempt was sent.
+        failures: Attempts that ended as failed.
+        barred: Runners on which it failed or stood still.
+        moving: Whether a stop was sent so that it can run elsewhere.
+    """
+
+    spec: work.TaskSpec
+    expected_s: float
+    run: int
+    state: TaskState = TaskState.WAITING
+    runner: str = ""
+    sent_s: float = 0.0
+    failures: int = 0
+    barred: set[str] = attrs.field(factory=set)
+    moving: bool = False
+
+    @property
+    def work(self) -> float:
+        """Expected work in millicore-seconds."""
+        return self.spec.demand.cpu_millicores * self.expected_s
+
+
+@attrs.define(eq=False)
+class Job:
+    """A job that was admitted.
+
+    Attributes:
+        spec: What was submitted.
+        tasks: Its tasks.
+        order: Rises with each job, to break ties.
+        arrived_s: When it was submitted.
+        expected_s: Expected run time of its longest task in seconds.
+        latest_start_s: The last task should start by then.
+        started: Whether any attempt was ever sent.
+    """
+
+    spec: work.JobSpec
+    tasks: list[Task]
+    order: int
+    arrived_s: float
+    expected_s: float
+    latest_start_s: float
+    started: bool = False
+
+    @property
+    def key(self) -> str:
+        """The caller's identifier."""
+        return self.spec.key
+
+    @property
+    def rank(self) -> tuple[float, int]:
+        """Position among the waiting jobs; the lowest goes first."""
+        return self.latest_start_s, self.order
+
+    def waiting(self) -> list[Task]:
+        """Returns the tasks that wait for room."""
+        return [x for x in self.tasks if x.state is TaskState.WAITING]
+
+    def sent(self) -> list[Task]:
+        """Returns the tasks that are at a runner."""
+        return [x for x in self.tasks if x.state is TaskState.SENT]
+
+    def waiting_work(self) -> float:
+        """Returns the expected work of the waiting tasks."""
+        return sum(x.work for x in self.tasks if x.state is TaskState.WAITING)
--- a/trefoilgw/streams/core.py
+++ b/trefoilgw/streams/core.py
@@ -134,6 +134,10 @@
         shut(self.sock)
         eventlet.spawn_n(self.on_closed, self, reason)
 
+    def silence_s(self) -> float:
+        """Returns the seconds since the last bytes came."""
+        return time.monotonic() - self.last_received_s
+
     def flush(self, timeout_s: float = 1.0) -> None:
         """Waits until queued messages are written, at most `timeout_s`."""
         deadline_s = time.monotonic() + timeout_s
@@ -402,7 +406,7 @@
 
     def _refusal(self, nonce: bytes, hello) -> messages.HelloRefused | None:
         """Returns why a hello is refused before `admit` is asked."""
-        if not isinstance(hello, messages.AgentHello | messages.PeerHello):
+        if not type(hello).opens_stream:
             return messages.HelloRefused("protocol", "a hello was expected")
         if hello.version != messages.PROTOCOL_VERSION:
             return messages.HelloRefused(
--- a/trefoilgw/tests/test_layers.py
+++ b/trefoilgw/tests/test_layers.py
@@ -19,7 +19,10 @@
         "records",
         "retries",
         "rollout",
+        "room",
+        "scheduling",
         "slots",
+        "work",
     }
 )
 PARTS = frozenset(
@@ -27,6 +30,7 @@
         "callers",
         "logs",
         "metrics",
+        "keyvalue",
         "platform",
         "registry",
         "streams",
@@ -34,7 +38,9 @@
         "timers",
     }
 )
-PROGRAMS = frozenset({"agent", "cli", "entry", "load", "settings"})
+PROGRAMS = frozenset(
+    {"agent", "cli", "entry", "load", "runner", "scheduler", "settings"}
+)
 RANKS = (
     {name: 0 for name in DECISIONS}
     | {name: 1 for name in PARTS}
--- /dev/null
+++ b/trefoilgw/work/__init__.py
@@ -0,0 +1,19 @@
+"""Jobs, their tasks, and the queues and rooms that they use."""
+
+from trefoilgw.work.core import Configuration
+from trefoilgw.work.core import Demand
+from trefoilgw.work.core import Ending
+from trefoilgw.work.core import JobSpec
+from trefoilgw.work.core import Queue
+from trefoilgw.work.core import Target
+from trefoilgw.work.core import TaskSpec
+
+__all__ = [
+    "Configuration",
+    "Demand",
+    "Ending",
+    "JobSpec",
+    "Queue",
+    "Target",
+    "TaskSpec",
+]
--- /dev/null
+++ b/trefoilgw/work/hosting.py
@@ -0,0 +1,47 @@
+"""What a process is told of the host that it runs on."""
+
+import attrs
+
+
+@attrs.frozen
+class HostSettings:
+    """Settings of one process on one host.
+
+    Attributes:
+        name: Name of the host; a replacement has another one.
+        domain: Failure domain.
+        address: IP number of the host.
+        stream_port: Port for streams, the same on all hosts.
+        seeds: IP numbers of hosts that may run a scheduler.
+        callers_address: ``ip:port`` for callers, empty if none are served.
+        ready_address: ``ip:port`` for the balancer's question, or empty.
+        reports_address: ``ip:port`` for the target's reports, or empty.
+        target_address: ``ip:port`` of the target's own interface, or empty.
+        store_address: ``ip:port`` of the platform's store.
+        lease_limit_s: Longest lease that a target grants to its runs.
+        stop_limit_s: Seconds from SIGTERM to SIGKILL.
+        unsupported: What the deployment asks for that is not built.
+    """
+
+    name: str
+    domain: str
+    address: str
+    stream_port: int
+    seeds: tuple[str, ...]
+    callers_address: str
+    ready_address: str
+    reports_address: str
+    target_address: str
+    store_address: str
+    lease_limit_s: float
+    stop_limit_s: float
+    unsupported: tuple[str, ...] = ()
+
+    @property
+    def stream_address(self) -> str:
+        """Where this host's scheduler takes streams."""
+        return f"{self.address}:{self.stream_port}"
+
+    def seed_streams(self) -> tuple[str, ...]:
+        """Returns where the schedulers of the seeds take streams."""
+        return tuple(f"{x}:{self.stream_port}" for x in self.seeds)
