--- a/trefoilgw/platform/hosting.py
+++ b/trefoilgw/platform/hosting.py
@@ -1,13 +1,19 @@
 """Settings file that the platform writes for each process."""
 
+import logging
 import os
 import pathlib
+from collections.abc import Callable
+
+import attrs
 
 from trefoilgw.platform import fields
 from trefoilgw.work import hosting
 
 PATH_VARIABLE = "TREFOILGW_BOOT"
 
+log = logging.getLogger(__name__)
+
 
 def load() -> hosting.HostSettings:
     """Returns the settings of this process.
@@ -53,3 +59,41 @@
         stop_limit_s=bounds.number("graceS"),
         unsupported=tuple(unsupported),
     )
+
+
+@attrs.define(eq=False)
+class SettingsWatch:
+    """Reloads the settings when the file changes, with or without a signal.
+
+    Attributes:
+        current: The settings in force.
+        on_changed: Called with the new settings.
+    """
+
+    current: hosting.HostSettings
+    on_changed: Callable[[hosting.HostSettings], None]
+
+    def check(self) -> None:
+        """Reads the file again; one that can't be read changes nothing."""
+        try:
+            found = load()
+        except (OSError, KeyError, fields.FieldError) as error:
+            log.error("settings unreadable", extra={"error": str(error)})
+            return
+        if found != self.current:
+            before, self.current = self.current, found
+            log.info(
+                "settings reloaded", extra={"changed": _diff(before, found)}
+            )
+            self.on_changed(found)
+
+
+def _diff(
+    before: hosting.HostSettings, after: hosting.HostSettings
+) -> list[str]:
+    """Returns the names of the settings that differ."""
+    return [
+        x.name
+        for x in attrs.fields(hosting.HostSettings)
+        if getattr(before, x.name) != getattr(after, x.name)
+    ]
--- a/trefoilgw/platform/store.py
+++ b/trefoilgw/platform/store.py
@@ -62,7 +62,12 @@
     _pool: urllib3.HTTPConnectionPool = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        host, _, port = self.address.rpartition(":")
+        self.move(self.address)
+
+    def move(self, address: str) -> None:
+        """Makes all later calls to another address."""
+        self.address = address
+        host, _, port = address.rpartition(":")
         self._pool = urllib3.HTTPConnectionPool(
             host, int(port), maxsize=CONNECTIONS
         )
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -26,6 +26,8 @@
 TICK_S = 0.05
 # While schedulers bid for room, free room is offered and not reported.
 REPORT_EVERY_S = 0.1
+# The settings may change without a signal.
+SETTINGS_EVERY_S = 2.0
 # Left of the time between SIGTERM and SIGKILL when the runner ends.
 STOP_MARGIN_S = 0.4
 
@@ -90,6 +92,14 @@
         wait_s = self.settings.lease_limit_s * (1.0 + driving.CLOCK_ERROR)
         self.timers.after(wait_s + driving.LAPSE_SLACK_S, self._join)
 
+    def reload(self, settings: hosting.HostSettings) -> None:
+        """Puts changed settings in force as far as a process can."""
+        self.settings = settings
+        self.driver.lease_s = settings.lease_limit_s
+        self.links.set_addresses(
+            set(self.links.links) | set(settings.seed_streams())
+        )
+
     def leave(self) -> None:
         """Takes nothing new and waits for the runs, as long as there is."""
         self.keeper.leaving = True
@@ -162,7 +172,10 @@
     stop = event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.ready() or stop.send())
+    watch = platform_hosting.SettingsWatch(settings, runner.reload)
+    signal.signal(signal.SIGHUP, lambda *_: watch.check())
     runner.start()
+    runner.timers.every(SETTINGS_EVERY_S, watch.check)
     log.info("started", extra={"incarnation": runner.incarnation})
     stop.wait()
     runner.leave()
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -38,6 +38,8 @@
 SILENCE_EVERY_S = 0.1
 # Until the balancer has missed two answers, new connections still come.
 BALANCER_S = 2.3
+# The settings may change without a signal.
+SETTINGS_EVERY_S = 2.0
 # Left of the time between SIGTERM and SIGKILL when the last jobs are ended.
 STOP_MARGIN_S = 0.5
 # Hardly any garbage is cyclic; a full collection would stop the program.
@@ -124,6 +126,13 @@
         self.timers.every(TICK_S, self._tick)
         self.timers.every(SILENCE_EVERY_S, self.clients.close_silent)
 
+    def reload(self, settings: hosting.HostSettings) -> None:
+        """Puts changed settings in force as far as a process can."""
+        if settings.store_address != self.settings.store_address:
+            self.store.move(settings.store_address)
+        self.settings = settings
+        self._know(self.known | set(settings.seed_streams()))
+
     def leave(self) -> None:
         """Lets the balancer notice, then ends with the last answer."""
         self.leaving = True
@@ -324,7 +333,10 @@
     stop = event.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.ready() or stop.send())
+    watch = platform_hosting.SettingsWatch(settings, program.reload)
+    signal.signal(signal.SIGHUP, lambda *_: watch.check())
     program.start()
+    program.timers.every(SETTINGS_EVERY_S, watch.check)
     log.info("started", extra={"incarnation": program.incarnation})
     gc.collect()
     gc.freeze()
