Move runs by their progress, plan with caution, take callers once they can be served

(2) Admission and order planned with the whole slack, so that half of the jobs in a full window were late. (3) After all processes were killed the schedulers rejected 110 jobs while their runners waited for 1.07 s; a runner now joins at once, and the schedulers wait for the runs of its earlier incarnation themselves.

--- a/trefoilgw/platform/targets.py
+++ b/trefoilgw/platform/targets.py
@@ -186,16 +186,19 @@
     return orders.Held(
         body.number("clockMs") / 1000,
         body.whole("born", 0),
-        frozenset(_running(x) for x in body.rows("running")),
+        dict(_running(x) for x in body.rows("running")),
         tuple(_ended(x) for x in body.rows("finished")),
     )
 
 
-def _running(row: object) -> tuple[str, int]:
-    """Returns task and run of a row [task, run, saved, percent, ...]."""
+def _running(row: object) -> tuple[tuple[str, int], float]:
+    """Returns run and progress of a row [task, run, saved, percent, ...].
+
+    The fourth column is the share of the work that is done, in percent.
+    """
     match row:
-        case [str() as task, int() as run, *_]:
-            return task, run
+        case [str() as task, int() as run, _, int() | float() as percent, *_]:
+            return (task, run), percent / 100
     raise fields.FieldError("a row of the running tasks is unreadable")
 
 
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -12,12 +12,13 @@
 
 import enum
 import logging
+from collections.abc import Mapping
 
 import attrs
 
 from trefoilgw.messages import runs as messages
 from trefoilgw.room import actions
-from trefoilgw.room import health as room_health
+from trefoilgw.room import health
 from trefoilgw.room import owners as room_owners
 from trefoilgw.work import core as work
 
@@ -45,6 +46,9 @@
         demand: Room that it uses until it has certainly ended.
         state: Where it stands.
         since_s: When it was asked for.
+        progress: Share of its work that is done, 0 to 1.
+        progressed_s: When that grew last.
+        reason: Why it is being stopped, for logs.
     """
 
     owner: str
@@ -52,6 +56,9 @@
     demand: work.Demand
     state: RunState
     since_s: float
+    progress: float = 0.0
+    progressed_s: float = 0.0
+    reason: str = ""
 
     @property
     def key(self) -> tuple[str, int]:
@@ -71,20 +78,22 @@
     Attributes:
         target: The target as last reported, None before and after its life.
         reachable: Whether it answers orders.
+        settled: Whether it is known to run nothing that others asked for.
         leaving: True once the runner stops.
         runs: Attempts that use room, by task and number.
         owners: Schedulers by incarnation.
-        health: Judge of the target.
+        judge: Judge of the target's health.
         pending: Actions not yet taken by the program.
         offers: Number of the last offer.
     """
 
     target: work.Target | None = None
     reachable: bool = True
+    settled: bool = False
     leaving: bool = False
     runs: dict[tuple[str, int], Run] = attrs.field(factory=dict)
     owners: dict[str, room_owners.Owner] = attrs.field(factory=dict)
-    health: room_health.Health = attrs.field(factory=room_health.Health)
+    judge: health.Health = attrs.field(factory=health.Health)
     pending: list = attrs.field(factory=list)
     offers: int = 0
 
@@ -94,6 +103,7 @@
         return (
             self.target is not None
             and self.reachable
+            and self.settled
             and not self.target.draining
             and not self.leaving
         )
@@ -134,7 +144,8 @@
         self._lose_runs("the target started anew")
         self.target = target
         self.reachable = True
-        self.health = room_health.Health()
+        self.settled = False
+        self.judge = health.Health()
         return True
 
     def target_left(self, reason: str) -> None:
@@ -154,11 +165,63 @@
 
     # Attempts at the target.
 
-    def run_started(self, task: str, run: int) -> None:
+    def run_started(self, task: str, run: int, now_s: float) -> None:
         """Notes that the target confirmed a start."""
         known = self.runs.get((task, run))
         if known is not None and known.state is RunState.STARTING:
             known.state = RunState.RUNNING
+            known.progressed_s = now_s
+
+    def runs_listed(
+        self, progress: Mapping[tuple[str, int], float], now_s: float
+    ) -> None:
+        """Takes in the progress of runs and stops those that stand still.
+
+        Args:
+            progress: Share of work done by run, as the target lists it.
+            now_s: Current time.
+        """
+        stalled = []
+        going_on = 0
+        for key, share in progress.items():
+            run = self.runs.get(key)
+            if run is None or run.state is not RunState.RUNNING:
+                continue
+            if share > run.progress:
+                run.progress = share
+                run.progressed_s = now_s
+                going_on += 1
+                continue
+            limit_s = health.stall_limit_s(run.order.expected_s)
+            if now_s - run.progressed_s > limit_s:
+                stalled.append(run)
+        self.judge.progress(len(stalled), going_on)
+        for run in stalled:
+            run.reason = "stalled"
+            self._stop(run)
+        self._check_pace(now_s)
+
+    def _check_pace(self, now_s: float) -> None:
+        """Stops the runs that would end sooner on a sound target."""
+        paces = [
+            (
+                run,
+                health.Pace(
+                    max(now_s - run.since_s, 1e-6),
+                    run.order.expected_s,
+                    run.progress,
+                ),
+            )
+            for run in self.runs.values()
+            if run.state is RunState.RUNNING
+        ]
+        self.judge.paced([pace for _, pace in paces])
+        if self.judge.doubt is not health.Doubt.SLOW:
+            return
+        for run, pace in paces:
+            if pace.telling and pace.restart_pays(self.judge.pace):
+                run.reason = "slow"
+                self._stop(run)
 
     def run_refused(self, task: str, run: int, reason: str) -> None:
         """Notes that an attempt has not started and never will."""
@@ -174,10 +237,10 @@
         if known is None:
             return
         if ending is work.Ending.DONE:
-            self.health.done()
+            self.judge.done()
         elif ending is work.Ending.FAILED:
-            self.health.failed(known.job)
-        self._end(known, ending, "", now_s - known.since_s)
+            self.judge.failed(known.job)
+        self._end(known, ending, known.reason, now_s - known.since_s)
 
     def _end(
         self, run: Run, ending: work.Ending, reason: str, run_s: float
@@ -263,6 +326,8 @@
             self._stop(rival)
         if rivals:
             return "duplicate"
+        if self.judge.suspect and self.runs:
+            return "suspect"
         if not order.room.demand.fits_in(self.free()):
             return "room"
         return ""
@@ -296,13 +361,6 @@
                     del owner.reservations[reservation.number]
             if now_s >= owner.authority_until_s:
                 self._dismiss(owner)
-        self.health.check_progress(
-            [
-                (now_s - run.since_s, run.order.expected_s)
-                for run in self.runs.values()
-                if run.state is RunState.RUNNING
-            ]
-        )
 
     def _dismiss(self, owner: room_owners.Owner) -> None:
         """Stops all runs of a scheduler that may have been replaced."""
@@ -329,7 +387,7 @@
         free = self.free()
         for owner in bidders:
             left = owner.bid.wanted.minus(owner.reserved())
-            if self.health.suspect:
+            if self.judge.suspect:
                 if self.runs or owner.reservations:
                     return
                 left = owner.bid.head
@@ -368,7 +426,7 @@
             report = messages.RoomReport(
                 owner.received,
                 self.usable,
-                self.health.suspect,
+                self.judge.suspect,
                 known.service if known else "",
                 messages.Room.of(known.capacity if known else work.Demand()),
                 messages.Room.of(free),
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -17,8 +17,8 @@
 from trefoilgw.work import core as work
 from trefoilgw.work import orders
 
-# A third of the shortest lease, so that one lost call does no harm.
-HOLD_WAIT_S = 0.4
+# Short enough to see soon that runs stand still; far below any lease.
+HOLD_WAIT_S = 0.15
 RETRY_S = 0.1
 # Clocks of targets may be this much slow.
 CLOCK_ERROR = 0.02
@@ -82,7 +82,7 @@
             case orders.Accepted(clock_s=clock_s):
                 self._set_clock(clock_s)
                 self.settled_s[task, run] = self.now()
-                self.keeper.run_started(task, run)
+                self.keeper.run_started(task, run, self.now())
             case orders.Refused(reason=reason, clock_s=clock_s):
                 self._set_clock(clock_s)
                 self.keeper.run_refused(task, run, str(reason))
@@ -199,8 +199,11 @@
             if self.settled_s[key] < sent_s and key not in held.running:
                 self._forget(key)
                 self.keeper.run_ended(*key, work.Ending.STOPPED, now_s)
-        self.foreign &= held.running
-        for key in held.running - self.keeper.runs.keys() - self.foreign:
+        self.keeper.runs_listed(held.running, now_s)
+        self.foreign &= held.running.keys()
+        self.keeper.settled = not held.running.keys() - self.keeper.runs.keys()
+        known = self.keeper.runs.keys() | self.foreign
+        for key in held.running.keys() - known:
             self.foreign.add(key)
             log.warning("foreign run", extra={"task": key[0], "run": key[1]})
             eventlet.spawn_n(self.stop, *key)
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -87,10 +87,7 @@
         eventlet.spawn_n(self.driver.run)
         self.timers.every(TICK_S, self._tick)
         self.timers.every(runner_links.PING_EVERY_S, self.links.ping)
-        # Orders of an earlier incarnation have certainly lapsed by then, so
-        # that the schedulers may place its runs again when they hear of us.
-        wait_s = self.settings.lease_limit_s * (1.0 + driving.CLOCK_ERROR)
-        self.timers.after(wait_s + driving.LAPSE_SLACK_S, self._join)
+        self.links.set_addresses(set(self.settings.seed_streams()))
 
     def reload(self, settings: hosting.HostSettings) -> None:
         """Puts changed settings in force as far as a process can."""
@@ -130,10 +127,6 @@
                 case actions.Stop(task=task, run=run):
                     eventlet.spawn_n(self.driver.stop, task, run)
 
-    def _join(self) -> None:
-        """Opens the streams."""
-        self.links.set_addresses(set(self.settings.seed_streams()))
-
     def _tick(self) -> None:
         """Does what is due."""
         self.keeper.tick(clock.boottime())
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -38,6 +38,8 @@
 SILENCE_EVERY_S = 0.1
 # Until the balancer has missed two answers, new connections still come.
 BALANCER_S = 2.3
+# Callers are taken after this time even if nothing can be served.
+OPEN_LIMIT_S = 3.0
 # The settings may change without a signal.
 SETTINGS_EVERY_S = 2.0
 # Left of the time between SIGTERM and SIGKILL when the last jobs are ended.
@@ -118,13 +120,30 @@
         """
         settings = self.settings
         self.ready.listen(settings.ready_address)
-        self.callers.listen(settings.callers_address)
         self.clients.listen(settings.stream_address)
         self._know(set(settings.seed_streams()) | {settings.stream_address})
         for loop in (self.timers.run, self.configuring.run, self.roster.run):
             eventlet.spawn_n(loop)
         self.timers.every(TICK_S, self._tick)
         self.timers.every(SILENCE_EVERY_S, self.clients.close_silent)
+        eventlet.spawn_n(self._open)
+
+    def _open(self) -> None:
+        """Takes callers once they can be served.
+
+        Before that a refused connection serves a caller better than a
+        rejection: it comes again by itself, or the balancer goes elsewhere.
+        """
+        deadline_s = clock.boottime() + OPEN_LIMIT_S
+        while clock.boottime() < deadline_s and not self._can_serve():
+            eventlet.sleep(TICK_S)
+        self.callers.listen(self.settings.callers_address)
+        log.info("open to callers", extra={"serving": self._can_serve()})
+
+    def _can_serve(self) -> bool:
+        """Returns whether a job could run now."""
+        usable = any(x.usable for x in self.decisions.views.values())
+        return usable and self.configuring.current is not None
 
     def reload(self, settings: hosting.HostSettings) -> None:
         """Puts changed settings in force as far as a process can."""
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -8,7 +8,6 @@
 
 import bisect
 import logging
-from collections.abc import Iterable
 
 import attrs
 
@@ -25,17 +24,15 @@
 BID_EVERY_S = 0.02
 # Jobs behind the first one that doesn't fit which may use what is left.
 BACKFILL_JOBS_LIMIT = 4
-# A run that takes this many times its expected time, and this much longer, is
-# stopped and placed elsewhere once.
-STRAGGLER_FACTOR = 2.5
-STRAGGLER_EXTRA_S = 0.3
 # Skipped in run numbers when a target has seen higher ones: the clocks of
 # hosts may be seconds apart.
 RUN_NUMBER_SKIP = 60_000
-# Share of the expected run time by which a job may start late and, as run
-# times vary, still meet its objective.
-START_TOLERANCE = 0.25
+# Part of the slack that is planned with. Expected run times are off by a third,
+# and of jobs that start at the very end of their slack half would be late.
+CAUTION = 0.6
 RETRY_AFTER_LEAST_S = 0.1
+# Reasons of a runner that has stopped a run so that another may run it.
+MOVED = frozenset({"stalled", "slow"})
 
 log = logging.getLogger(__name__)
 
@@ -53,6 +50,8 @@
         times: Learned run times.
         grants: Rate at which it gets room.
         arrivals: Rates of admitted work by queue.
+        uncertain: When the last ping of a runner was answered that is gone
+            but whose runs may go on, by its name and incarnation.
         pending: Actions not yet taken by the program.
         ticked_s: Time of the last tick.
     """
@@ -65,6 +64,7 @@
     times: runtimes.RunTimes = attrs.field(factory=runtimes.RunTimes)
     grants: admission.GrantRate = attrs.field(factory=admission.GrantRate)
     arrivals: dict[str, admission.ArrivalRate] = attrs.field(factory=dict)
+    uncertain: dict[tuple[str, str], float] = attrs.field(factory=dict)
     pending: list = attrs.field(factory=list)
     ticked_s: float = 0.0
     _order: int = 0
@@ -120,7 +120,13 @@
         slack_s = (queue.stretch - 1.0) * longest_s + queue.latency_s
         self._order += 1
         return jobs.Job(
-            spec, tasks, self._order, now_s, longest_s, now_s + slack_s
+            spec=spec,
+            tasks=tasks,
+            order=self._order,
+            arrived_s=now_s,
+            expected_s=longest_s,
+            latest_start_s=now_s + CAUTION * slack_s,
+            hopeless_s=now_s + slack_s,
         )
 
     def _predicted_wait_s(self, job: jobs.Job, now_s: float) -> float:
@@ -219,6 +225,7 @@
         view = self.views.get(name)
         if view is not None:
             view.connected = False
+            self.uncertain[name, view.incarnation] = view.renewed_s
 
     def runner_holds(
         self, name: str, message: messages.Holding, now_s: float
@@ -226,14 +233,13 @@
         """Compares a runner's runs with the tasks that were sent to it."""
         held = {(x.task, x.run) for x in message.runs}
         known = set()
-        for job in list(self.admitted.values()):
-            for task in job.sent():
-                if task.runner != name:
-                    continue
-                key = (task.spec.name, task.run)
-                known.add(key)
-                if key not in held:
-                    self._wait_again(job, task)
+        incarnation = self.views[name].incarnation
+        self.uncertain.pop((name, incarnation), None)
+        for job, task in self._sent_to(name, incarnation):
+            key = (task.spec.name, task.run)
+            known.add(key)
+            if key not in held:
+                self._wait_again(job, task)
         unknown = tuple(messages.RunRef(*x) for x in sorted(held - known))
         if unknown:
             self._tell(name, messages.StopRuns(unknown))
@@ -268,6 +274,8 @@
             case work.Ending.NOT_RUN:
                 self._task_refused(name, job, task, message.reason)
             case work.Ending.STOPPED | work.Ending.LOST:
+                if message.reason in MOVED:
+                    task.barred.add(name)
                 self._wait_again(job, task)
         self._place(now_s)
 
@@ -320,7 +328,6 @@
     def _wait_again(self, job: jobs.Job, task: jobs.Task) -> None:
         """Puts a task back into the waiting line."""
         task.state = jobs.TaskState.WAITING
-        task.moving = False
         task.run += 1
         if len(task.barred) >= len(self.views):
             task.barred.clear()
@@ -339,7 +346,10 @@
                 break
             service = job.spec.queue.service
             for task in job.waiting():
-                view = placing.choose(roomy, task, service, self.domain, now_s)
+                slack_s = job.latest_start_s - now_s
+                view = placing.choose(
+                    roomy, task, slack_s, service, self.domain, now_s
+                )
                 if view is None:
                     skipped += 1
                     break
@@ -362,6 +372,7 @@
         """Notes that a task goes to a runner."""
         task.state = jobs.TaskState.SENT
         task.runner = view.name
+        task.incarnation = view.incarnation
         task.sent_s = now_s
         job.started = True
         if view.suspect:
@@ -475,61 +486,39 @@
             self.grants.pass_time(elapsed_s)
         self._give_up_uncertain(now_s)
         self._reject_hopeless(now_s)
-        self._move_stragglers(now_s)
         self._place(now_s)
 
     def _give_up_uncertain(self, now_s: float) -> None:
         """Places tasks again whose attempts have certainly ended."""
-        gone = {
-            x.name
-            for x in self.views.values()
-            if not x.connected and now_s - x.renewed_s >= runners.UNCERTAIN_S
-        }
-        if not gone:
-            return
-        for job in list(self.admitted.values()):
-            for task in job.sent():
-                if task.runner in gone:
-                    self._wait_again(job, task)
-        for name in gone:
-            del self.views[name]
+        for key, renewed_s in list(self.uncertain.items()):
+            if now_s - renewed_s < runners.UNCERTAIN_S:
+                continue
+            del self.uncertain[key]
+            for job, task in self._sent_to(*key):
+                self._wait_again(job, task)
+            view = self.views.get(key[0])
+            if view is not None and not view.connected:
+                del self.views[key[0]]
+
+    def _sent_to(
+        self, name: str, incarnation: str
+    ) -> list[tuple[jobs.Job, jobs.Task]]:
+        """Returns the tasks whose latest attempt went to a runner."""
+        return [
+            (job, task)
+            for job in self.admitted.values()
+            for task in job.sent()
+            if task.runner == name and task.incarnation == incarnation
+        ]
 
     def _reject_hopeless(self, now_s: float) -> None:
         """Rejects jobs that have not run and can't start in time."""
         for job in list(self.line):
-            late_s = now_s - job.latest_start_s
-            if not job.started and late_s > START_TOLERANCE * job.expected_s:
+            if not job.started and now_s > job.hopeless_s:
                 self._answer(
                     job, actions.Rejected("deadline", RETRY_AFTER_LEAST_S)
                 )
 
-    def _move_stragglers(self, now_s: float) -> None:
-        """Stops runs that stand still, to run them elsewhere."""
-        for job in self.admitted.values():
-            for task in job.sent():
-                if task.moving or task.barred:
-                    continue
-                view = self.views.get(task.runner)
-                elapsed_s = now_s - task.sent_s
-                limit_s = STRAGGLER_FACTOR * task.expected_s
-                overdue = elapsed_s > limit_s + STRAGGLER_EXTRA_S
-                if view is None or not view.connected or not overdue:
-                    continue
-                if self._room_elsewhere(job, task):
-                    task.moving = True
-                    task.barred.add(task.runner)
-                    self._stop(task)
-
-    def _room_elsewhere(self, job: jobs.Job, task: jobs.Task) -> bool:
-        """Returns whether another sound runner serves the task's service."""
-        others: Iterable[runners.View] = self.views.values()
-        return any(
-            x.name != task.runner
-            and not x.suspect
-            and x.offers(job.spec.queue.service)
-            for x in others
-        )
-
     def _tell(self, runner: str, message: object) -> None:
         """Queues a message to a runner."""
         self.pending.append(actions.Tell(runner, message))
--- a/trefoilgw/scheduling/jobs.py
+++ b/trefoilgw/scheduling/jobs.py
@@ -25,10 +25,10 @@
         run: Number of its latest attempt.
         state: Where it stands.
         runner: Name of the runner of the latest attempt.
+        incarnation: That runner's incarnation.
         sent_s: When that attempt was sent.
         failures: Attempts that ended as failed.
-        barred: Runners on which it failed or stood still.
-        moving: Whether a stop was sent so that it can run elsewhere.
+        barred: Runners on which it failed, stood still or was slow.
     """
 
     spec: work.TaskSpec
@@ -36,10 +36,10 @@
     run: int
     state: TaskState = TaskState.WAITING
     runner: str = ""
+    incarnation: str = ""
     sent_s: float = 0.0
     failures: int = 0
     barred: set[str] = attrs.field(factory=set)
-    moving: bool = False
 
     @property
     def work(self) -> float:
@@ -58,6 +58,7 @@
         arrived_s: When it was submitted.
         expected_s: Expected run time of its longest task in seconds.
         latest_start_s: The last task should start by then.
+        hopeless_s: A job that has not begun by then would be late.
         started: Whether any attempt was ever sent.
     """
 
@@ -67,6 +68,7 @@
     arrived_s: float
     expected_s: float
     latest_start_s: float
+    hopeless_s: float
     started: bool = False
 
     @property
--- a/trefoilgw/scheduling/placing.py
+++ b/trefoilgw/scheduling/placing.py
@@ -9,11 +9,14 @@
 SPEED_STEP = 0.2
 # A suspect runner gets one task in this time to see whether it has recovered.
 PROBE_EVERY_S = 1.0
+# A probe may take so long to fail that only tasks with time to spare serve.
+PROBE_SLACK_S = 0.5
 
 
 def choose(
     views: Iterable[runners.View],
     task: jobs.Task,
+    slack_s: float,
     service: str,
     domain: str,
     now_s: float,
@@ -23,6 +26,7 @@
     Args:
         views: All runners.
         task: The task.
+        slack_s: Seconds until the task should start.
         service: Service that must run it.
         domain: Failure domain of the scheduler; equal runners in others cost
             traffic between failure domains.
@@ -39,7 +43,7 @@
     probes = [
         x for x in fitting if x.suspect and now_s - x.probed_s >= PROBE_EVERY_S
     ]
-    if probes and not task.barred:
+    if probes and not task.barred and slack_s >= PROBE_SLACK_S:
         return probes[0]
     return min(sound, key=lambda x: _cost(x, domain), default=None)
 
--- a/trefoilgw/work/orders.py
+++ b/trefoilgw/work/orders.py
@@ -1,6 +1,7 @@
 """What calls to a target return."""
 
 import enum
+from collections.abc import Mapping
 
 import attrs
 
@@ -80,11 +81,11 @@
     Attributes:
         clock_s: The target's clock.
         born_ms: Start of this life of the target in Unix milliseconds.
-        running: Task and number of each run.
+        running: Share of work done, 0 to 1, by task and number of the run.
         ended: Ends that were not confirmed yet, oldest first.
     """
 
     clock_s: float
     born_ms: int
-    running: frozenset[tuple[str, int]]
+    running: Mapping[tuple[str, int], float]
     ended: tuple[RunEnd, ...]
