--- a/trefoilgw/platform/targets.py
+++ b/trefoilgw/platform/targets.py
@@ -116,7 +116,7 @@
         if lease_end_s is not None:
             body["deadlineMs"] = int(lease_end_s * 1000)
         timeout_s = wait_s + CALL_TIMEOUT_S
-        return self._call("/hold", instance, body, timeout_s, _held)
+        return self._call("/hold", instance, body, timeout_s, held)
 
     def close(self) -> None:
         """Closes the idle connections."""
@@ -181,7 +181,7 @@
     return orders.Accepted(body.number("clockMs") / 1000)
 
 
-def _held(body: fields.Fields) -> orders.Held:
+def held(body: fields.Fields) -> orders.Held:
     """Returns the answer to `hold`."""
     return orders.Held(
         body.number("clockMs") / 1000,
--- /dev/null
+++ b/trefoilgw/platform/tests/test_decoding.py
@@ -0,0 +1,248 @@
+"""What the adapter makes of the platform's bodies."""
+
+import json
+import unittest
+
+from trefoilgw.platform import configurations
+from trefoilgw.platform import fields
+from trefoilgw.platform import hosting
+from trefoilgw.platform import reports
+from trefoilgw.platform import submissions
+from trefoilgw.platform import targets
+from trefoilgw.work import core as work
+from trefoilgw.work import requests
+
+KEY = "5c0e7a21d94b36f8"
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "Nony24.example",
+            "prefix": "/lohu930/",
+            "kind": "unsafe",
+            "timeoutMs": 1500,
+            "targetLatencyMs": 60,
+            "priority": 2,
+            "service": "huvo11a",
+            "maxAttempts": 3,
+            "stretch": 1.6,
+        }
+    ],
+    "services": [{"name": "huvo11a", "admissionCheck": True}],
+    "limits": {"maxBodyBytes": 262144},
+}
+SETTINGS = {
+    "node": "side-a-1",
+    "serves": ["side"],
+    "ip": "10.1.0.14",
+    "zone": "za",
+    "listen": {"control": "10.1.0.14:8166"},
+    "portRange": [7720, 7735],
+    "seeds": ["10.1.0.13:8166", "10.2.0.30:8166"],
+    "bounds": {"maxHoldMs": 1000, "graceS": 6},
+    "orders": "rpc",
+    "app": "10.1.0.14:8165",
+    "platform": {"address": "10.200.1.7:8169"},
+    "somethingNew": 1,
+}
+REPORT = {
+    "service": "huvo11a",
+    "state": "ready",
+    "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+    "seq": 4,
+    "born": 1780926979642,
+}
+
+
+def encoded(body, **changes):
+    return json.dumps({**body, **changes}).encode()
+
+
+def configuration():
+    return configurations.decode(encoded(CONFIGURATION))
+
+
+def submission(steps, **changes):
+    queue = configuration().queues[0]
+    body = {"spec": "s", "steps": steps, "bestEffort": True, **changes}
+    return submissions.decode(KEY, queue, json.dumps(body).encode())
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_decodes_queues(self):
+        """A wrong unit would change every objective a thousandfold."""
+        queue = work.Queue(
+            "r-1", "nony24.example", "/lohu930/", "huvo11a", 2, 3, 1.6, 0.06
+        )
+        self.assertEqual((queue,), configuration().queues)
+
+    def test_longest_prefix_wins(self):
+        """Prefixes may contain each other."""
+        long = {**CONFIGURATION["routes"][0], "prefix": "/lohu930/x/"}
+        routes = [*CONFIGURATION["routes"], {**long, "name": "r-2"}]
+        found = configurations.decode(encoded(CONFIGURATION, routes=routes))
+        route = found.route("nony24.example", "/lohu930/x/5")
+        self.assertEqual("r-2", route.name)
+        self.assertIsNone(found.route("other.example", "/lohu930/5"))
+
+    def test_unreadable_document_is_an_error(self):
+        """Half a configuration must never come into force."""
+        for data in (b"", b"[]", b"{}", encoded(CONFIGURATION, routes=[1])):
+            with (
+                self.subTest(data=data),
+                self.assertRaises(fields.FieldError),
+            ):
+                configurations.decode(data)
+
+
+class SubmissionTest(unittest.TestCase):
+    def test_decodes_tasks(self):
+        """Task names and units are what the target and the rules see."""
+        step = {"count": 2, "cpu": 500, "memMb": 256, "estimateMs": 900}
+        found = submission([step])
+        names = [x.name for x in found.job.tasks]
+        self.assertEqual([f"{KEY}.0.0.0", f"{KEY}.0.0.1"], names)
+        task = found.job.tasks[0]
+        self.assertEqual(work.Demand(500, 256, 0), task.demand)
+        self.assertEqual(0.9, task.declared_s)
+
+    def test_unknown_fields_are_ignored(self):
+        """New fields may come."""
+        found = submission([{"count": 1, "colour": "red"}], mood="good")
+        self.assertIsInstance(found, requests.Submit)
+
+    def test_rejects_what_is_malformed(self):
+        """Bad input must be refused, not end the process."""
+        bad_steps = (
+            [],
+            [{"count": 0}],
+            [{"count": 10_000}],
+            [{"count": -1}],
+            [{"count": 1, "cpu": -5}],
+            [{"count": True}],
+            [{"count": 1, "estimateMs": "long"}],
+            [7],
+            "none",
+        )
+        for steps in bad_steps:
+            with self.subTest(steps=steps):
+                self.assertIsInstance(submission(steps), requests.Malformed)
+        queue = configuration().queues[0]
+        for data in (b"", b"\xff", b"[]", b"{" * 100_000, b'{"spec": 1}'):
+            with self.subTest(data=data[:20]):
+                found = submissions.decode(KEY, queue, data)
+                self.assertIsInstance(found, requests.Malformed)
+
+    def test_rejects_a_large_payload(self):
+        """The target takes no payload above the limit."""
+        found = submission([{"count": 1}], spec="x" * 4001)
+        self.assertIsInstance(found, requests.TooLarge)
+
+    def test_rejects_what_is_not_built(self):
+        """A job that is accepted and half served breaks its promise."""
+        cases = [
+            ([{"count": 1}], {"bestEffort": False}),
+            ([{"count": 1}], {"repeats": 3}),
+        ]
+        for name, value in {
+            "after": [0],
+            "gang": True,
+            "requiredLabels": "a",
+            "affinity": "r1-3",
+            "antiAffinity": 2,
+            "longRunning": True,
+            "fills": True,
+        }.items():
+            cases.append(([{"count": 1, name: value}], {}))
+        for steps, changes in cases:
+            with self.subTest(steps=steps, changes=changes):
+                found = submission(steps, **changes)
+                self.assertIsInstance(found, requests.Unsupported)
+
+    def test_rejects_queues_that_need_advice(self):
+        """Targets refuse starts on such a queue without a ticket."""
+        route = {**CONFIGURATION["routes"][0], "advice": {"decideMs": 5}}
+        found = configurations.decode(encoded(CONFIGURATION, routes=[route]))
+        body = {"spec": "s", "steps": [{"count": 1}], "bestEffort": True}
+        refused = submissions.decode(
+            KEY, found.queues[0], json.dumps(body).encode()
+        )
+        self.assertEqual(requests.Unsupported("advice"), refused)
+
+
+class ReportTest(unittest.TestCase):
+    def test_decodes_a_target(self):
+        """Room and life of the target decide what runs there."""
+        found = reports.decode("i-7", encoded(REPORT))
+        capacity = work.Demand(16000, 32768, 0)
+        self.assertEqual(
+            work.Target("i-7", 1780926979642, "huvo11a", capacity, False, 4),
+            found,
+        )
+        drains = reports.decode("i-7", encoded(REPORT, state="draining"))
+        self.assertTrue(drains.draining)
+
+    def test_foreign_reports_name_no_target(self):
+        """Reports may come from another writer."""
+        for changes in (
+            {"state": "napping"},
+            {"seq": "4"},
+            {"capacity": 5},
+            {"service": None},
+        ):
+            with (
+                self.subTest(changes=changes),
+                self.assertRaises(fields.FieldError),
+            ):
+                reports.decode("i-7", encoded(REPORT, **changes))
+
+
+class SettingsTest(unittest.TestCase):
+    def test_decodes_settings(self):
+        """Units and addresses come from here only."""
+        found = hosting.decode(encoded(SETTINGS))
+        self.assertEqual("10.1.0.14:7720", found.stream_address)
+        self.assertEqual(
+            ("10.1.0.13:7720", "10.2.0.30:7720"), found.seed_streams()
+        )
+        self.assertEqual(1.0, found.lease_limit_s)
+        self.assertEqual("10.1.0.14:8166", found.reports_address)
+        self.assertEqual((), found.unsupported)
+
+    def test_names_what_is_not_built(self):
+        """A deployment that can't be served must not start half."""
+        found = hosting.decode(encoded(SETTINGS, orders="heartbeat"))
+        self.assertEqual(1, len(found.unsupported))
+
+
+class HoldTest(unittest.TestCase):
+    def test_decodes_runs_and_ends(self):
+        """The fourth column is the progress that decisions rest on."""
+        body = {
+            "clockMs": 482113,
+            "born": 17,
+            "running": [["t.0.0.1", 2, "", 41, 1500]],
+            "finished": [
+                [58, "t.0.0.9", 1, "done", ""],
+                [59, "t.0.0.8", 1, "lapsed", ""],
+            ],
+        }
+        held = targets.held(fields.Fields(body))
+        self.assertEqual(482.113, held.clock_s)
+        self.assertEqual({("t.0.0.1", 2): 0.41}, held.running)
+        self.assertEqual(
+            [(58, work.Ending.DONE), (59, work.Ending.LOST)],
+            [(x.number, x.ending) for x in held.ended],
+        )
+
+    def test_unknown_rows_are_an_error(self):
+        """An end that is misread could be confirmed and lost."""
+        for row in ([1], [1, "t", 1, "vanished", ""], "x"):
+            body = {"clockMs": 1, "finished": [row]}
+            with self.subTest(row=row), self.assertRaises(fields.FieldError):
+                targets.held(fields.Fields(body))
+
+
+if __name__ == "__main__":
+    unittest.main()
