--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -44,12 +44,14 @@
         run: Number of the attempt, rising for each task.
         room: Room that it needs.
         expected_s: Expected run time in seconds.
+        urgency: Urgency class of its job.
     """
 
     task: str
     run: int
     room: Room = attrs.field(metadata={"value": Room})
     expected_s: float
+    urgency: int
 
 
 @core.message(50, hello=True)
@@ -154,31 +156,42 @@
     run_s: float
 
 
-@core.message(56)
-class Bid:
-    """A scheduler's waiting work; replaces its bid before.
+@attrs.frozen
+class Lot:
+    """A scheduler's waiting work of one urgency class.
 
     Attributes:
+        urgency: The class.
         slack_s: Seconds until its most urgent task should start.
         room: Room that this task needs.
-        wanted: Room of all waiting tasks; none withdraws the bid.
+        wanted: Room of all waiting tasks of the class.
     """
 
+    urgency: int
     slack_s: float
     room: Room = attrs.field(metadata={"value": Room})
     wanted: Room = attrs.field(metadata={"value": Room})
 
 
+@core.message(56)
+class Bid:
+    """A scheduler's waiting work; replaces its bid before."""
+
+    lots: tuple[Lot, ...] = core.items_of(Lot)
+
+
 @core.message(57)
 class Offer:
     """Room that is reserved for the scheduler until it answers.
 
     Attributes:
         number: Number of the offer, for the answer.
+        urgency: Least urgent class whose tasks may use it.
         room: The room.
     """
 
     number: int
+    urgency: int
     room: Room = attrs.field(metadata={"value": Room})
 
 
--- a/trefoilgw/platform/hosting.py
+++ b/trefoilgw/platform/hosting.py
@@ -56,6 +56,7 @@
         target_address=body.text("app", ""),
         store_address=body.object("platform").text("address"),
         lease_limit_s=bounds.number("maxHoldMs") / 1000,
+        run_stop_s=bounds.number("stopTimeoutMs") / 1000,
         stop_limit_s=bounds.number("graceS"),
         unsupported=tuple(unsupported),
     )
--- a/trefoilgw/platform/targets.py
+++ b/trefoilgw/platform/targets.py
@@ -16,7 +16,10 @@
 
 # One connection waits in `hold`; the others carry orders.
 CONNECTIONS = 4
-CALL_TIMEOUT_S = 0.3
+# The target is on the same host and answers within a few milliseconds.
+ORDER_TIMEOUT_S = 0.08
+# What `hold` may take beyond the time that it was asked to wait.
+HOLD_EXTRA_S = 0.3
 
 _HEADERS = {"Content-Type": "application/json"}
 _REASONS = {
@@ -115,7 +118,7 @@
         body = {"lastSeen": confirmed, "waitMs": int(wait_s * 1000)}
         if lease_end_s is not None:
             body["deadlineMs"] = int(lease_end_s * 1000)
-        timeout_s = wait_s + CALL_TIMEOUT_S
+        timeout_s = wait_s + HOLD_EXTRA_S
         return self._call("/hold", instance, body, timeout_s, held)
 
     def close(self) -> None:
@@ -124,7 +127,7 @@
 
     def _order(self, path: str, instance: str, body: dict):
         """Makes a call that is answered at once."""
-        return self._call(path, instance, body, CALL_TIMEOUT_S, _accepted)
+        return self._call(path, instance, body, ORDER_TIMEOUT_S, _accepted)
 
     def _call(
         self,
--- a/trefoilgw/platform/tests/test_decoding.py
+++ b/trefoilgw/platform/tests/test_decoding.py
@@ -40,7 +40,7 @@
     "listen": {"control": "10.1.0.14:8166"},
     "portRange": [7720, 7735],
     "seeds": ["10.1.0.13:8166", "10.2.0.30:8166"],
-    "bounds": {"maxHoldMs": 1000, "graceS": 6},
+    "bounds": {"maxHoldMs": 1000, "stopTimeoutMs": 50, "graceS": 6},
     "orders": "rpc",
     "app": "10.1.0.14:8165",
     "platform": {"address": "10.200.1.7:8169"},
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -18,6 +18,7 @@
 
 from trefoilgw.messages import runs as messages
 from trefoilgw.room import actions
+from trefoilgw.room import headroom as room_headroom
 from trefoilgw.room import health
 from trefoilgw.room import owners as room_owners
 from trefoilgw.work import core as work
@@ -83,6 +84,7 @@
         runs: Attempts that use room, by task and number.
         owners: Schedulers by incarnation.
         judge: Judge of the target's health.
+        headroom: Room that is kept free for urgent work.
         pending: Actions not yet taken by the program.
         offers: Number of the last offer.
     """
@@ -94,6 +96,9 @@
     runs: dict[tuple[str, int], Run] = attrs.field(factory=dict)
     owners: dict[str, room_owners.Owner] = attrs.field(factory=dict)
     judge: health.Health = attrs.field(factory=health.Health)
+    headroom: room_headroom.Headroom = attrs.field(
+        factory=room_headroom.Headroom
+    )
     pending: list = attrs.field(factory=list)
     offers: int = 0
 
@@ -287,20 +292,21 @@
         if owner is None:
             return
         owner.received += 1
-        owner.reservations.pop(message.offer, None)
+        offered = owner.reservations.pop(message.offer, None) is not None
         for group in message.groups:
             for order in group.orders:
-                self._start(owner, group.payload, order, now_s)
+                self._start(owner, group.payload, order, offered, now_s)
 
     def _start(
         self,
         owner: room_owners.Owner,
         payload: str,
         order: messages.RunOrder,
+        offered: bool,
         now_s: float,
     ) -> None:
         """Starts one attempt or refuses it."""
-        reason = self._refusal(owner, order, now_s)
+        reason = self._refusal(owner, order, offered, now_s)
         if reason:
             ending = str(work.Ending.NOT_RUN)
             self._tell(
@@ -314,7 +320,11 @@
         self.pending.append(actions.Start(order.task, order.run, payload))
 
     def _refusal(
-        self, owner: room_owners.Owner, order: messages.RunOrder, now_s: float
+        self,
+        owner: room_owners.Owner,
+        order: messages.RunOrder,
+        offered: bool,
+        now_s: float,
     ) -> str:
         """Returns why an attempt must not start, or an empty text."""
         if not self.usable:
@@ -328,8 +338,13 @@
             return "duplicate"
         if self.judge.suspect and self.runs:
             return "suspect"
-        if not order.room.demand.fits_in(self.free()):
+        free = self.free()
+        if not order.room.demand.fits_in(free):
             return "room"
+        if not offered:
+            kept = self.headroom.kept(self._used(), order.urgency)
+            if not order.room.demand.fits_in(free.minus(work.Demand(kept))):
+                return "headroom"
         return ""
 
     def stop_runs(self, name: str, message: messages.StopRuns) -> None:
@@ -344,17 +359,20 @@
     ) -> None:
         """Takes the waiting work of a scheduler."""
         owner = self.owners.get(name)
-        if owner is None:
-            return
-        wanted = message.wanted.demand
-        owner.bid = None
-        if wanted != work.Demand():
-            owner.bid = room_owners.Bid(
-                now_s + message.slack_s, message.room.demand, wanted
+        if owner is not None:
+            owner.bids = tuple(
+                room_owners.Bid(
+                    x.urgency,
+                    now_s + x.slack_s,
+                    x.room.demand,
+                    x.wanted.demand,
+                )
+                for x in message.lots
             )
 
     def tick(self, now_s: float) -> None:
         """Ends void offers and the runs of schedulers without authority."""
+        self.headroom.update(self._used(), now_s)
         for owner in list(self.owners.values()):
             for reservation in list(owner.reservations.values()):
                 if now_s >= reservation.until_s:
@@ -382,40 +400,56 @@
         """Reserves free room for the most urgent bids."""
         if not self.usable:
             return
-        bidders = [x for x in self.owners.values() if x.bid is not None]
-        bidders.sort(key=lambda x: x.bid.latest_start_s)
+        bids = [(x, bid) for x in self.owners.values() for bid in x.bids]
+        bids.sort(key=lambda x: x[1].latest_start_s)
         free = self.free()
-        for owner in bidders:
-            left = owner.bid.wanted.minus(owner.reserved())
+        for owner, bid in bids:
+            left = bid.wanted.minus(owner.offered(bid.urgency))
             if self.judge.suspect:
                 if self.runs or owner.reservations:
                     return
-                left = owner.bid.head
+                left = bid.head
             if left.cpu_millicores <= 0:
                 continue
-            if not owner.bid.head.fits_in(free):
+            if not bid.head.fits_in(free):
                 # Room for the most urgent task must be able to gather.
                 return
+            kept = work.Demand(self.headroom.kept(self._used(), bid.urgency))
+            usable = free.minus(kept)
+            if not bid.head.fits_in(usable):
+                continue
             room = work.Demand(
-                min(left.cpu_millicores, free.cpu_millicores),
-                min(max(left.memory_mb, 0), free.memory_mb),
-                min(max(left.accelerators, 0), free.accelerators),
+                min(left.cpu_millicores, usable.cpu_millicores),
+                min(max(left.memory_mb, 0), usable.memory_mb),
+                min(max(left.accelerators, 0), usable.accelerators),
             )
-            self._offer(owner, room, now_s)
+            self._offer(owner, bid.urgency, room, now_s)
             free = free.minus(room)
 
     def _offer(
-        self, owner: room_owners.Owner, room: work.Demand, now_s: float
+        self,
+        owner: room_owners.Owner,
+        urgency: int,
+        room: work.Demand,
+        now_s: float,
     ) -> None:
         """Reserves room and tells the scheduler."""
         self.offers += 1
         owner.reservations[self.offers] = room_owners.Reservation(
-            self.offers, room, now_s + OFFER_S
+            self.offers, urgency, room, now_s + OFFER_S
         )
         self._tell(
-            owner.name, messages.Offer(self.offers, messages.Room.of(room))
+            owner.name,
+            messages.Offer(self.offers, urgency, messages.Room.of(room)),
         )
 
+    def _used(self) -> list[tuple[int, int]]:
+        """Returns urgency class and millicores of each run."""
+        return [
+            (x.order.urgency, x.demand.cpu_millicores)
+            for x in self.runs.values()
+        ]
+
     def report_room(self) -> None:
         """Reports the room to each scheduler to which it is news."""
         if not any(x.connected for x in self.owners.values()):
--- a/trefoilgw/room/owners.py
+++ b/trefoilgw/room/owners.py
@@ -13,14 +13,16 @@
 
 @attrs.frozen
 class Bid:
-    """Waiting work of a scheduler.
+    """Waiting work of a scheduler in one urgency class.
 
     Attributes:
+        urgency: The class.
         latest_start_s: When its most urgent task should start.
         head: Room that this task needs.
         wanted: Room that all its waiting tasks need.
     """
 
+    urgency: int
     latest_start_s: float
     head: work.Demand
     wanted: work.Demand
@@ -31,6 +33,7 @@
     """Room that is held for a scheduler until it answers an offer."""
 
     number: int
+    urgency: int
     room: work.Demand
     until_s: float
 
@@ -44,7 +47,7 @@
         authority_until_s: Nothing is started for it from this time on.
         connected: Whether its stream is open.
         received: `StartRuns` messages on the open stream.
-        bid: Its waiting work, or None.
+        bids: Its waiting work.
         reservations: Open offers by number.
         reported: The last `RoomReport` sent to it.
     """
@@ -53,7 +56,7 @@
     authority_until_s: float
     connected: bool = True
     received: int = 0
-    bid: Bid | None = None
+    bids: tuple[Bid, ...] = ()
     reservations: dict[int, Reservation] = attrs.field(factory=dict)
     reported: object = None
 
@@ -64,10 +67,18 @@
             total = total.plus(reservation.room)
         return total
 
+    def offered(self, urgency: int) -> work.Demand:
+        """Returns the room that is held for its work of one class."""
+        total = work.Demand()
+        for reservation in self.reservations.values():
+            if reservation.urgency == urgency:
+                total = total.plus(reservation.room)
+        return total
+
     def disconnect(self, now_s: float) -> None:
         """Notes that the stream broke; a new one may follow soon."""
         self.connected = False
-        self.bid = None
+        self.bids = ()
         self.reservations.clear()
         self.reported = None
         self.received = 0
--- a/trefoilgw/room/tests/scenes.py
+++ b/trefoilgw/room/tests/scenes.py
@@ -32,8 +32,8 @@
     return found
 
 
-def order(task, run=1, expected_s=1.0, need=TASK_ROOM):
-    return messages.RunOrder(task, run, need, expected_s)
+def order(task, run=1, expected_s=1.0, need=TASK_ROOM, urgency=2):
+    return messages.RunOrder(task, run, need, expected_s, urgency)
 
 
 def start(found, name, *tasks, offer=0, now_s=0.1, **kwargs):
@@ -51,10 +51,11 @@
         found.run_started(task, 1, now_s)
 
 
-def bid(found, name, slack_s, tasks=1, now_s=0.1):
+def bid(found, name, slack_s, tasks=1, now_s=0.1, need=TASK_ROOM, urgency=2):
     """Makes a scheduler bid for a number of equal tasks."""
-    wanted = messages.Room(1000 * tasks, 64 * tasks, 0)
-    found.bid_changed(name, messages.Bid(slack_s, TASK_ROOM, wanted), now_s)
+    wanted = messages.Room.of(need.demand.times(tasks))
+    lots = (messages.Lot(urgency, slack_s, need, wanted),) if tasks else ()
+    found.bid_changed(name, messages.Bid(lots), now_s)
 
 
 def starts(taken):
--- a/trefoilgw/room/tests/test_core.py
+++ b/trefoilgw/room/tests/test_core.py
@@ -174,7 +174,7 @@
         keeper = scenes.keeper(A, B, cores=2)
         scenes.running(keeper, A, "j.0.0.0")
         large = messages.Room(2000, 64, 0)
-        keeper.bid_changed(A, messages.Bid(0.1, large, large), 0.1)
+        scenes.bid(keeper, A, slack_s=0.1, need=large)
         scenes.bid(keeper, B, slack_s=0.5)
         self.assertEqual([], self.offers(keeper))
 
@@ -182,8 +182,7 @@
         """Offers to a scheduler without work waste a round trip of room."""
         keeper = scenes.keeper(A)
         scenes.bid(keeper, A, slack_s=0.1)
-        none = messages.Room(0, 0, 0)
-        keeper.bid_changed(A, messages.Bid(0.0, none, none), 0.1)
+        scenes.bid(keeper, A, slack_s=0.1, tasks=0)
         self.assertEqual([], self.offers(keeper))
 
     def test_report_is_sent_once_per_change(self):
@@ -197,6 +196,48 @@
         self.assertEqual([], keeper.take_actions())
 
 
+class HeadroomTest(unittest.TestCase):
+    def used_by_urgent(self):
+        """Returns a keeper of which urgent runs lately used half."""
+        keeper = scenes.keeper(A, cores=4)
+        keeper.owner_renewed(A, 100.0)
+        scenes.running(keeper, A, "u.0.0.0", "u.0.0.1", urgency=1)
+        for tick in range(200):
+            keeper.tick(0.1 + tick * 0.05)
+        for task in ("u.0.0.0", "u.0.0.1"):
+            keeper.run_ended(task, 1, work.Ending.DONE, 10.1)
+        keeper.take_actions()
+        return keeper
+
+    def test_long_work_leaves_room_for_urgent_work(self):
+        """Long runs that fill all room block urgent work for seconds."""
+        keeper = self.used_by_urgent()
+        tasks = [f"j.0.0.{x}" for x in range(4)]
+        taken = scenes.start(keeper, A, *tasks, urgency=4, now_s=10.1)
+        self.assertEqual(tasks[:2], scenes.starts(taken))
+        self.assertEqual({"headroom"}, {x[3] for x in scenes.endings(taken)})
+        taken = scenes.start(keeper, A, "v.0.0.0", urgency=1, now_s=10.1)
+        self.assertEqual(["v.0.0.0"], scenes.starts(taken))
+
+    def test_offers_leave_room_for_urgent_work(self):
+        """The reserve must hold for waiting work as well."""
+        keeper = self.used_by_urgent()
+        scenes.bid(keeper, A, slack_s=0.0, tasks=9, urgency=4, now_s=10.1)
+        keeper.offer_room(10.1)
+        (offer,) = scenes.told(keeper.take_actions(), messages.Offer)
+        self.assertLess(offer[1].room.cpu_millicores, 3000)
+        self.assertEqual(4, offer[1].urgency)
+
+    def test_reserve_fades_with_the_use(self):
+        """Room that urgent work no longer uses must not stay idle."""
+        keeper = self.used_by_urgent()
+        for tick in range(200):
+            keeper.tick(10.1 + tick * 0.05)
+        tasks = [f"j.0.0.{x}" for x in range(4)]
+        taken = scenes.start(keeper, A, *tasks, urgency=4, now_s=20.1)
+        self.assertEqual(tasks, scenes.starts(taken))
+
+
 class HealthTest(unittest.TestCase):
     def fail(self, keeper, *jobs):
         for job in jobs:
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -11,6 +11,7 @@
 
 import attrs
 import eventlet
+from eventlet import event
 
 from trefoilgw.platform import targets
 from trefoilgw.room import core as room
@@ -19,7 +20,7 @@
 
 # Short enough to see soon that runs stand still; far below any lease.
 HOLD_WAIT_S = 0.15
-RETRY_S = 0.1
+RETRY_S = 0.05
 # Clocks of targets may be this much slow.
 CLOCK_ERROR = 0.02
 # Delay of an order beyond the end of its lease that is still allowed for.
@@ -38,26 +39,29 @@
         client: Client of the target.
         keeper: State of its room.
         lease_s: Length of the runs' lease.
+        run_stop_s: Longest time that the target takes to stop a run.
         now: Clock in seconds.
         on_change: Called after each change of the keeper.
         clock_s: Time by which the target's clock is ahead, None if unknown.
         lease_until_s: When everything at the target has certainly lapsed.
         confirmed: Number of the last end taken note of.
         settled_s: When the target last confirmed a start or a stop of a run.
-        stopping: Attempts for which a stop is being repeated.
+        stopping: Attempts for which a stop is being repeated, with an event
+            for others that need the same stop.
         foreign: Attempts found at the target that nobody here asked for.
     """
 
     client: targets.TargetClient
     keeper: room.RoomKeeper
     lease_s: float
+    run_stop_s: float
     now: Callable[[], float]
     on_change: Callable[[], None]
     clock_s: float | None = None
     lease_until_s: float = 0.0
     confirmed: int = 0
     settled_s: dict[Key, float] = attrs.field(factory=dict)
-    stopping: set[Key] = attrs.field(factory=set)
+    stopping: dict[Key, event.Event] = attrs.field(factory=dict)
     foreign: set[Key] = attrs.field(factory=set)
 
     def target_changed(self) -> None:
@@ -65,7 +69,6 @@
         self.clock_s = None
         self.confirmed = 0
         self.settled_s.clear()
-        self.stopping.clear()
         self.foreign.clear()
 
     def start(self, task: str, run: int, payload: str) -> None:
@@ -95,29 +98,46 @@
                     "start not answered",
                     extra={"task": task, "run": run, "detail": detail},
                 )
-                self.stop(task, run)
+                if self.stop(task, run):
+                    # If only the answer was lost, the run ends in this time.
+                    eventlet.sleep(self.run_stop_s)
+                    self.keeper.run_refused(task, run, "not_answered")
         self.on_change()
 
-    def stop(self, task: str, run: int) -> None:
-        """Stops an attempt for certain; spawn it as a greenthread."""
+    def stop(self, task: str, run: int) -> bool:
+        """Stops an attempt for certain; spawn it as a greenthread.
+
+        Returns:
+            True once the target has confirmed the stop, False if this life
+            of the target is over.
+        """
         key = (task, run)
-        if key in self.stopping:
-            return
-        self.stopping.add(key)
+        under_way = self.stopping.get(key)
+        if under_way is not None:
+            return under_way.wait()
+        under_way = self.stopping[key] = event.Event()
+        confirmed = self._stop_until_confirmed(key)
+        self.stopping.pop(key, None)
+        under_way.send(confirmed)
+        return confirmed
+
+    def _stop_until_confirmed(self, key: Key) -> bool:
+        """Repeats a stop; see `stop`."""
         target = self.keeper.target
-        lapsed_s = self.now() + self._lapse_s()
         while target is not None and target is self._same_life(target):
-            answer = self.client.stop(target.instance, task, run)
-            if isinstance(answer, orders.Accepted):
-                self._set_clock(answer.clock_s)
-                self.settled_s[key] = self.now()
-                return
-            if isinstance(answer, orders.Refused | orders.OtherInstance):
-                break
-            if self.now() > lapsed_s and key not in self.keeper.runs:
-                break
+            answer = self.client.stop(target.instance, *key)
+            match answer:
+                case orders.Accepted(clock_s=clock_s):
+                    self._set_clock(clock_s)
+                    self.settled_s[key] = self.now()
+                    return True
+                case orders.OtherInstance():
+                    return False
+            if key not in self.keeper.runs and key not in self.foreign:
+                # The target has listed its end meanwhile.
+                return True
             eventlet.sleep(RETRY_S)
-        self.stopping.discard(key)
+        return False
 
     def _same_life(self, target: work.Target) -> work.Target | None:
         """Returns the target if it is still the one that was meant."""
@@ -212,7 +232,6 @@
     def _forget(self, key: Key) -> None:
         """Forgets an attempt that has ended."""
         self.settled_s.pop(key, None)
-        self.stopping.discard(key)
 
     def _set_clock(self, clock_s: float | None) -> None:
         """Learns the target's clock from an answer."""
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -63,6 +63,7 @@
             targets.TargetClient(settings.target_address),
             self.keeper,
             settings.lease_limit_s,
+            settings.run_stop_s,
             clock.boottime,
             self.flush,
         )
@@ -114,7 +115,7 @@
         """Gives free room away and carries out what was decided."""
         now_s = clock.boottime()
         self.keeper.offer_room(now_s)
-        bids = any(x.bid for x in self.keeper.owners.values())
+        bids = any(x.bids for x in self.keeper.owners.values())
         if not bids or now_s - self.reported_s >= REPORT_EVERY_S:
             self.reported_s = now_s
             self.keeper.report_room()
--- a/trefoilgw/scheduler/runners.py
+++ b/trefoilgw/scheduler/runners.py
@@ -9,6 +9,7 @@
 from trefoilgw.messages import runs
 from trefoilgw.scheduling import core as scheduling
 from trefoilgw.streams import core as streams
+from trefoilgw.work import core as work
 
 # A runner pings five times a second.
 SILENCE_LIMIT_S = 0.9
@@ -147,6 +148,7 @@
             case runs.Offer():
                 self.scheduler.room_offered(name, message, now_s)
             case runs.RunEnded():
+                _log_ended(name, message)
                 self.scheduler.run_ended(name, message, now_s)
             case runs.Holding():
                 self.scheduler.runner_holds(name, message, now_s)
@@ -154,3 +156,19 @@
                 code = getattr(message, "code", None)
                 log.warning("unexpected message", extra={"code": code})
         self.on_change()
+
+
+def _log_ended(runner: str, ended: runs.RunEnded) -> None:
+    """Writes the line of an attempt that has not done its task."""
+    if ended.ending != work.Ending.DONE:
+        log.info(
+            "run not done",
+            extra={
+                "task": ended.task,
+                "run": ended.run,
+                "runner": runner,
+                "ending": ended.ending,
+                "reason": ended.reason,
+                "run_s": round(ended.run_s, 3),
+            },
+        )
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -19,6 +19,7 @@
 from trefoilgw.scheduling import runners
 from trefoilgw.scheduling import runtimes
 from trefoilgw.work import core as work
+from trefoilgw.work import urgency
 
 # Bids that differ only in figures are sent no more often than this.
 BID_EVERY_S = 0.02
@@ -31,6 +32,10 @@
 # and of jobs that start at the very end of their slack half would be late.
 CAUTION = 0.6
 RETRY_AFTER_LEAST_S = 0.1
+# Reason of a runner that keeps its room for more urgent work, and how long a
+# scheduler waits for its offer before it tries again.
+HEADROOM = "headroom"
+KEPT_S = 0.1
 # Reasons of a runner that has stopped a run so that another may run it.
 MOVED = frozenset({"stalled", "slow"})
 
@@ -94,14 +99,18 @@
         slack_s = job.latest_start_s - now_s
         if not any(x.offers(spec.queue.service) for x in self.views.values()):
             return actions.Rejected("no_target", 1.0)
-        wait_s = self._predicted_wait_s(job, now_s)
+        ahead = self._work_ahead(job)
+        rate = self.grants.millicores(self._share(spec.queue.service))
+        wait_s = self._predicted_wait_s(job, ahead, rate, now_s)
         if wait_s > slack_s:
             retry_s = max(RETRY_AFTER_LEAST_S, wait_s - slack_s)
-            return actions.Rejected("overload", retry_s)
-        rate = self.arrivals.setdefault(
+            return actions.Rejected(
+                "overload", retry_s, wait_s, slack_s, ahead, rate
+            )
+        arrivals = self.arrivals.setdefault(
             spec.queue.name, admission.ArrivalRate(slack_s=slack_s)
         )
-        rate.record(job.waiting_work(), slack_s, now_s)
+        arrivals.record(job.waiting_work(), slack_s, now_s)
         self.admitted[job.key] = job
         bisect.insort(self.line, job, key=lambda x: x.rank)
         self._place(now_s)
@@ -127,16 +136,22 @@
             expected_s=longest_s,
             latest_start_s=now_s + CAUTION * slack_s,
             hopeless_s=now_s + slack_s,
+            urgency=urgency.urgency_class(slack_s),
         )
 
-    def _predicted_wait_s(self, job: jobs.Job, now_s: float) -> float:
-        """Returns the seconds until the last task of a job has room."""
+    def _work_ahead(self, job: jobs.Job) -> float:
+        """Returns the waiting work that goes before a job."""
         service = job.spec.queue.service
-        ahead = sum(
+        return sum(
             x.waiting_work()
             for x in self.line
             if x.rank < job.rank and x.spec.queue.service == service
         )
+
+    def _predicted_wait_s(
+        self, job: jobs.Job, ahead: float, rate: float, now_s: float
+    ) -> float:
+        """Returns the seconds until the last task of a job has room."""
         own = job.waiting_work()
         if not ahead:
             own -= self._fitting_work(job)
@@ -148,7 +163,6 @@
             for x in self.arrivals.values()
             if x.slack_s < slack_s / 2
         )
-        rate = self.grants.millicores(self._share(service))
         return admission.predicted_wait_s(ahead + own, rate, urgent)
 
     def _fitting_work(self, job: jobs.Job) -> float:
@@ -272,7 +286,7 @@
             case work.Ending.FAILED:
                 self._task_failed(name, job, task)
             case work.Ending.NOT_RUN:
-                self._task_refused(name, job, task, message.reason)
+                self._task_refused(name, job, task, message.reason, now_s)
             case work.Ending.STOPPED | work.Ending.LOST:
                 if message.reason in MOVED:
                     task.barred.add(name)
@@ -315,11 +329,18 @@
             self._answer(job, actions.Failed(task.spec.name))
 
     def _task_refused(
-        self, name: str, job: jobs.Job, task: jobs.Task, reason: str
+        self,
+        name: str,
+        job: jobs.Job,
+        task: jobs.Task,
+        reason: str,
+        now_s: float,
     ) -> None:
         """Notes that an attempt never ran."""
         view = self.views.get(name)
-        if view is not None:
+        if view is not None and reason == HEADROOM:
+            view.keep_from(job.urgency, now_s + KEPT_S)
+        elif view is not None:
             view.blocked = True
         self._wait_again(job, task)
         if reason == "old":
@@ -348,7 +369,12 @@
             for task in job.waiting():
                 slack_s = job.latest_start_s - now_s
                 view = placing.choose(
-                    roomy, task, slack_s, service, self.domain, now_s
+                    [x for x in roomy if x.takes(job.urgency, now_s)],
+                    task,
+                    slack_s,
+                    service,
+                    self.domain,
+                    now_s,
                 )
                 if view is None:
                     skipped += 1
@@ -399,6 +425,7 @@
                         x.run,
                         messages.Room.of(x.spec.demand),
                         x.expected_s,
+                        job.urgency,
                     )
                     for x in tasks
                 ),
@@ -417,6 +444,8 @@
         for job in list(self.line):
             if not view.offers(job.spec.queue.service):
                 continue
+            if job.urgency > offer.urgency:
+                continue
             for task in job.waiting():
                 demand = task.spec.demand
                 if name in task.barred or not demand.fits_in(left):
@@ -431,7 +460,7 @@
 
     def _bid(self, now_s: float) -> None:
         """Tells the runners what waits."""
-        bids: dict[str, messages.Bid | None] = {}
+        bids: dict[str, messages.Bid] = {}
         for view in self.views.values():
             if not view.usable:
                 continue
@@ -440,41 +469,42 @@
                 bids[service] = self._bid_for(service, now_s)
             self._send_bid(view, bids[service], now_s)
 
-    def _bid_for(self, service: str, now_s: float) -> messages.Bid | None:
-        """Returns the bid for room of a service, None without work."""
-        waiting = [x for x in self.line if x.spec.queue.service == service]
-        if not waiting:
-            return None
-        wanted = work.Demand()
-        for job in waiting:
+    def _bid_for(self, service: str, now_s: float) -> messages.Bid:
+        """Returns the bid for room of a service."""
+        lots: dict[int, messages.Lot] = {}
+        for job in self.line:
+            if job.spec.queue.service != service:
+                continue
+            wanted = work.Demand()
             for task in job.waiting():
                 wanted = wanted.plus(task.spec.demand)
-        head = waiting[0]
-        demand = head.waiting()[0].spec.demand
-        return messages.Bid(
-            round(head.latest_start_s - now_s, 3),
-            messages.Room.of(demand),
-            messages.Room.of(wanted),
-        )
+            known = lots.get(job.urgency)
+            if known is not None:
+                total = messages.Room.of(known.wanted.demand.plus(wanted))
+                lots[job.urgency] = attrs.evolve(known, wanted=total)
+                continue
+            lots[job.urgency] = messages.Lot(
+                job.urgency,
+                round(job.latest_start_s - now_s, 3),
+                messages.Room.of(job.waiting()[0].spec.demand),
+                messages.Room.of(wanted),
+            )
+        return messages.Bid(tuple(lots.values()))
 
     def _send_bid(
-        self, view: runners.View, bid: messages.Bid | None, now_s: float
+        self, view: runners.View, bid: messages.Bid, now_s: float
     ) -> None:
         """Sends a bid unless the runner has one that is recent enough."""
-        if bid is None:
-            if view.bid is None:
-                return
-            none = messages.Room(0, 0, 0)
-            message = messages.Bid(0.0, none, none)
-        else:
-            if view.bid is not None and now_s - view.bid_s < BID_EVERY_S:
+        if not bid.lots and not view.bid.lots:
+            return
+        if bid.lots and view.bid.lots:
+            if now_s - view.bid_s < BID_EVERY_S:
                 return
-            if view.bid is not None and _same_bid(view.bid, bid, view, now_s):
+            if _same_bid(view.bid, bid, now_s - view.bid_s):
                 return
-            message = bid
         view.bid = bid
         view.bid_s = now_s
-        self._tell(view.name, message)
+        self._tell(view.name, bid)
 
     # Time.
 
@@ -524,13 +554,14 @@
         self.pending.append(actions.Tell(runner, message))
 
 
-def _same_bid(
-    old: messages.Bid, new: messages.Bid, view: runners.View, now_s: float
-) -> bool:
+def _same_bid(old: messages.Bid, new: messages.Bid, elapsed_s: float) -> bool:
     """Returns whether a runner's knowledge of a bid is still right."""
-    drift_s = old.slack_s - (now_s - view.bid_s) - new.slack_s
-    return (
-        old.room == new.room
-        and old.wanted == new.wanted
-        and abs(drift_s) < BID_EVERY_S
+    if len(old.lots) != len(new.lots):
+        return False
+    return all(
+        a.urgency == b.urgency
+        and a.room == b.room
+        and a.wanted == b.wanted
+        and abs(a.slack_s - elapsed_s - b.slack_s) < BID_EVERY_S
+        for a, b in zip(old.lots, new.lots, strict=True)
     )
--- a/trefoilgw/scheduling/jobs.py
+++ b/trefoilgw/scheduling/jobs.py
@@ -59,6 +59,7 @@
         expected_s: Expected run time of its longest task in seconds.
         latest_start_s: The last task should start by then.
         hopeless_s: A job that has not begun by then would be late.
+        urgency: Urgency class of its work.
         started: Whether any attempt was ever sent.
     """
 
@@ -69,6 +70,7 @@
     expected_s: float
     latest_start_s: float
     hopeless_s: float
+    urgency: int
     started: bool = False
 
     @property
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -15,6 +15,7 @@
 SLOWNESS_WEIGHT = 0.1
 # A single run counts at most as this many times its expected time.
 RATIO_LIMIT = 8.0
+NO_BID = messages.Bid(())
 
 
 @attrs.define(eq=False)
@@ -34,7 +35,8 @@
         renewed_s: When its last ping was answered.
         heard_s: When its last message came.
         log_slowness: Logarithm of its run times relative to those expected.
-        bid: The last bid sent to it, or None.
+        kept: Until when it keeps its room from work of a class, by class.
+        bid: The last bid sent to it.
         bid_s: When that was sent.
         probed_s: When a task was last sent to it while it was suspect.
     """
@@ -50,7 +52,8 @@
     renewed_s: float = 0.0
     heard_s: float = 0.0
     log_slowness: float = 0.0
-    bid: messages.Bid | None = None
+    kept: dict[int, float] = attrs.field(factory=dict)
+    bid: messages.Bid = NO_BID
     bid_s: float = 0.0
     probed_s: float = -1e9
 
@@ -92,6 +95,17 @@
         self.blocked = False
         self.unseen = [x for x in self.unseen if x[0] > report.received]
 
+    def keep_from(self, urgency: int, until_s: float) -> None:
+        """Notes that it keeps its room for more urgent work."""
+        self.kept[urgency] = until_s
+
+    def takes(self, urgency: int, now_s: float) -> bool:
+        """Returns whether it may take work of a class."""
+        return all(
+            now_s >= until_s or urgency < kept
+            for kept, until_s in self.kept.items()
+        )
+
     def learn(self, run_s: float, expected_s: float) -> None:
         """Learns from a run time."""
         ratio = min(RATIO_LIMIT, max(run_s, 0.001) / max(expected_s, 0.001))
@@ -105,6 +119,6 @@
         self.report = None
         self.sends = 0
         self.unseen.clear()
-        self.bid = None
+        self.bid = NO_BID
         self.renewed_s = now_s
         self.heard_s = now_s
--- a/trefoilgw/scheduling/tests/test_core.py
+++ b/trefoilgw/scheduling/tests/test_core.py
@@ -152,16 +152,38 @@
         found = scenes.scheduler("r1", free=scenes.NONE)
         found.submit(scenes.job("slow", declared_s=2.0), 1, 0.0)
         found.submit(scenes.job("fast", declared_s=0.1), 1, 0.0)
-        offer = messages.Offer(4, messages.Room(1000, 64, 0))
+        offer = messages.Offer(4, 7, messages.Room(1000, 64, 0))
         found.take_actions()
         found.room_offered("r1", offer, 0.01)
         taken = found.take_actions()
         self.assertEqual([("r1", "fast.0.0.0", 1)], scenes.sent(taken))
 
+    def test_offer_for_urgent_work_goes_to_no_other(self):
+        """The runner has kept this room from work that can wait."""
+        found = scenes.scheduler("r1", free=scenes.NONE)
+        found.submit(scenes.job("slow", declared_s=2.0), 1, 0.0)
+        found.take_actions()
+        offer = messages.Offer(4, 1, messages.Room(1000, 64, 0))
+        found.room_offered("r1", offer, 0.01)
+        self.assertEqual([], scenes.sent(found.take_actions()))
+
+    def test_room_kept_for_urgent_work_is_not_asked_for_again(self):
+        """Each refusal costs a round trip; the runner will offer room."""
+        found = scenes.scheduler("r1")
+        found.submit(scenes.job("j"), 1, 0.0)
+        found.take_actions()
+        taken = scenes.ended(
+            found, "r1", "j.0.0.0", 1, NOT_RUN, 0.01, "headroom"
+        )
+        self.assertEqual([], scenes.sent(taken))
+        found.submit(scenes.job("u", declared_s=0.05), 1, 0.02)
+        tasks = [x[1] for x in scenes.sent(found.take_actions())]
+        self.assertEqual(["u.0.0.0"], tasks)
+
     def test_unused_offer_is_answered(self):
         """Reserved room would stay unused until the offer lapses."""
         found = scenes.scheduler("r1")
-        found.room_offered("r1", messages.Offer(4, scenes.ROOM), 0.0)
+        found.room_offered("r1", messages.Offer(4, 7, scenes.ROOM), 0.0)
         self.assertEqual(
             [actions.Tell("r1", messages.StartRuns(4, ()))],
             found.take_actions(),
@@ -172,11 +194,11 @@
         found = scenes.scheduler("r1", free=scenes.NONE)
         found.submit(scenes.job("j"), 1, 0.0)
         bids = scenes.bids(found.take_actions())
-        self.assertEqual(1000, bids[0][1].wanted.cpu_millicores)
+        self.assertEqual(1000, bids[0][1].lots[0].wanted.cpu_millicores)
         found.cancel("j")
         found.tick(0.1)
         bids = scenes.bids(found.take_actions())
-        self.assertEqual(0, bids[0][1].wanted.cpu_millicores)
+        self.assertEqual((), bids[0][1].lots)
 
 
 class AdmissionTest(unittest.TestCase):
--- a/trefoilgw/work/hosting.py
+++ b/trefoilgw/work/hosting.py
@@ -19,6 +19,7 @@
         target_address: ``ip:port`` of the target's own interface, or empty.
         store_address: ``ip:port`` of the platform's store.
         lease_limit_s: Longest lease that a target grants to its runs.
+        run_stop_s: Longest time that a target takes to stop a run.
         stop_limit_s: Seconds from SIGTERM to SIGKILL.
         unsupported: What the deployment asks for that is not built.
     """
@@ -34,6 +35,7 @@
     target_address: str
     store_address: str
     lease_limit_s: float
+    run_stop_s: float
     stop_limit_s: float
     unsupported: tuple[str, ...] = ()
 
