Predict waits from the room that is freed everywhere

Cause: the wait was predicted from the work this scheduler started, a stock of long runs, which overstated the rate 1.6 times after a burst of long runs.

--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -94,6 +94,9 @@
         service: Service of the target.
         capacity: All of its room.
         free: Room that is neither used nor reserved.
+        freed: Room that came free in the last second, in millicores.
+        rivals: Millicores that the other schedulers wait for, by urgency
+            class, up to the last class with any.
     """
 
     received: int
@@ -102,6 +105,8 @@
     service: str
     capacity: Room = attrs.field(metadata={"value": Room})
     free: Room = attrs.field(metadata={"value": Room})
+    freed: int = 0
+    rivals: tuple[int, ...] = ()
 
 
 @attrs.frozen
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -12,6 +12,7 @@
 
 import enum
 import logging
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -26,6 +27,10 @@
 # An offer that is not answered by then is void; a round trip takes 2 ms.
 OFFER_S = 0.1
 
+# Time over which the rate of freed room is averaged, and its steps.
+FREED_WINDOW_S = 1.0
+FREED_STEP = 1.25
+
 log = logging.getLogger(__name__)
 
 
@@ -72,6 +77,37 @@
         return self.order.task.partition(".")[0]
 
 
+@attrs.define
+class FreedRoom:
+    """Rate at which runs free room.
+
+    Attributes:
+        millicores: Room freed, decaying.
+        since_s: Time of the last decay.
+    """
+
+    millicores: float = 0.0
+    since_s: float = 0.0
+
+    def record(self, millicores: int) -> None:
+        """Notes the end of a run."""
+        self.millicores += millicores
+
+    def decay(self, now_s: float) -> None:
+        """Lets old ends count less."""
+        elapsed_s = max(0.0, now_s - self.since_s)
+        self.millicores *= math.exp(-elapsed_s / FREED_WINDOW_S)
+        self.since_s = now_s
+
+    def rate(self) -> int:
+        """Returns millicores a second, in steps so that noise is no news."""
+        rate = self.millicores / FREED_WINDOW_S
+        if rate < 1.0:
+            return 0
+        step = round(math.log(rate) / math.log(FREED_STEP))
+        return round(FREED_STEP**step)
+
+
 @attrs.define(eq=False)
 class RoomKeeper:
     """State of one target's room.
@@ -85,6 +121,7 @@
         owners: Schedulers by incarnation.
         judge: Judge of the target's health.
         headroom: Room that is kept free for urgent work.
+        freed: Rate at which room comes free.
         pending: Actions not yet taken by the program.
         offers: Number of the last offer.
     """
@@ -99,6 +136,7 @@
     headroom: room_headroom.Headroom = attrs.field(
         factory=room_headroom.Headroom
     )
+    freed: FreedRoom = attrs.field(factory=FreedRoom)
     pending: list = attrs.field(factory=list)
     offers: int = 0
 
@@ -252,6 +290,7 @@
     ) -> None:
         """Frees the room of a run and tells its scheduler."""
         del self.runs[run.key]
+        self.freed.record(run.demand.cpu_millicores)
         task, number = run.key
         self._tell(
             run.owner,
@@ -373,6 +412,7 @@
     def tick(self, now_s: float) -> None:
         """Ends void offers and the runs of schedulers without authority."""
         self.headroom.update(self._used(), now_s)
+        self.freed.decay(now_s)
         for owner in list(self.owners.values()):
             for reservation in list(owner.reservations.values()):
                 if now_s >= reservation.until_s:
@@ -464,11 +504,25 @@
                 known.service if known else "",
                 messages.Room.of(known.capacity if known else work.Demand()),
                 messages.Room.of(free),
+                self.freed.rate(),
+                self._rivals(owner.name),
             )
             if owner.connected and report != owner.reported:
                 owner.reported = report
                 self._tell(owner.name, report)
 
+    def _rivals(self, name: str) -> tuple[int, ...]:
+        """Returns what all schedulers but one wait for, by urgency class."""
+        found: list[int] = []
+        for owner in self.owners.values():
+            if owner.name == name:
+                continue
+            for bid in owner.bids:
+                missing = bid.urgency + 1 - len(found)
+                found.extend([0] * missing)
+                found[bid.urgency] += bid.wanted.cpu_millicores
+        return tuple(found)
+
     def _tell(self, owner: str, message: object) -> None:
         """Queues a message to a scheduler."""
         self.pending.append(actions.Tell(owner, message))
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -319,7 +319,7 @@
                 "retry_after_s": round(rejected.retry_after_s, 3),
                 "wait_s": round(rejected.wait_s, 3),
                 "slack_s": round(rejected.slack_s, 3),
-                "work_ahead": round(rejected.work_ahead),
+                "ahead_millicores": rejected.ahead_millicores,
                 "rate": round(rejected.rate),
                 "line": len(self.decisions.line),
             },
--- a/trefoilgw/scheduling/actions.py
+++ b/trefoilgw/scheduling/actions.py
@@ -36,15 +36,15 @@
         retry_after_s: Seconds after which it would be admitted.
         wait_s: Predicted wait for room in seconds, 0 if it did not matter.
         slack_s: Seconds that it could have waited.
-        work_ahead: Work of more urgent jobs in millicore-seconds.
-        rate: Room that the scheduler gets, in millicore-seconds a second.
+        ahead_millicores: Room that more urgent waiting work needs.
+        rate: Room that is freed a second, in millicores.
     """
 
     reason: str
     retry_after_s: float
     wait_s: float = 0.0
     slack_s: float = 0.0
-    work_ahead: float = 0.0
+    ahead_millicores: int = 0
     rate: float = 0.0
 
 
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -53,12 +53,10 @@
         line: Jobs with waiting tasks, most urgent first.
         views: Runners by name.
         times: Learned run times.
-        grants: Rate at which it gets room.
         arrivals: Rates of admitted work by queue.
         uncertain: When the last ping of a runner was answered that is gone
             but whose runs may go on, by its name and incarnation.
         pending: Actions not yet taken by the program.
-        ticked_s: Time of the last tick.
     """
 
     domain: str
@@ -67,11 +65,9 @@
     line: list[jobs.Job] = attrs.field(factory=list)
     views: dict[str, runners.View] = attrs.field(factory=dict)
     times: runtimes.RunTimes = attrs.field(factory=runtimes.RunTimes)
-    grants: admission.GrantRate = attrs.field(factory=admission.GrantRate)
     arrivals: dict[str, admission.ArrivalRate] = attrs.field(factory=dict)
     uncertain: dict[tuple[str, str], float] = attrs.field(factory=dict)
     pending: list = attrs.field(factory=list)
-    ticked_s: float = 0.0
     _order: int = 0
 
     def take_actions(self) -> list:
@@ -99,8 +95,9 @@
         slack_s = job.latest_start_s - now_s
         if not any(x.offers(spec.queue.service) for x in self.views.values()):
             return actions.Rejected("no_target", 1.0)
-        ahead = self._work_ahead(job)
-        rate = self.grants.millicores(self._share(spec.queue.service))
+        service = spec.queue.service
+        ahead = self._millicores_ahead(job) + self._rivals_ahead(job)
+        rate = self._freed_rate(service)
         wait_s = self._predicted_wait_s(job, ahead, rate, now_s)
         if wait_s > slack_s:
             retry_s = max(RETRY_AFTER_LEAST_S, wait_s - slack_s)
@@ -110,7 +107,7 @@
         arrivals = self.arrivals.setdefault(
             spec.queue.name, admission.ArrivalRate(slack_s=slack_s)
         )
-        arrivals.record(job.waiting_work(), slack_s, now_s)
+        arrivals.record(job.waiting_millicores(), slack_s, now_s)
         self.admitted[job.key] = job
         bisect.insort(self.line, job, key=lambda x: x.rank)
         self._place(now_s)
@@ -139,11 +136,11 @@
             urgency=urgency.urgency_class(slack_s),
         )
 
-    def _work_ahead(self, job: jobs.Job) -> float:
-        """Returns the waiting work that goes before a job."""
+    def _millicores_ahead(self, job: jobs.Job) -> int:
+        """Returns the room for the waiting work that goes before a job."""
         service = job.spec.queue.service
         return sum(
-            x.waiting_work()
+            x.waiting_millicores()
             for x in self.line
             if x.rank < job.rank and x.spec.queue.service == service
         )
@@ -152,45 +149,56 @@
         self, job: jobs.Job, ahead: float, rate: float, now_s: float
     ) -> float:
         """Returns the seconds until the last task of a job has room."""
-        own = job.waiting_work()
+        own = job.waiting_millicores()
         if not ahead:
-            own -= self._fitting_work(job)
+            own -= self._fitting_millicores(job)
         if ahead + own <= 0.0:
             return 0.0
         slack_s = job.latest_start_s - now_s
-        urgent = sum(
-            x.millicores(now_s)
+        urgent = self.schedulers * sum(
+            x.rate(now_s)
             for x in self.arrivals.values()
             if x.slack_s < slack_s / 2
         )
         return admission.predicted_wait_s(ahead + own, rate, urgent)
 
-    def _fitting_work(self, job: jobs.Job) -> float:
-        """Returns the work of the tasks that free room can take now."""
+    def _fitting_millicores(self, job: jobs.Job) -> int:
+        """Returns the room of the tasks that fit into free room now."""
         service = job.spec.queue.service
         room = [
             x.free()
             for x in self.views.values()
             if x.offers(service) and not x.suspect
         ]
-        fitting = 0.0
+        fitting = 0
         for task in job.tasks:
             demand = task.spec.demand
             for index, free in enumerate(room):
                 if demand.fits_in(free):
                     room[index] = free.minus(demand)
-                    fitting += task.work
+                    fitting += task.millicores
                     break
         return fitting
 
-    def _share(self, service: str) -> float:
-        """Returns the fair share of a service's room in millicores."""
-        total = sum(
-            x.report.capacity.cpu_millicores
+    def _rivals_ahead(self, job: jobs.Job) -> int:
+        """Returns the room that more urgent work of others needs."""
+        service = job.spec.queue.service
+        views = [x for x in self.views.values() if x.offers(service)]
+        newest = max(views, key=lambda x: x.heard_s, default=None)
+        if newest is None:
+            return 0
+        return sum(newest.report.rivals[: job.urgency + 1])
+
+    def _freed_rate(self, service: str) -> float:
+        """Returns the room that is freed a second, in millicores."""
+        views = [
+            x
             for x in self.views.values()
             if x.offers(service) and not x.suspect
-        )
-        return total / max(1, self.schedulers)
+        ]
+        freed = sum(x.report.freed for x in views)
+        capacity = sum(x.report.capacity.cpu_millicores for x in views)
+        return max(freed, capacity / admission.LONGEST_MEAN_RUN_S)
 
     def cancel(self, key: str) -> bool:
         """Ends a job whose caller no longer wants it."""
@@ -269,7 +277,9 @@
         self, name: str, report: messages.RoomReport, now_s: float
     ) -> None:
         """Takes a runner's report and uses the room."""
-        self.views[name].reported(report)
+        view = self.views[name]
+        view.reported(report)
+        view.heard_s = now_s
         self._place(now_s)
 
     def run_ended(
@@ -405,8 +415,6 @@
             view.probed_s = now_s
         if not job.waiting():
             self._leave_line(job)
-        if self.line:
-            self.grants.record(task.work)
 
     def _send(
         self,
@@ -510,10 +518,6 @@
 
     def tick(self, now_s: float) -> None:
         """Does what is due; call it every few tens of milliseconds."""
-        elapsed_s = now_s - self.ticked_s if self.ticked_s else 0.0
-        self.ticked_s = now_s
-        if self.line:
-            self.grants.pass_time(elapsed_s)
         self._give_up_uncertain(now_s)
         self._reject_hopeless(now_s)
         self._place(now_s)
--- a/trefoilgw/scheduling/jobs.py
+++ b/trefoilgw/scheduling/jobs.py
@@ -42,9 +42,9 @@
     barred: set[str] = attrs.field(factory=set)
 
     @property
-    def work(self) -> float:
-        """Expected work in millicore-seconds."""
-        return self.spec.demand.cpu_millicores * self.expected_s
+    def millicores(self) -> int:
+        """Room that it needs."""
+        return self.spec.demand.cpu_millicores
 
 
 @attrs.define(eq=False)
@@ -91,6 +91,6 @@
         """Returns the tasks that are at a runner."""
         return [x for x in self.tasks if x.state is TaskState.SENT]
 
-    def waiting_work(self) -> float:
-        """Returns the expected work of the waiting tasks."""
-        return sum(x.work for x in self.tasks if x.state is TaskState.WAITING)
+    def waiting_millicores(self) -> int:
+        """Returns the room that the waiting tasks need."""
+        return sum(x.millicores for x in self.waiting())
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -33,7 +33,7 @@
         unseen: Room asked for that the latest report does not include, by
             the number of the message.
         renewed_s: When its last ping was answered.
-        heard_s: When its last message came.
+        heard_s: When its last report came.
         log_slowness: Logarithm of its run times relative to those expected.
         kept: Until when it keeps its room from work of a class, by class.
         bid: The last bid sent to it.
--- a/trefoilgw/scheduling/tests/scenes.py
+++ b/trefoilgw/scheduling/tests/scenes.py
@@ -25,9 +25,17 @@
     return work.JobSpec(key, of, "payload", specs)
 
 
-def report(free=ROOM, received=0, usable=True, suspect=False, capacity=ROOM):
+def report(
+    free=ROOM,
+    received=0,
+    usable=True,
+    suspect=False,
+    capacity=ROOM,
+    freed=20_000,
+    rivals=(),
+):
     return messages.RoomReport(
-        received, usable, suspect, "proof", capacity, free
+        received, usable, suspect, "proof", capacity, free, freed, rivals
     )
 
 
