--- a/trefoilgw/platform/targets.py
+++ b/trefoilgw/platform/targets.py
@@ -17,7 +17,7 @@
 # One connection waits in `hold`; the others carry orders.
 CONNECTIONS = 4
 # The target is on the same host and answers within a few milliseconds.
-ORDER_TIMEOUT_S = 0.08
+ORDER_TIMEOUT_S = 0.04
 # What `hold` may take beyond the time that it was asked to wait.
 HOLD_EXTRA_S = 0.3
 
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -99,8 +99,7 @@
                     extra={"task": task, "run": run, "detail": detail},
                 )
                 if self.stop(task, run):
-                    # If only the answer was lost, the run ends in this time.
-                    eventlet.sleep(self.run_stop_s)
+                    self._settle(target, (task, run))
                     self.keeper.run_refused(task, run, "not_answered")
         self.on_change()
 
@@ -121,6 +120,16 @@
         under_way.send(confirmed)
         return confirmed
 
+    def _settle(self, target: work.Target, key: Key) -> None:
+        """Waits until a stopped attempt is certainly not running.
+
+        It may have been running if only the answer to its start was lost.
+        """
+        answer = self.client.hold(target.instance, None, self.confirmed, 0.0)
+        listed = isinstance(answer, orders.Held)
+        if not listed or key in answer.running:
+            eventlet.sleep(self.run_stop_s)
+
     def _stop_until_confirmed(self, key: Key) -> bool:
         """Repeats a stop; see `stop`."""
         target = self.keeper.target
