--- a/tools/processes.py
+++ b/tools/processes.py
@@ -139,11 +139,20 @@
     directory: pathlib.Path
     processes: dict[str, Process] = attrs.field(factory=dict)
 
-    def start(self, name: str, module: str, *arguments: str) -> Process:
-        """Starts ``python -m module arguments`` without waiting for it."""
+    def start(
+        self, name: str, module: str, *arguments: str, **variables: str
+    ) -> Process:
+        """Starts ``python -m module arguments`` without waiting for it.
+
+        Args:
+            name: Name of the process; a second one replaces the first.
+            module: Python module to run.
+            *arguments: Its arguments.
+            **variables: Further environment variables.
+        """
         output = self.directory / f"{name}.out"
         log = self.directory / f"{name}.log"
-        environment = os.environ | {"EVENTLET_NO_GREENDNS": "yes"}
+        environment = os.environ | {"EVENTLET_NO_GREENDNS": "yes"} | variables
         with open(output, "wb") as out, open(log, "wb") as error:
             child = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
--- /dev/null
+++ b/tools/sites.py
@@ -0,0 +1,282 @@
+"""A deployment on the users' platform, played on one machine.
+
+Schedulers, runners and the stand-ins of the store and of the targets run as
+separate processes. Each host has a loopback address of its own, since all
+hosts of a deployment use the same ports.
+"""
+
+import json
+import pathlib
+import socket
+import time
+import uuid
+
+import attrs
+import urllib3
+
+from tools import processes
+
+QUEUES = (("preview", 0, 3, 1.6), ("proof", 2, 3, 3.0))
+HOST_NAME = "jobs.example"
+READY_TIMEOUT_S = 15.0
+LEASE_LIMIT_MS = 1000
+POLL_S = 0.02
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that nothing listens on."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [x.getsockname()[1] for x in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+def new_key() -> str:
+    """Returns the key of a new job."""
+    return uuid.uuid4().hex[:16]
+
+
+def job(tasks: int, run_s: float, cpu: int = 1000) -> dict:
+    """Returns the body of a job whose tasks run for a time."""
+    payload = json.dumps({"run_s": run_s, "cpu": cpu})
+    step = {"count": tasks, "cpu": cpu, "estimateMs": round(run_s * 1000)}
+    return {"spec": payload, "steps": [step], "bestEffort": True}
+
+
+@attrs.define(eq=False)
+class Site:
+    """The processes of a deployment.
+
+    Attributes:
+        launcher: Starts and ends them.
+        schedulers: Number of schedulers.
+        runners: Number of runners, each with a target.
+        ports: Ports of callers, readiness, streams, reports and targets.
+        store: Address of the store.
+    """
+
+    launcher: processes.Launcher
+    schedulers: int = 2
+    runners: int = 3
+    ports: list[int] = attrs.field(factory=lambda: free_ports(5))
+    store: str = ""
+
+    def start(self) -> None:
+        """Starts everything and waits until jobs are served."""
+        store = self.launcher.start("store", "tools.standins.platform_store")
+        self.store = store.wait_ready()["http"]
+        self.configure(1)
+        for number in range(self.schedulers):
+            self.start_scheduler(number)
+        for number in range(self.runners):
+            self.start_target(number)
+            self.start_runner(number)
+        self.wait_serving()
+
+    def scheduler_ip(self, number: int) -> str:
+        """Returns the address of a scheduler's host."""
+        return f"127.0.1.{number + 1}"
+
+    def runner_ip(self, number: int) -> str:
+        """Returns the address of a runner's host."""
+        return f"127.0.2.{number + 1}"
+
+    def start_scheduler(self, number: int) -> processes.Process:
+        """Starts a scheduler, perhaps again."""
+        ip = self.scheduler_ip(number)
+        callers, ready, *_ = self.ports
+        listen = {"front": f"{ip}:{callers}", "ready": f"{ip}:{ready}"}
+        name = f"scheduler-{number}"
+        settings = self._settings(name, ip, ["front"], listen)
+        return self._launch(name, "trefoilgw.scheduler.main", settings)
+
+    def start_runner(self, number: int) -> processes.Process:
+        """Starts a runner, perhaps again."""
+        ip = self.runner_ip(number)
+        *_, reports, app = self.ports
+        listen = {"control": f"{ip}:{reports}"}
+        name = f"runner-{number}"
+        settings = self._settings(name, ip, ["side"], listen)
+        settings["app"] = f"{ip}:{app}"
+        return self._launch(name, "trefoilgw.runner.main", settings)
+
+    def start_target(self, number: int) -> processes.Process:
+        """Starts a target, perhaps again."""
+        ip = self.runner_ip(number)
+        *_, reports, app = self.ports
+        process = self.launcher.start(
+            f"target-{number}",
+            "tools.standins.platform_target",
+            "--listen",
+            f"{ip}:{app}",
+            "--reports",
+            f"{ip}:{reports}",
+        )
+        process.wait_ready()
+        return process
+
+    def _settings(
+        self, name: str, ip: str, serves: list[str], listen: dict
+    ) -> dict:
+        """Returns the settings that the platform writes for a process."""
+        stream_port = self.ports[2]
+        seeds = [f"{self.scheduler_ip(x)}:1" for x in range(self.schedulers)]
+        return {
+            "node": name,
+            "serves": serves,
+            "ip": ip,
+            "zone": f"zone-{name[-1]}",
+            "listen": listen,
+            "portRange": [stream_port, stream_port],
+            "seeds": seeds,
+            "bounds": {
+                "maxHoldMs": LEASE_LIMIT_MS,
+                "stopTimeoutMs": 50,
+                "graceS": 6,
+            },
+            "orders": "rpc",
+            "platform": {"address": self.store},
+        }
+
+    def _launch(
+        self, name: str, module: str, settings: dict
+    ) -> processes.Process:
+        """Starts a program with its settings."""
+        path = self.launcher.directory / f"{name}.json"
+        path.write_text(json.dumps(settings))
+        return self.launcher.start(name, module, TREFOILGW_BOOT=str(path))
+
+    def process(self, name: str) -> processes.Process:
+        """Returns a process by its name."""
+        return self.launcher.processes[name]
+
+    # The operator.
+
+    def configure(self, version: int, **changes) -> None:
+        """Writes a configuration.
+
+        Args:
+            version: Its version.
+            **changes: Fields that differ from the usual ones.
+        """
+        routes = [
+            {
+                "name": name,
+                "host": HOST_NAME,
+                "prefix": f"/{name}/",
+                "service": "proof",
+                "priority": priority,
+                "maxAttempts": attempts,
+                "stretch": stretch,
+                "targetLatencyMs": 200,
+            }
+            for name, priority, attempts, stretch in QUEUES
+        ]
+        document = {
+            "version": version,
+            "routes": routes,
+            "services": [{"name": "proof"}],
+            "limits": {"maxBodyBytes": 262144},
+            **changes,
+        }
+        body = {"key": "op/config", "value": document}
+        self.control(self.store, "put", body)
+
+    def control(self, address: str, action: str, body: dict | None = None):
+        """Calls the control interface of a stand-in."""
+        method = "GET" if body is None else "POST"
+        data = None if body is None else json.dumps(body)
+        url = f"http://{address}/control/{action}"
+        return json.loads(urllib3.request(method, url, body=data).data)
+
+    def target_faults(self, number: int, **faults) -> None:
+        """Sets the faults of a target."""
+        address = f"{self.runner_ip(number)}:{self.ports[4]}"
+        self.control(address, "faults", faults)
+
+    def store_faults(self, **faults) -> None:
+        """Sets the faults of the store."""
+        self.control(self.store, "faults", faults)
+
+    def runs(self) -> list[dict]:
+        """Returns all runs at all targets that answer."""
+        found = []
+        for number in range(self.runners):
+            address = f"{self.runner_ip(number)}:{self.ports[4]}"
+            try:
+                found += self.control(address, "runs")["runs"]
+            except urllib3.exceptions.HTTPError:
+                continue
+        return found
+
+    # Callers.
+
+    def call(
+        self,
+        number: int,
+        method: str,
+        path: str,
+        body: dict | bytes | None = None,
+        timeout_s: float = 10.0,
+    ) -> tuple[int, dict]:
+        """Returns status and body of a call to a scheduler.
+
+        Raises:
+            urllib3.exceptions.HTTPError: No answer came.
+        """
+        if isinstance(body, dict):
+            body = json.dumps(body).encode()
+        response = urllib3.request(
+            method,
+            f"http://{self.scheduler_ip(number)}:{self.ports[0]}{path}",
+            body=body,
+            headers={"Host": HOST_NAME},
+            timeout=timeout_s,
+            retries=False,
+        )
+        return response.status, json.loads(response.data or b"{}")
+
+    def submit(
+        self, number: int, key: str, body: dict, queue: str = "proof"
+    ) -> tuple[int, dict]:
+        """Submits a job and returns its answer."""
+        return self.call(number, "POST", f"/{queue}/{key}", body)
+
+    def wait_serving(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Waits until every scheduler has run a job on every target.
+
+        Raises:
+            TimeoutError: That took too long.
+        """
+        deadline_s = time.monotonic() + timeout_s
+        left = set(range(self.schedulers))
+        while left:
+            if time.monotonic() > deadline_s:
+                raise TimeoutError(f"schedulers {left} do not serve")
+            for number in list(left):
+                wide = job(4 * self.runners, 0.05)
+                try:
+                    status, _ = self.submit(number, new_key(), wide)
+                except urllib3.exceptions.HTTPError:
+                    status = 0
+                if status == 200:
+                    left.discard(number)
+            time.sleep(POLL_S)
+
+
+def overlaps(runs: list[dict]) -> list[str]:
+    """Returns the tasks of which two runs went on at the same time."""
+    found = []
+    ordered = sorted(runs, key=lambda x: (x["task"], x["started_s"]))
+    for one, other in zip(ordered, ordered[1:], strict=False):
+        if one["task"] != other["task"]:
+            continue
+        if one["ended_s"] is None or one["ended_s"] > other["started_s"]:
+            found.append(one["task"])
+    return found
+
+
+def site_in(directory: pathlib.Path, **sizes) -> Site:
+    """Returns a site whose files lie in a directory."""
+    return Site(processes.Launcher(directory), **sizes)
