--- a/trefoilgw/platform/targets.py
+++ b/trefoilgw/platform/targets.py
@@ -14,12 +14,12 @@
 from trefoilgw.work import core as work
 from trefoilgw.work import orders
 
-# One connection waits in `hold`; the others carry orders.
-CONNECTIONS = 4
+# Two connections wait in `hold`; the others carry orders.
+CONNECTIONS = 6
 # The target is on the same host and answers within a few milliseconds.
 ORDER_TIMEOUT_S = 0.04
 # What `hold` may take beyond the time that it was asked to wait.
-HOLD_EXTRA_S = 0.3
+HOLD_EXTRA_S = 0.05
 
 _HEADERS = {"Content-Type": "application/json"}
 _REASONS = {
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable
 
 import attrs
@@ -19,7 +20,12 @@
 from trefoilgw.work import orders
 
 # Short enough to see soon that runs stand still; far below any lease.
-HOLD_WAIT_S = 0.15
+HOLD_WAIT_S = 0.1
+# After a call without an answer, two calls wait at the target for this time.
+DOUBT_S = 3.0
+# Without any answer for this time the lease is no longer extended, so that the
+# runs lapse and can be placed elsewhere.
+EXTEND_S = 0.5
 RETRY_S = 0.05
 # Clocks of targets may be this much slow.
 CLOCK_ERROR = 0.02
@@ -44,6 +50,8 @@
         on_change: Called after each change of the keeper.
         clock_s: Time by which the target's clock is ahead, None if unknown.
         lease_until_s: When everything at the target has certainly lapsed.
+        answered_s: When a call that extends the lease was answered last.
+        unanswered_s: When one was given up last.
         confirmed: Number of the last end taken note of.
         settled_s: When the target last confirmed a start or a stop of a run.
         stopping: Attempts for which a stop is being repeated, with an event
@@ -59,6 +67,8 @@
     on_change: Callable[[], None]
     clock_s: float | None = None
     lease_until_s: float = 0.0
+    answered_s: float = -math.inf
+    unanswered_s: float = -math.inf
     confirmed: int = 0
     settled_s: dict[Key, float] = attrs.field(factory=dict)
     stopping: dict[Key, event.Event] = attrs.field(factory=dict)
@@ -66,6 +76,7 @@
 
     def target_changed(self) -> None:
         """Forgets what was known of an earlier life of the target."""
+        self.answered_s = self.now()
         self.clock_s = None
         self.confirmed = 0
         self.settled_s.clear()
@@ -157,26 +168,42 @@
     def run(self) -> None:
         """Keeps the lease and takes in ends; spawn it as a greenthread."""
         while True:
-            if self.keeper.target is None:
+            self._hold_safely()
+
+    def run_in_doubt(self) -> None:
+        """Does the same beside `run` while calls are not answered.
+
+        While one call waits for an answer that never comes, the other still
+        tells which runs have ended.
+        """
+        while True:
+            if self.now() - self.unanswered_s < DOUBT_S:
+                self._hold_safely()
+            else:
                 eventlet.sleep(RETRY_S)
-                continue
+
+    def _hold_safely(self) -> None:
+        """Extends the lease once, or waits if there is no target to ask."""
+        target = self.keeper.target
+        answered = False
+        if target is not None:
             try:
-                usable = self._hold(self.keeper.target)
+                answered = self._hold(target)
             except Exception:
                 log.exception("hold failed")
-                usable = False
             self.on_change()
-            if not usable:
-                eventlet.sleep(RETRY_S)
+        if not answered:
+            eventlet.sleep(RETRY_S)
 
     def _hold(self, target: work.Target) -> bool:
-        """Extends the lease once; returns False if that did not work."""
+        """Extends the lease once; returns False if nothing can be asked."""
         sent_s = self.now()
         lease_end_s = None
         wait_s = 0.0
         if self.clock_s is not None:
-            lease_end_s = self._lease_end_s()
             wait_s = HOLD_WAIT_S
+            if sent_s - self.answered_s < EXTEND_S:
+                lease_end_s = self._lease_end_s()
         answer = self.client.hold(
             target.instance, lease_end_s, self.confirmed, wait_s
         )
@@ -184,6 +211,7 @@
             return True
         match answer:
             case orders.Held():
+                self.answered_s = self.now()
                 self._set_clock(answer.clock_s)
                 return self._take_in(target, answer, sent_s)
             case orders.OtherInstance():
@@ -192,8 +220,10 @@
                 # Nothing listens on this host, so nothing runs there.
                 self._silent(detail)
             case orders.NoAnswer(detail=detail):
-                if self.now() > self.lease_until_s:
+                self.unanswered_s = self.now()
+                if self.unanswered_s > self.lease_until_s:
                     self._silent(detail)
+                return True
         return False
 
     def _silent(self, detail: str) -> None:
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -86,6 +86,7 @@
         server.HttpServer(application).listen(self.settings.reports_address)
         eventlet.spawn_n(self.timers.run)
         eventlet.spawn_n(self.driver.run)
+        eventlet.spawn_n(self.driver.run_in_doubt)
         self.timers.every(TICK_S, self._tick)
         self.timers.every(runner_links.PING_EVERY_S, self.links.ping)
         self.links.set_addresses(set(self.settings.seed_streams()))
