--- a/trefoilgw/cli/base.py
+++ b/trefoilgw/cli/base.py
@@ -7,7 +7,7 @@
 from cleo.helpers import option
 from cleo.io.outputs.output import Type
 
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw.cli import report
 from trefoilgw.findings import core as findings
 from trefoilgw.settings import core as settings
--- a/trefoilgw/cli/fleet.py
+++ b/trefoilgw/cli/fleet.py
@@ -9,7 +9,7 @@
 import attrs
 import urllib3
 
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw import registry
 from trefoilgw.cli import writes
 
--- a/trefoilgw/cli/record_commands.py
+++ b/trefoilgw/cli/record_commands.py
@@ -4,7 +4,7 @@
 from cleo.helpers import argument
 from cleo.helpers import option
 
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw import registry
 from trefoilgw.cli import audit
 from trefoilgw.cli import base
--- a/trefoilgw/cli/retention.py
+++ b/trefoilgw/cli/retention.py
@@ -1,6 +1,6 @@
 """Prunes the audit trail; its entries would otherwise grow without end."""
 
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw import registry
 
 # A month at 680 changes a day.
--- a/trefoilgw/cli/tests/test_main.py
+++ b/trefoilgw/cli/tests/test_main.py
@@ -13,7 +13,7 @@
 from eventlet import wsgi
 
 from tools.standins import kv
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw import registry
 from trefoilgw.cli import main
 from trefoilgw.cli import retention
--- a/trefoilgw/cli/tests/test_retention.py
+++ b/trefoilgw/cli/tests/test_retention.py
@@ -3,7 +3,7 @@
 import unittest
 
 from tools.standins import kv
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw import registry
 from trefoilgw.cli import retention
 
--- a/trefoilgw/cli/tests/test_writes.py
+++ b/trefoilgw/cli/tests/test_writes.py
@@ -8,7 +8,7 @@
 import attrs
 
 from tools.standins import kv
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw import registry
 from trefoilgw.cli import audit
 from trefoilgw.cli import writes
--- a/trefoilgw/cli/writes.py
+++ b/trefoilgw/cli/writes.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw import registry
 from trefoilgw.cli import audit
 from trefoilgw.findings import core as findings
--- a/trefoilgw/entry/core.py
+++ b/trefoilgw/entry/core.py
@@ -12,7 +12,7 @@
 import attrs
 import eventlet
 
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw.admission import core as admission
 from trefoilgw.callers import core as callers
 from trefoilgw.callers import server as servers
--- a/trefoilgw/keyvalue/tests/test_core.py
+++ b/trefoilgw/keyvalue/tests/test_core.py
@@ -5,7 +5,7 @@
 import eventlet
 
 from tools.standins import kv
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 
 # Long enough that no call that is answered reaches it on a loaded machine.
 TIMEOUT_S = 60.0
--- a/trefoilgw/keyvalue/tests/test_watches.py
+++ b/trefoilgw/keyvalue/tests/test_watches.py
@@ -6,7 +6,7 @@
 
 from tools.standins import kv
 from tools.standins import kv_store
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw.keyvalue import watches
 
 TIMEOUT_S = 60.0
--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -5,6 +5,10 @@
 from trefoilgw.messages import core
 from trefoilgw.work import core as work
 
+# The hosts are given no common secret; the proof of a stream then only shows
+# that the other end is a process of this kind.
+NO_KEY = b""
+
 
 @attrs.frozen
 class Room:
--- a/trefoilgw/registry/core.py
+++ b/trefoilgw/registry/core.py
@@ -18,7 +18,7 @@
 from eventlet import event
 from eventlet import semaphore
 
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw.keyvalue import watches
 from trefoilgw.messages import core as messages
 from trefoilgw.records import core as records
--- a/trefoilgw/registry/leases.py
+++ b/trefoilgw/registry/leases.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw.messages import core as messages
 from trefoilgw.registry import counters
 from trefoilgw.registry import paths
--- a/trefoilgw/registry/members.py
+++ b/trefoilgw/registry/members.py
@@ -14,7 +14,7 @@
 import attrs
 import eventlet
 
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw.findings import core as findings
 from trefoilgw.messages import core as messages
 from trefoilgw.registry import counters
--- a/trefoilgw/registry/tests/test_core.py
+++ b/trefoilgw/registry/tests/test_core.py
@@ -9,7 +9,7 @@
 from eventlet import queue
 
 from tools.standins import kv
-from trefoilgw import platform
+from trefoilgw import keyvalue as platform
 from trefoilgw import registry
 from trefoilgw.keys import core as keys
 from trefoilgw.messages import core as messages
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -12,13 +12,13 @@
 
 import enum
 import logging
-import math
 from collections.abc import Mapping
 
 import attrs
 
 from trefoilgw.messages import runs as messages
 from trefoilgw.room import actions
+from trefoilgw.room import freed as freed_room
 from trefoilgw.room import headroom as room_headroom
 from trefoilgw.room import health
 from trefoilgw.room import owners as room_owners
@@ -27,9 +27,6 @@
 # An offer that is not answered by then is void; a round trip takes 2 ms.
 OFFER_S = 0.1
 
-# Time over which the rate of freed room is averaged, and its steps.
-FREED_WINDOW_S = 1.0
-FREED_STEP = 1.25
 
 log = logging.getLogger(__name__)
 
@@ -77,37 +74,6 @@
         return self.order.task.partition(".")[0]
 
 
-@attrs.define
-class FreedRoom:
-    """Rate at which runs free room.
-
-    Attributes:
-        millicores: Room freed, decaying.
-        since_s: Time of the last decay.
-    """
-
-    millicores: float = 0.0
-    since_s: float = 0.0
-
-    def record(self, millicores: int) -> None:
-        """Notes the end of a run."""
-        self.millicores += millicores
-
-    def decay(self, now_s: float) -> None:
-        """Lets old ends count less."""
-        elapsed_s = max(0.0, now_s - self.since_s)
-        self.millicores *= math.exp(-elapsed_s / FREED_WINDOW_S)
-        self.since_s = now_s
-
-    def rate(self) -> int:
-        """Returns millicores a second, in steps so that noise is no news."""
-        rate = self.millicores / FREED_WINDOW_S
-        if rate < 1.0:
-            return 0
-        step = round(math.log(rate) / math.log(FREED_STEP))
-        return round(FREED_STEP**step)
-
-
 @attrs.define(eq=False)
 class RoomKeeper:
     """State of one target's room.
@@ -136,7 +102,7 @@
     headroom: room_headroom.Headroom = attrs.field(
         factory=room_headroom.Headroom
     )
-    freed: FreedRoom = attrs.field(factory=FreedRoom)
+    freed: freed_room.FreedRoom = attrs.field(factory=freed_room.FreedRoom)
     pending: list = attrs.field(factory=list)
     offers: int = 0
 
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -1,7 +1,6 @@
 """Streams from a runner to all schedulers."""
 
 import logging
-import random
 from collections.abc import Callable
 
 import attrs
@@ -11,15 +10,11 @@
 from trefoilgw.messages import runs
 from trefoilgw.room import core as room
 from trefoilgw.streams import core as streams
+from trefoilgw.streams import redialling
 
 PING_EVERY_S = 0.2
 # A scheduler that answers no ping for so long has lost its authority anyway.
 SILENCE_LIMIT_S = 1.0
-DIAL_TIMEOUT_S = 0.5
-REDIAL_LEAST_S = 0.1
-REDIAL_MOST_S = 1.0
-# The hosts share no secret; the proof only shows a process of this kind.
-NO_KEY = b""
 
 log = logging.getLogger(__name__)
 
@@ -46,19 +41,17 @@
     """Keeps a stream to each scheduler.
 
     Attributes:
-        hello: Hello of this runner with an empty proof.
+        redialler: Opens the streams.
         keeper: State of the room.
         now: Clock in seconds.
         on_change: Called after each change of the keeper.
-        rng: Source of jitter.
         links: Links by address.
     """
 
-    hello: runs.RunnerHello
+    redialler: redialling.Redialler
     keeper: room.RoomKeeper
     now: Callable[[], float]
     on_change: Callable[[], None]
-    rng: random.Random = attrs.field(factory=random.Random)
     links: dict[str, Link] = attrs.field(factory=dict)
 
     def set_addresses(self, addresses: set[str]) -> None:
@@ -66,7 +59,12 @@
         for address in addresses - self.links.keys():
             link = Link(address)
             self.links[address] = link
-            eventlet.spawn_n(self._keep, link)
+            eventlet.spawn_n(
+                self.redialler.keep,
+                address,
+                lambda link=link: link.wanted,
+                lambda stream, link=link: self._serve(link, stream),
+            )
         for address, link in list(self.links.items()):
             if address not in addresses and link.stream is None:
                 link.wanted = False
@@ -89,22 +87,6 @@
             if link.stream is not None:
                 link.stream.send(runs.RunnerPing(now_s))
 
-    def _keep(self, link: Link) -> None:
-        """Dials one scheduler again and again."""
-        pause_s = REDIAL_LEAST_S
-        while link.wanted:
-            try:
-                stream = streams.dial(
-                    link.address, NO_KEY, self.hello, DIAL_TIMEOUT_S
-                )
-            except streams.DialError as error:
-                log.debug("dial failed", extra={"error": str(error)})
-                eventlet.sleep(pause_s * self.rng.uniform(0.7, 1.3))
-                pause_s = min(REDIAL_MOST_S, pause_s * 2)
-                continue
-            pause_s = REDIAL_LEAST_S
-            self._serve(link, stream)
-
     def _serve(self, link: Link, stream: streams.Stream) -> None:
         """Takes messages in until the stream is closed."""
         closed = eventlet.event.Event()
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -2,22 +2,20 @@
 
 import logging
 import os
-import signal
-import sys
 
 import attrs
 import eventlet
-from eventlet import event
 
 from trefoilgw.callers import server
-from trefoilgw.logs import core as logs
-from trefoilgw.platform import hosting as platform_hosting
+from trefoilgw.messages import runs
 from trefoilgw.platform import reports
 from trefoilgw.platform import targets
+from trefoilgw.processes import core as processes
 from trefoilgw.room import actions
 from trefoilgw.room import core as room
 from trefoilgw.runner import driving
 from trefoilgw.runner import links as runner_links
+from trefoilgw.streams import redialling
 from trefoilgw.timers import clock
 from trefoilgw.timers import core as timer_service
 from trefoilgw.work import core as work
@@ -26,8 +24,6 @@
 TICK_S = 0.05
 # While schedulers bid for room, free room is offered and not reported.
 REPORT_EVERY_S = 0.1
-# The settings may change without a signal.
-SETTINGS_EVERY_S = 2.0
 # Left of the time between SIGTERM and SIGKILL when the runner ends.
 STOP_MARGIN_S = 0.4
 
@@ -71,7 +67,10 @@
             settings.name, self.incarnation, settings.domain
         )
         self.links = runner_links.Links(
-            hello, self.keeper, clock.boottime, self.flush
+            redialling.Redialler(runs.NO_KEY, hello),
+            self.keeper,
+            clock.boottime,
+            self.flush,
         )
 
     def start(self) -> None:
@@ -158,20 +157,4 @@
 
 def run() -> int:
     """Runs a runner until SIGTERM or SIGINT; returns the exit status."""
-    settings = platform_hosting.load()
-    logs.configure("runner", stream=sys.stdout, host=settings.name)
-    if settings.unsupported:
-        log.error("not supported", extra={"what": settings.unsupported})
-        return 2
-    runner = Runner(settings)
-    stop = event.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.ready() or stop.send())
-    watch = platform_hosting.SettingsWatch(settings, runner.reload)
-    signal.signal(signal.SIGHUP, lambda *_: watch.check())
-    runner.start()
-    runner.timers.every(SETTINGS_EVERY_S, watch.check)
-    log.info("started", extra={"incarnation": runner.incarnation})
-    stop.wait()
-    runner.leave()
-    return 0
+    return processes.run("runner", Runner)
--- a/trefoilgw/scheduler/peers.py
+++ b/trefoilgw/scheduler/peers.py
@@ -5,7 +5,6 @@
 """
 
 import logging
-import random
 from collections.abc import Callable
 
 import attrs
@@ -14,15 +13,11 @@
 from trefoilgw.messages import core as messages
 from trefoilgw.messages import runs
 from trefoilgw.streams import core as stream_parts
+from trefoilgw.streams import redialling
 
-DIAL_TIMEOUT_S = 0.5
-REDIAL_LEAST_S = 0.2
-REDIAL_MOST_S = 2.0
 # Silence on a stream is no sign of anything; this only finds broken ones.
 PING_EVERY_S = 0.5
 SILENCE_LIMIT_S = 1.6
-# The hosts share no secret; the proof only shows a process of this kind.
-NO_KEY = b""
 
 log = logging.getLogger(__name__)
 
@@ -32,42 +27,31 @@
     """Streams to the other schedulers.
 
     Attributes:
-        hello: Hello of this scheduler with an empty proof.
+        address: Own stream address.
+        redialler: Opens the streams.
         on_message: Called with each message of a peer.
-        rng: Source of jitter.
         wanted: Addresses that are dialled.
         streams: Open streams by address.
     """
 
-    hello: runs.SchedulerHello
+    address: str
+    redialler: redialling.Redialler
     on_message: Callable[[object], None]
-    rng: random.Random = attrs.field(factory=random.Random)
     wanted: set[str] = attrs.field(factory=set)
     streams: dict[str, stream_parts.Stream] = attrs.field(factory=dict)
 
     def set_addresses(self, addresses: set[str]) -> None:
         """Dials new peers and gives up those that are not listed."""
-        others = addresses - {self.hello.address}
+        others = addresses - {self.address}
         new = others - self.wanted
         self.wanted = others
         for address in new:
-            eventlet.spawn_n(self._keep, address)
-
-    def _keep(self, address: str) -> None:
-        """Dials one peer again and again."""
-        pause_s = REDIAL_LEAST_S
-        while address in self.wanted:
-            try:
-                stream = stream_parts.dial(
-                    address, NO_KEY, self.hello, DIAL_TIMEOUT_S
-                )
-            except stream_parts.DialError as error:
-                log.debug("dial failed", extra={"error": str(error)})
-                eventlet.sleep(pause_s * self.rng.uniform(0.7, 1.3))
-                pause_s = min(REDIAL_MOST_S, pause_s * 2)
-                continue
-            pause_s = REDIAL_LEAST_S
-            self._serve(address, stream)
+            eventlet.spawn_n(
+                self.redialler.keep,
+                address,
+                lambda address=address: address in self.wanted,
+                lambda stream, address=address: self._serve(address, stream),
+            )
 
     def _serve(self, address: str, stream: stream_parts.Stream) -> None:
         """Takes messages in until the stream is closed."""
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -8,8 +8,6 @@
 import gc
 import logging
 import os
-import signal
-import sys
 import time
 
 import attrs
@@ -17,11 +15,10 @@
 from eventlet import event
 
 from trefoilgw.callers import server
-from trefoilgw.logs import core as logs
 from trefoilgw.messages import runs
 from trefoilgw.platform import callers as platform_callers
-from trefoilgw.platform import hosting as platform_hosting
 from trefoilgw.platform import store as platform_store
+from trefoilgw.processes import core as processes
 from trefoilgw.scheduler import configuring as configuring_part
 from trefoilgw.scheduler import peers as peers_part
 from trefoilgw.scheduler import roster as roster_part
@@ -29,6 +26,7 @@
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import core as scheduling
 from trefoilgw.scheduling import jobs
+from trefoilgw.streams import redialling
 from trefoilgw.timers import clock
 from trefoilgw.timers import core as timer_service
 from trefoilgw.work import core as work
@@ -40,8 +38,6 @@
 BALANCER_S = 2.3
 # Callers are taken after this time even if nothing can be served.
 OPEN_LIMIT_S = 3.0
-# The settings may change without a signal.
-SETTINGS_EVERY_S = 2.0
 # Left of the time between SIGTERM and SIGKILL when the last jobs are ended.
 STOP_MARGIN_S = 0.5
 # Hardly any garbage is cyclic; a full collection would stop the program.
@@ -90,8 +86,11 @@
         self.roster = roster_part.Roster(
             self.store, settings.name, address, self._listed
         )
+        hello = peers_part.hello_of(self.incarnation, address)
         self.peers = peers_part.Peers(
-            peers_part.hello_of(self.incarnation, address), self._peer_message
+            address,
+            redialling.Redialler(runs.NO_KEY, hello),
+            self._peer_message,
         )
         self.clients = runners_part.Clients(
             self.incarnation,
@@ -127,6 +126,9 @@
         self.timers.every(TICK_S, self._tick)
         self.timers.every(SILENCE_EVERY_S, self.clients.close_silent)
         eventlet.spawn_n(self._open)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*GC_THRESHOLDS)
 
     def _open(self) -> None:
         """Takes callers once they can be served.
@@ -347,23 +349,4 @@
 
 def run() -> int:
     """Runs a scheduler until SIGTERM or SIGINT; returns the exit status."""
-    settings = platform_hosting.load()
-    logs.configure("scheduler", stream=sys.stdout, host=settings.name)
-    if settings.unsupported:
-        log.error("not supported", extra={"what": settings.unsupported})
-        return 2
-    program = Program(settings)
-    stop = event.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.ready() or stop.send())
-    watch = platform_hosting.SettingsWatch(settings, program.reload)
-    signal.signal(signal.SIGHUP, lambda *_: watch.check())
-    program.start()
-    program.timers.every(SETTINGS_EVERY_S, watch.check)
-    log.info("started", extra={"incarnation": program.incarnation})
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
-    stop.wait()
-    program.leave()
-    return 0
+    return processes.run("scheduler", Program)
--- a/trefoilgw/scheduler/runners.py
+++ b/trefoilgw/scheduler/runners.py
@@ -16,8 +16,6 @@
 # Only the handshake's form asks for these; runners keep their own time.
 NO_SESSION = 0
 NO_LEASE_S = 0.0
-# The hosts share no secret; the proof only shows a process of this kind.
-NO_KEY = b""
 
 log = logging.getLogger(__name__)
 
@@ -52,7 +50,7 @@
         Raises:
             OSError: The address can't be bound.
         """
-        streams.Listener(NO_KEY, self._admit, self._joined).listen(address)
+        streams.Listener(runs.NO_KEY, self._admit, self._joined).listen(address)
 
     def send(self, runner: str, message: object) -> None:
         """Sends a message to a runner if its stream is open."""
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -14,6 +14,7 @@
 from trefoilgw.messages import runs as messages
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import admission
+from trefoilgw.scheduling import bidding
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import placing
 from trefoilgw.scheduling import runners
@@ -21,8 +22,6 @@
 from trefoilgw.work import core as work
 from trefoilgw.work import urgency
 
-# Bids that differ only in figures are sent no more often than this.
-BID_EVERY_S = 0.02
 # Jobs behind the first one that doesn't fit which may use what is left.
 BACKFILL_JOBS_LIMIT = 4
 # Skipped in run numbers when a target has seen higher ones: the clocks of
@@ -474,45 +473,12 @@
                 continue
             service = view.report.service
             if service not in bids:
-                bids[service] = self._bid_for(service, now_s)
-            self._send_bid(view, bids[service], now_s)
-
-    def _bid_for(self, service: str, now_s: float) -> messages.Bid:
-        """Returns the bid for room of a service."""
-        lots: dict[int, messages.Lot] = {}
-        for job in self.line:
-            if job.spec.queue.service != service:
-                continue
-            wanted = work.Demand()
-            for task in job.waiting():
-                wanted = wanted.plus(task.spec.demand)
-            known = lots.get(job.urgency)
-            if known is not None:
-                total = messages.Room.of(known.wanted.demand.plus(wanted))
-                lots[job.urgency] = attrs.evolve(known, wanted=total)
-                continue
-            lots[job.urgency] = messages.Lot(
-                job.urgency,
-                round(job.latest_start_s - now_s, 3),
-                messages.Room.of(job.waiting()[0].spec.demand),
-                messages.Room.of(wanted),
-            )
-        return messages.Bid(tuple(lots.values()))
-
-    def _send_bid(
-        self, view: runners.View, bid: messages.Bid, now_s: float
-    ) -> None:
-        """Sends a bid unless the runner has one that is recent enough."""
-        if not bid.lots and not view.bid.lots:
-            return
-        if bid.lots and view.bid.lots:
-            if now_s - view.bid_s < BID_EVERY_S:
-                return
-            if _same_bid(view.bid, bid, now_s - view.bid_s):
-                return
-        view.bid = bid
-        view.bid_s = now_s
-        self._tell(view.name, bid)
+                bids[service] = bidding.bid_for(self.line, service, now_s)
+            bid = bids[service]
+            if bidding.is_news(view, bid, now_s):
+                view.bid = bid
+                view.bid_s = now_s
+                self._tell(view.name, bid)
 
     # Time.
 
@@ -556,16 +522,3 @@
     def _tell(self, runner: str, message: object) -> None:
         """Queues a message to a runner."""
         self.pending.append(actions.Tell(runner, message))
-
-
-def _same_bid(old: messages.Bid, new: messages.Bid, elapsed_s: float) -> bool:
-    """Returns whether a runner's knowledge of a bid is still right."""
-    if len(old.lots) != len(new.lots):
-        return False
-    return all(
-        a.urgency == b.urgency
-        and a.room == b.room
-        and a.wanted == b.wanted
-        and abs(a.slack_s - elapsed_s - b.slack_s) < BID_EVERY_S
-        for a, b in zip(old.lots, new.lots, strict=True)
-    )
--- a/trefoilgw/tests/test_layers.py
+++ b/trefoilgw/tests/test_layers.py
@@ -39,7 +39,16 @@
     }
 )
 PROGRAMS = frozenset(
-    {"agent", "cli", "entry", "load", "runner", "scheduler", "settings"}
+    {
+        "agent",
+        "cli",
+        "entry",
+        "load",
+        "processes",
+        "runner",
+        "scheduler",
+        "settings",
+    }
 )
 RANKS = (
     {name: 0 for name in DECISIONS}
