--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -216,6 +216,7 @@
             (
                 run,
                 health.Pace(
+                    run.job,
                     max(now_s - run.since_s, 1e-6),
                     run.order.expected_s,
                     run.progress,
--- a/trefoilgw/room/health.py
+++ b/trefoilgw/room/health.py
@@ -25,8 +25,9 @@
 # above which it is sound again; half of the room's targets are 1.3 times slow.
 SLOW_PACE = 0.4
 SOUND_PACE = 0.6
-# Runs whose median pace is that of the target, since single ones are off.
-PACE_RUNS_LEAST = 3
+# Jobs whose median pace is that of the target. The expected time of a job may
+# be off by a factor of three, for all of its runs alike.
+PACE_JOBS_LEAST = 3
 # Runs younger than this tell nothing of the pace.
 PACE_AGE_S = 0.1
 PACE_PROGRESS = 0.03
@@ -53,11 +54,13 @@
     """How fast one run goes on.
 
     Attributes:
+        job: Key of its job.
         elapsed_s: Seconds since its start.
         expected_s: Expected run time in seconds.
         progress: Share of its work that is done, 0 to 1.
     """
 
+    job: str
     elapsed_s: float
     expected_s: float
     progress: float
@@ -123,11 +126,12 @@
 
     def paced(self, paces: list[Pace]) -> None:
         """Learns from the pace of the runs that go on."""
-        found = [x.relative for x in paces if x.telling]
+        jobs = {x.job: x.relative for x in paces if x.telling}
+        found = list(jobs.values())
         if self.doubt is Doubt.SLOW:
             if found and statistics.median(found) >= SOUND_PACE:
                 self.doubt = Doubt.NONE
-        elif len(found) >= PACE_RUNS_LEAST:
+        elif len(found) >= PACE_JOBS_LEAST:
             self.pace = statistics.median(found)
             if self.pace < SLOW_PACE:
                 self.doubt = Doubt.SLOW
--- a/trefoilgw/room/tests/test_core.py
+++ b/trefoilgw/room/tests/test_core.py
@@ -307,16 +307,25 @@
     def test_runs_on_a_slow_target_are_moved(self):
         """A target that is six times slow makes all its runs late."""
         keeper = scenes.keeper(A)
-        tasks = ["j.0.0.0", "j.0.0.1", "j.0.0.2"]
+        tasks = ["j.0.0.0", "k.0.0.0", "l.0.0.0"]
         scenes.running(keeper, A, *tasks, expected_s=0.4)
         keeper.runs_listed({(x, 1): 0.08 for x in tasks}, 0.3)
         self.assertEqual(tasks, scenes.stops(keeper.take_actions()))
         self.assertTrue(keeper.judge.suspect)
 
+    def test_one_long_job_makes_no_target_slow(self):
+        """All runs of a job whose declared time is far off seem slow."""
+        keeper = scenes.keeper(A)
+        tasks = ["j.0.0.0", "j.0.0.1", "j.0.0.2"]
+        scenes.running(keeper, A, *tasks, expected_s=0.4)
+        keeper.runs_listed({(x, 1): 0.08 for x in tasks}, 0.3)
+        self.assertEqual([], scenes.stops(keeper.take_actions()))
+        self.assertFalse(keeper.judge.suspect)
+
     def test_run_near_its_end_stays_on_a_slow_target(self):
         """Work that is nearly done must not be thrown away."""
         keeper = scenes.keeper(A)
-        tasks = ["j.0.0.0", "j.0.0.1", "j.0.0.2"]
+        tasks = ["j.0.0.0", "k.0.0.0", "l.0.0.0"]
         scenes.running(keeper, A, *tasks, expected_s=0.4)
         keeper.runs_listed({(x, 1): 0.95 for x in tasks}, 1.6)
         self.assertEqual([], scenes.stops(keeper.take_actions()))
