Drop what nothing uses, choose the willing runners once a job

RunnerLeaving, Links.connected and Job.arrived_s had no user. The list of runners that take a job's class was made again for each of its tasks.

--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -242,11 +242,6 @@
     document: bytes
 
 
-@core.message(62)
-class RunnerLeaving:
-    """The runner stops once its runs have ended."""
-
-
 @core.message(63)
 class Holding:
     """The first message of a runner on a stream.
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -70,10 +70,6 @@
                 link.wanted = False
                 del self.links[address]
 
-    def connected(self) -> int:
-        """Returns how many streams are open."""
-        return sum(x.stream is not None for x in self.links.values())
-
     def send(self, owner: str, message: object) -> None:
         """Sends a message to a scheduler if its stream is open."""
         for link in self.links.values():
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -128,7 +128,6 @@
             spec=spec,
             tasks=tasks,
             order=self._order,
-            arrived_s=now_s,
             expected_s=longest_s,
             latest_start_s=now_s + CAUTION * slack_s,
             hopeless_s=now_s + slack_s,
@@ -375,10 +374,11 @@
             if skipped >= BACKFILL_JOBS_LIMIT:
                 break
             service = job.spec.queue.service
+            slack_s = job.latest_start_s - now_s
+            willing = [x for x in roomy if x.takes(job.urgency, now_s)]
             for task in job.waiting():
-                slack_s = job.latest_start_s - now_s
                 view = placing.choose(
-                    [x for x in roomy if x.takes(job.urgency, now_s)],
+                    willing,
                     task,
                     slack_s,
                     service,
--- a/trefoilgw/scheduling/jobs.py
+++ b/trefoilgw/scheduling/jobs.py
@@ -55,7 +55,6 @@
         spec: What was submitted.
         tasks: Its tasks.
         order: Rises with each job, to break ties.
-        arrived_s: When it was submitted.
         expected_s: Expected run time of its longest task in seconds.
         latest_start_s: The last task should start by then.
         hopeless_s: A job that has not begun by then would be late.
@@ -66,7 +65,6 @@
     spec: work.JobSpec
     tasks: list[Task]
     order: int
-    arrived_s: float
     expected_s: float
     latest_start_s: float
     hopeless_s: float
