Predict waits after an outage from what is about to come

A scheduler opened with 3 of 11 runners that knew their target, saw a rate of freed room of 12 cores a second, since no run had ended yet, and rejected what the others could run a moment later. Ruled out: late reports of rooms that were known, and the order of starts.

Change: runners that joined within the last 0.4 s count with the mean capacity of the others; the rate of a runner that is known for less than the averaging time is at least that of runs like the own ones. The forecast has a module of its own.

--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -15,6 +15,7 @@
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import admission
 from trefoilgw.scheduling import bidding
+from trefoilgw.scheduling import forecasts
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import placing
 from trefoilgw.scheduling import runners
@@ -55,6 +56,7 @@
         arrivals: Rates of admitted work by queue.
         uncertain: When the last ping of a runner was answered that is gone
             but whose runs may go on, by its name and incarnation.
+        forecaster: Predicts how long a job would wait.
         pending: Actions not yet taken by the program.
     """
 
@@ -66,9 +68,15 @@
     times: runtimes.RunTimes = attrs.field(factory=runtimes.RunTimes)
     arrivals: dict[str, admission.ArrivalRate] = attrs.field(factory=dict)
     uncertain: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    forecaster: forecasts.Forecaster = attrs.field(init=False)
     pending: list = attrs.field(factory=list)
     _order: int = 0
 
+    def __attrs_post_init__(self):
+        self.forecaster = forecasts.Forecaster(
+            self.line, self.views, self.arrivals
+        )
+
     def take_actions(self) -> list:
         """Returns and forgets the pending actions."""
         taken, self.pending = self.pending, []
@@ -94,16 +102,19 @@
         slack_s = job.latest_start_s - now_s
         if not any(x.offers(spec.queue.service) for x in self.views.values()):
             return actions.Rejected("no_target", 1.0)
-        service = spec.queue.service
-        ahead = self._millicores_ahead(job) + self._rivals_ahead(job)
-        rate = self._freed_rate(service)
-        wait_s = self._predicted_wait_s(job, ahead, rate, now_s)
-        if wait_s > slack_s:
-            retry_s = max(RETRY_AFTER_LEAST_S, wait_s - slack_s)
+        forecast = self.forecaster.predict(
+            job, self.admitted.values(), self.schedulers, now_s
+        )
+        if forecast.wait_s > slack_s:
             return actions.Rejected(
-                "overload", retry_s, wait_s, slack_s, ahead, rate
+                "overload",
+                max(RETRY_AFTER_LEAST_S, forecast.wait_s - slack_s),
+                forecast.wait_s,
+                slack_s,
+                forecast.ahead_millicores,
+                forecast.rate,
             )
-        job.predicted_wait_s = wait_s
+        job.predicted_wait_s = forecast.wait_s
         arrivals = self.arrivals.setdefault(
             spec.queue.name, admission.ArrivalRate(slack_s=slack_s)
         )
@@ -136,70 +147,6 @@
             admitted_s=now_s,
         )
 
-    def _millicores_ahead(self, job: jobs.Job) -> int:
-        """Returns the room for the waiting work that goes before a job."""
-        service = job.spec.queue.service
-        return sum(
-            x.waiting_millicores()
-            for x in self.line
-            if x.rank < job.rank and x.spec.queue.service == service
-        )
-
-    def _predicted_wait_s(
-        self, job: jobs.Job, ahead: float, rate: float, now_s: float
-    ) -> float:
-        """Returns the seconds until the last task of a job has room."""
-        own = job.waiting_millicores()
-        if not ahead:
-            own -= self._fitting_millicores(job)
-        if ahead + own <= 0.0:
-            return 0.0
-        slack_s = job.latest_start_s - now_s
-        urgent = self.schedulers * sum(
-            x.rate(now_s)
-            for x in self.arrivals.values()
-            if x.slack_s < slack_s / 2
-        )
-        return admission.predicted_wait_s(ahead + own, rate, urgent)
-
-    def _fitting_millicores(self, job: jobs.Job) -> int:
-        """Returns the room of the tasks that fit into free room now."""
-        service = job.spec.queue.service
-        room = [
-            x.free()
-            for x in self.views.values()
-            if x.offers(service) and not x.suspect
-        ]
-        fitting = 0
-        for task in job.tasks:
-            demand = task.spec.demand
-            for index, free in enumerate(room):
-                if demand.fits_in(free):
-                    room[index] = free.minus(demand)
-                    fitting += task.millicores
-                    break
-        return fitting
-
-    def _rivals_ahead(self, job: jobs.Job) -> int:
-        """Returns the room that more urgent work of others needs."""
-        service = job.spec.queue.service
-        views = [x for x in self.views.values() if x.offers(service)]
-        newest = max(views, key=lambda x: x.heard_s, default=None)
-        if newest is None:
-            return 0
-        return sum(newest.report.rivals[: job.urgency + 1])
-
-    def _freed_rate(self, service: str) -> float:
-        """Returns the room that is freed a second, in millicores."""
-        views = [
-            x
-            for x in self.views.values()
-            if x.offers(service) and not x.suspect
-        ]
-        freed = sum(x.report.freed for x in views)
-        capacity = sum(x.report.capacity.cpu_millicores for x in views)
-        return max(freed, capacity / admission.LONGEST_MEAN_RUN_S)
-
     def cancel(self, key: str) -> bool:
         """Ends a job whose caller no longer wants it."""
         job = self.admitted.get(key)
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -32,6 +32,7 @@
         sends: `StartRuns` messages on the open stream.
         unseen: Room asked for that the latest report does not include, by
             the number of the message.
+        joined_s: When its stream was opened.
         renewed_s: When its last ping was answered.
         heard_s: When its last report came.
         log_slowness: Logarithm of its run times relative to those expected.
@@ -49,6 +50,7 @@
     blocked: bool = False
     sends: int = 0
     unseen: list[tuple[int, work.Demand]] = attrs.field(factory=list)
+    joined_s: float = -math.inf
     renewed_s: float = 0.0
     heard_s: float = 0.0
     log_slowness: float = 0.0
@@ -85,6 +87,13 @@
             left = left.minus(demand)
         return left
 
+    def used(self) -> int:
+        """Returns the millicores of its room that are in use."""
+        if self.report is None:
+            return 0
+        free = self.free().cpu_millicores
+        return max(0, self.report.capacity.cpu_millicores - free)
+
     def has_room(self) -> bool:
         """Returns whether anything at all may fit."""
         return self.free().cpu_millicores > 0
@@ -120,5 +129,6 @@
         self.sends = 0
         self.unseen.clear()
         self.bid = NO_BID
+        self.joined_s = now_s
         self.renewed_s = now_s
         self.heard_s = now_s
