Write log lines five times a second, sum room in one pass

A profile of a runner (18 runs a second, on loopback) shows most time in sends and polls, then in sums over the runs, made at each message even if nobody bids.

Change: lines are written every 0.2 s; sums of room make one value rather than one for each run; without bids nothing is sorted; two headers that the target does not need are left out.

--- a/trefoilgw/platform/targets.py
+++ b/trefoilgw/platform/targets.py
@@ -21,7 +21,12 @@
 # What `hold` may take beyond the time that it was asked to wait.
 HOLD_EXTRA_S = 0.05
 
-_HEADERS = {"Content-Type": "application/json"}
+# The other headers that the library would add cost processor time only.
+_HEADERS = {
+    "Content-Type": "application/json",
+    "Accept-Encoding": urllib3.util.SKIP_HEADER,
+    "User-Agent": urllib3.util.SKIP_HEADER,
+}
 _REASONS = {
     "fence": orders.RefusalReason.FENCED,
     "old": orders.RefusalReason.OLD,
--- a/trefoilgw/processes/core.py
+++ b/trefoilgw/processes/core.py
@@ -23,8 +23,9 @@
 
 # The settings may change without a signal.
 SETTINGS_EVERY_S = 2.0
-# Lines are written together; a process that is killed loses this much.
-LOG_EVERY_S = 0.05
+# Lines are written together, since each wake-up and each write costs processor
+# time; a process that is killed loses this much.
+LOG_EVERY_S = 0.2
 
 log = logging.getLogger(__name__)
 
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -126,12 +126,9 @@
         """Returns the room that is neither used nor reserved."""
         if self.target is None:
             return work.Demand()
-        left = self.target.capacity
-        for run in self.runs.values():
-            left = left.minus(run.demand)
-        for owner in self.owners.values():
-            left = left.minus(owner.reserved())
-        return left
+        used = work.total(x.demand for x in self.runs.values())
+        reserved = work.total(x.reserved() for x in self.owners.values())
+        return self.target.capacity.minus(used).minus(reserved)
 
     # The target.
 
@@ -408,6 +405,8 @@
         if not self.usable:
             return
         bids = [(x, bid) for x in self.owners.values() for bid in x.bids]
+        if not bids:
+            return
         bids.sort(key=lambda x: x[1].latest_start_s)
         free = self.free()
         for owner, bid in bids:
--- a/trefoilgw/room/owners.py
+++ b/trefoilgw/room/owners.py
@@ -62,18 +62,13 @@
 
     def reserved(self) -> work.Demand:
         """Returns all room that is held for it."""
-        total = work.Demand()
-        for reservation in self.reservations.values():
-            total = total.plus(reservation.room)
-        return total
+        return work.total(x.room for x in self.reservations.values())
 
     def offered(self, urgency: int) -> work.Demand:
         """Returns the room that is held for its work of one class."""
-        total = work.Demand()
-        for reservation in self.reservations.values():
-            if reservation.urgency == urgency:
-                total = total.plus(reservation.room)
-        return total
+        return work.total(
+            x.room for x in self.reservations.values() if x.urgency == urgency
+        )
 
     def disconnect(self, now_s: float) -> None:
         """Notes that the stream broke; a new one may follow soon."""
--- a/trefoilgw/scheduling/bidding.py
+++ b/trefoilgw/scheduling/bidding.py
@@ -27,9 +27,8 @@
     for job in line:
         if job.spec.queue.service != service:
             continue
-        wanted = work.Demand()
-        for task in job.waiting():
-            wanted = wanted.plus(task.spec.demand)
+        waiting = job.waiting()
+        wanted = work.total(x.spec.demand for x in waiting)
         known = lots.get(job.urgency)
         if known is not None:
             total = messages.Room.of(known.wanted.demand.plus(wanted))
@@ -38,7 +37,7 @@
         lots[job.urgency] = messages.Lot(
             job.urgency,
             round(job.latest_start_s - now_s, 3),
-            messages.Room.of(job.waiting()[0].spec.demand),
+            messages.Room.of(waiting[0].spec.demand),
             messages.Room.of(wanted),
         )
     return messages.Bid(tuple(lots.values()))
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -82,10 +82,10 @@
         """Returns the room that it should still have."""
         if self.blocked or self.report is None:
             return work.Demand()
-        left = self.report.free.demand
-        for _, demand in self.unseen:
-            left = left.minus(demand)
-        return left
+        free = self.report.free.demand
+        if not self.unseen:
+            return free
+        return free.minus(work.total(demand for _, demand in self.unseen))
 
     def used(self) -> int:
         """Returns the millicores of its room that are in use."""
--- a/trefoilgw/work/core.py
+++ b/trefoilgw/work/core.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+from collections.abc import Iterable
 
 import attrs
 
@@ -55,6 +56,16 @@
         )
 
 
+def total(demands: Iterable[Demand]) -> Demand:
+    """Returns the sum of demands."""
+    cpu = memory = accelerators = 0
+    for demand in demands:
+        cpu += demand.cpu_millicores
+        memory += demand.memory_mb
+        accelerators += demand.accelerators
+    return Demand(cpu, memory, accelerators)
+
+
 class Ending(enum.StrEnum):
     """How an attempt to run a task ended."""
 
@@ -142,12 +153,15 @@
         queue: Its queue.
         payload: Text that the target gets with each task.
         tasks: Its tasks.
+        patience_s: How long the caller waits for the answer, None if it does
+            not say.
     """
 
     key: str
     queue: Queue
     payload: str
     tasks: tuple[TaskSpec, ...]
+    patience_s: float | None = None
 
 
 @attrs.frozen
