Learn run times from how long callers wait

Change: a second regression per queue, of the run time on the caller's patience, used while it is less wrong than the declared time; what is left after a second submission is recognised. The planned part of the slack follows from the error of the estimates.

--- a/trefoilgw/platform/callers.py
+++ b/trefoilgw/platform/callers.py
@@ -98,7 +98,8 @@
             if int(environ["CONTENT_LENGTH"]) > limit_bytes:
                 return requests.TooLarge(limit_bytes)
             body = environ["wsgi.input"].read()
-            return submissions.decode(key, queue, body)
+            patience_s = _patience_s(environ.get("HTTP_X_DEADLINE_MS", ""))
+            return submissions.decode(key, queue, body, patience_s)
         case "GET":
             return requests.ReadState(key)
         case "DELETE":
@@ -106,6 +107,13 @@
     return requests.Malformed("bad_method", f"{method} has no meaning here")
 
 
+def _patience_s(header: str) -> float | None:
+    """Returns how long a caller waits: the header is no time of day."""
+    if not header.isdecimal():
+        return None
+    return int(header) / 1000
+
+
 def _refusal(refusal: requests.Request) -> tuple[str, str]:
     """Returns status and reason for a request that is not served."""
     match refusal:
--- a/trefoilgw/platform/submissions.py
+++ b/trefoilgw/platform/submissions.py
@@ -20,16 +20,32 @@
 )
 
 
-def decode(key: str, queue: work.Queue, data: bytes) -> requests.Request:
-    """Returns the submission in a body, or why it is none."""
+def decode(
+    key: str,
+    queue: work.Queue,
+    data: bytes,
+    patience_s: float | None = None,
+) -> requests.Request:
+    """Returns the submission in a body, or why it is none.
+
+    Args:
+        key: Identifier chosen by the caller.
+        queue: Its queue.
+        data: The body.
+        patience_s: How long the caller waits, None if it does not say.
+    """
     try:
-        return _decode(key, queue, fields.Fields(fields.parse(data)))
+        body = fields.Fields(fields.parse(data))
+        return _decode(key, queue, body, patience_s)
     except fields.FieldError as error:
         return requests.Malformed("bad_request", str(error))
 
 
 def _decode(
-    key: str, queue: work.Queue, body: fields.Fields
+    key: str,
+    queue: work.Queue,
+    body: fields.Fields,
+    patience_s: float | None,
 ) -> requests.Request:
     """Returns a submission; see `decode`."""
     payload = body.text("spec")
@@ -46,7 +62,9 @@
     tasks = []
     for number, step in enumerate(steps):
         tasks += _tasks(key, number, step)
-    return requests.Submit(work.JobSpec(key, queue, payload, tuple(tasks)))
+    return requests.Submit(
+        work.JobSpec(key, queue, payload, tuple(tasks), patience_s)
+    )
 
 
 def _unsupported(body: fields.Fields, steps: list[fields.Fields]) -> str:
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -28,9 +28,11 @@
 # Skipped in run numbers when a target has seen higher ones: the clocks of
 # hosts may be seconds apart.
 RUN_NUMBER_SKIP = 60_000
-# Part of the slack that is planned with. Expected run times are off by a third,
-# and of jobs that start at the very end of their slack half would be late.
-CAUTION = 0.6
+# Part of the slack that is not planned with, for each unit of the error of
+# expected run times: of jobs that start at the very end of their slack half
+# would be late. Even with exact run times some is left for slow targets.
+CAUTION = 1.2
+PLANNED_SHARE_LIMIT = 0.7
 RETRY_AFTER_LEAST_S = 0.1
 # Reason of a runner that keeps its room for more urgent work, and how long a
 # scheduler waits for its offer before it tries again.
@@ -129,11 +131,17 @@
     ) -> jobs.Job:
         """Returns the state of a new job."""
         queue = spec.queue
-        tasks = []
-        for task in spec.tasks:
-            expected_s = self.times.expected_s(queue.name, task.declared_s)
-            tasks.append(jobs.Task(task, expected_s, first_run))
-        longest_s = max(x.expected_s for x in tasks)
+        estimates = [
+            self.times.estimate(queue.name, x.declared_s, spec.patience_s)
+            for x in spec.tasks
+        ]
+        tasks = [
+            jobs.Task(task, estimate.run_s, first_run)
+            for task, estimate in zip(spec.tasks, estimates, strict=True)
+        ]
+        longest = max(estimates, key=lambda x: x.run_s)
+        longest_s = longest.run_s
+        planned = min(PLANNED_SHARE_LIMIT, 1.0 - CAUTION * longest.error)
         slack_s = (queue.stretch - 1.0) * longest_s + queue.latency_s
         self._order += 1
         return jobs.Job(
@@ -141,7 +149,7 @@
             tasks=tasks,
             order=self._order,
             expected_s=longest_s,
-            latest_start_s=now_s + CAUTION * slack_s,
+            latest_start_s=now_s + max(0.0, planned) * slack_s,
             hopeless_s=now_s + slack_s,
             urgency=urgency.urgency_class(slack_s),
             admitted_s=now_s,
@@ -272,7 +280,10 @@
         if view is not None:
             view.learn(run_s, task.expected_s)
             self.times.observe(
-                queue, task.spec.declared_s, run_s / view.slowness
+                queue,
+                task.spec.declared_s,
+                run_s / view.slowness,
+                job.spec.patience_s,
             )
         if all(x.state is jobs.TaskState.DONE for x in job.tasks):
             self._answer(job, actions.Completed())
--- a/trefoilgw/scheduling/runtimes.py
+++ b/trefoilgw/scheduling/runtimes.py
@@ -1,10 +1,10 @@
 """Run times learned per queue.
 
-Callers declare run times that are about 40% off. The expected time of a task
-is a linear regression of the logarithm of the run time on that of the declared
-time, updated with each run; run times of one queue spread like a lognormal
-distribution, so that logarithms weigh a run of twice and of half the time
-alike.
+Two things tell of a task's run time before it runs. Callers declare a time
+that is about 40% off. They also state how long they wait for the answer, and
+callers of longer work wait longer. For each a linear regression is updated
+with each run, on logarithms for the declared time, since run times of one queue
+spread like a lognormal distribution. Whichever was less wrong lately is used.
 """
 
 import math
@@ -18,46 +18,130 @@
 # The declared time alone is believed until this many runs were seen.
 WARM_UP_RUNS = 20
 SHORTEST_S = 0.001
+# Mean error of the logarithm before any run was seen.
+FIRST_ERROR = 0.33
+# A caller that submits again has less patience left, which says nothing of the
+# run time. It is recognised if the two estimates differ by this factor.
+DISAGREEMENT = 3.0
+
+
+@attrs.frozen
+class Estimate:
+    """An expected run time.
+
+    Attributes:
+        run_s: Expected run time in seconds.
+        error: Mean error of the logarithms of such estimates.
+    """
+
+    run_s: float
+    error: float
 
 
 @attrs.define
-class QueueTimes:
-    """Moving moments of the logarithms of declared and measured times."""
+class Regression:
+    """Moving linear regression of one figure on another.
+
+    Attributes:
+        runs: Pairs seen.
+        error: Mean error of the logarithm of what was predicted.
+    """
 
     runs: int = 0
-    declared_mean: float = 0.0
-    measured_mean: float = 0.0
-    declared_variance: float = 0.0
-    covariance: float = 0.0
+    error: float = FIRST_ERROR
+    _mean_x: float = 0.0
+    _mean_y: float = 0.0
+    _variance_x: float = 0.0
+    _covariance: float = 0.0
 
-    def observe(self, declared_s: float, run_s: float) -> None:
-        """Takes in one run."""
-        declared = math.log(max(declared_s, SHORTEST_S))
-        measured = math.log(max(run_s, SHORTEST_S))
+    def observe(self, x: float, y: float) -> None:
+        """Takes in one pair."""
         self.runs += 1
         weight = max(WEIGHT, 1.0 / self.runs)
-        declared_step = declared - self.declared_mean
-        self.declared_mean += weight * declared_step
-        declared_rest = declared - self.declared_mean
-        self.measured_mean += weight * (measured - self.measured_mean)
-        self.declared_variance += weight * (
-            declared_step * declared_rest - self.declared_variance
-        )
-        measured_rest = measured - self.measured_mean
-        self.covariance += weight * (
-            declared_step * measured_rest - self.covariance
-        )
+        step_x = x - self._mean_x
+        self._mean_x += weight * step_x
+        rest_x = x - self._mean_x
+        self._mean_y += weight * (y - self._mean_y)
+        self._variance_x += weight * (step_x * rest_x - self._variance_x)
+        rest_y = y - self._mean_y
+        self._covariance += weight * (step_x * rest_y - self._covariance)
+
+    def note_error(self, predicted_s: float, run_s: float) -> None:
+        """Compares a run with what was predicted for it."""
+        ratio = max(predicted_s, SHORTEST_S) / max(run_s, SHORTEST_S)
+        self.error += WEIGHT * (abs(math.log(ratio)) - self.error)
 
-    def expected_s(self, declared_s: float) -> float:
-        """Returns the expected run time in seconds."""
+    def predict(self, x: float) -> float:
+        """Returns the expected second figure."""
         slope = 0.0
-        if self.declared_variance > 0.0:
-            slope = self.covariance / self.declared_variance
+        if self._variance_x > 0.0:
+            slope = self._covariance / self._variance_x
         slope = min(1.0, max(0.0, slope))
-        declared = math.log(max(declared_s, SHORTEST_S))
-        return math.exp(
-            self.measured_mean + slope * (declared - self.declared_mean)
+        return self._mean_y + slope * (x - self._mean_x)
+
+
+@attrs.define
+class QueueTimes:
+    """What is learned of the run times of one queue.
+
+    Attributes:
+        by_declared: Logarithm of run times by that of declared times.
+        by_patience: Run times by the time that callers wait, in seconds.
+    """
+
+    by_declared: Regression = attrs.field(factory=Regression)
+    by_patience: Regression = attrs.field(factory=Regression)
+
+    def observe(
+        self, declared_s: float, patience_s: float | None, run_s: float
+    ) -> None:
+        """Takes in one run."""
+        declared = self._from_declared(declared_s)
+        stated = self._from_patience(patience_s)
+        if self.by_declared.runs >= WARM_UP_RUNS:
+            self.by_declared.note_error(declared, run_s)
+        self.by_declared.observe(
+            math.log(max(declared_s, SHORTEST_S)),
+            math.log(max(run_s, SHORTEST_S)),
         )
+        if patience_s is None:
+            return
+        if stated is not None:
+            if _disagree(stated, declared):
+                return
+            self.by_patience.note_error(stated, run_s)
+        self.by_patience.observe(patience_s, run_s)
+
+    def estimate(self, declared_s: float, patience_s: float | None) -> Estimate:
+        """Returns the expected run time."""
+        if self.by_declared.runs < WARM_UP_RUNS:
+            return Estimate(declared_s, FIRST_ERROR)
+        declared = self._from_declared(declared_s)
+        stated = self._from_patience(patience_s)
+        if (
+            stated is None
+            or _disagree(stated, declared)
+            or self.by_patience.error >= self.by_declared.error
+        ):
+            return Estimate(declared, self.by_declared.error)
+        return Estimate(stated, self.by_patience.error)
+
+    def _from_declared(self, declared_s: float) -> float:
+        """Returns the run time expected for a declared one."""
+        x = math.log(max(declared_s, SHORTEST_S))
+        return math.exp(self.by_declared.predict(x))
+
+    def _from_patience(self, patience_s: float | None) -> float | None:
+        """Returns the run time expected by the caller's patience, if any."""
+        if patience_s is None or self.by_patience.runs < WARM_UP_RUNS:
+            return None
+        return max(SHORTEST_S, self.by_patience.predict(patience_s))
+
+
+def _disagree(one_s: float, other_s: float) -> bool:
+    """Returns whether two estimates can't be of the same task."""
+    ratio = max(one_s, SHORTEST_S) / max(other_s, SHORTEST_S)
+    return not 1.0 / DISAGREEMENT <= ratio <= DISAGREEMENT
 
 
 @attrs.define
@@ -66,15 +150,29 @@
 
     queues: dict[str, QueueTimes] = attrs.field(factory=dict)
 
-    def observe(self, queue: str, declared_s: float, run_s: float) -> None:
+    def observe(
+        self,
+        queue: str,
+        declared_s: float,
+        run_s: float,
+        patience_s: float | None = None,
+    ) -> None:
         """Takes in one run that ended as done."""
         times = self.queues.setdefault(queue, QueueTimes())
-        times.observe(declared_s or FIRST_GUESS_S, run_s)
+        times.observe(declared_s or FIRST_GUESS_S, patience_s, run_s)
 
-    def expected_s(self, queue: str, declared_s: float) -> float:
-        """Returns the expected run time of a task in seconds."""
-        known = self.queues.get(queue)
+    def estimate(
+        self, queue: str, declared_s: float, patience_s: float | None = None
+    ) -> Estimate:
+        """Returns the expected run time of a task.
+
+        Args:
+            queue: Its queue.
+            declared_s: What the caller declared, 0 if nothing.
+            patience_s: How long the caller waits, None if it doesn't say.
+        """
         declared_s = declared_s or FIRST_GUESS_S
-        if known is None or known.runs < WARM_UP_RUNS:
-            return declared_s
-        return known.expected_s(declared_s)
+        known = self.queues.get(queue)
+        if known is None:
+            return Estimate(declared_s, FIRST_ERROR)
+        return known.estimate(declared_s, patience_s)
