--- /dev/null
+++ b/trefoilgw/platform/tests/test_callers.py
@@ -0,0 +1,45 @@
+"""What the adapter makes of callers' requests."""
+
+import io
+import json
+import unittest
+
+from trefoilgw.platform import callers
+from trefoilgw.platform import configurations
+from trefoilgw.platform.tests import test_decoding
+from trefoilgw.work import requests
+
+
+def read(**headers):
+    """Returns what a POST of a job asks for."""
+    configuration = configurations.decode(
+        json.dumps(test_decoding.CONFIGURATION).encode()
+    )
+    step = {"count": 1, "cpu": 1000, "estimateMs": 400}
+    body = {"spec": "x", "steps": [step], "bestEffort": True}
+    data = json.dumps(body).encode()
+    environ = {
+        "HTTP_HOST": "nony24.example",
+        "PATH_INFO": f"/lohu930/{test_decoding.KEY}",
+        "REQUEST_METHOD": "POST",
+        "CONTENT_LENGTH": str(len(data)),
+        "wsgi.input": io.BytesIO(data),
+        **headers,
+    }
+    return callers.read(environ, configuration)
+
+
+class PatienceTest(unittest.TestCase):
+    def test_milliseconds_become_seconds(self):
+        """Run times are learned from it; a wrong unit would spoil them."""
+        found = read(HTTP_X_DEADLINE_MS="2237")
+        self.assertIsInstance(found, requests.Submit)
+        self.assertEqual(2.237, found.job.patience_s)
+
+    def test_callers_need_not_say(self):
+        """A header that can't be read must not reject the job."""
+        for text in ("", "soon", "-5", "1.5", "²"):
+            with self.subTest(text=text):
+                found = read(HTTP_X_DEADLINE_MS=text)
+                self.assertIsNone(found.job.patience_s)
+        self.assertIsNone(read().job.patience_s)
