Do not serve requests on idle connections that were shut

The numbers of the two attempts are 2 and 6 apart: two submissions a few milliseconds apart. Ruled out: a repeated order of one scheduler, which would have consecutive numbers, and orders carried out late.

Change: a connection that the server has closed is not read any more. The new test fails without it (the application is called twice).

--- a/trefoilgw/callers/protocol.py
+++ b/trefoilgw/callers/protocol.py
@@ -114,7 +114,10 @@
         """Reads and answers one request."""
         self.command = self.request_version = ""
         self.headers = Headers()
-        if not self._await_request():
+        arrived = self._await_request()
+        # The server has shut idle connections when it closed. What had arrived
+        # by then can be read but no longer answered.
+        if not arrived or self.conn_state[2] is wsgi.STATE_CLOSE:
             self.close_connection = True
             return
         self.conn_state[2] = wsgi.STATE_REQUEST
