Make one reader of single values, look the runners up once a forecast

- entry, agent, scheduler and runner each wrapped a number for a gauge in a way of their own; all use metrics.single now.
- A forecast looked up the runners of its service up to four times a submission; it does so once, and what needs no state is a function.
- Four HTTP clients took their address apart by hand; they give it to urllib3.connection_from_url.
- A count of left out lines that nobody read, a logger without lines in room, and a block that stood in two tests are gone.
The tests keep their assertions.

--- a/trefoilgw/agent/metrics.py
+++ b/trefoilgw/agent/metrics.py
@@ -36,7 +36,7 @@
         ),
     )
     for name, text, read in plain:
-        registry.read_counter(name, text, _single(read))
+        registry.read_counter(name, text, metrics.single(read))
     gauges = (
         ("running", "Occupied slots", lambda: agent.slots.running),
         ("slots", "Slots of the target", lambda: agent.slots.book.total),
@@ -56,7 +56,7 @@
         ),
     )
     for name, text, read in gauges:
-        registry.read_gauge(name, text, _single(read))
+        registry.read_gauge(name, text, metrics.single(read))
     return registry
 
 
@@ -117,11 +117,6 @@
     ]
 
 
-def _single(read):
-    """Returns a reader of one value without labels."""
-    return lambda: [metrics.Sample(read())]
-
-
 def _lines(name: str, kind: str, text: str) -> list[str]:
     """Returns the head of a family."""
     return [f"# HELP {name} {text}", f"# TYPE {name} {kind}"]
--- a/trefoilgw/entry/metrics.py
+++ b/trefoilgw/entry/metrics.py
@@ -55,7 +55,7 @@
         ),
     )
     for name, text, read in plain:
-        registry.read_counter(name, text, _single(read))
+        registry.read_counter(name, text, metrics.single(read))
     gauges = (
         ("jobs_running", "Jobs running", lambda: len(host.table.running)),
         ("jobs_queued", "Jobs waiting", lambda: len(host.queued)),
@@ -66,7 +66,7 @@
         ("epoch", "Roster epoch", lambda: host.roster.epoch),
     )
     for name, text, read in gauges:
-        registry.read_gauge(name, text, _single(read))
+        registry.read_gauge(name, text, metrics.single(read))
     registry.read_gauge(
         "agents_blocked", "Agents without work", _blocked(host), "reason"
     )
@@ -85,7 +85,7 @@
         return _rows(attrs.asdict(part.counts))() if part else []
 
     def client_count(field: str) -> Callable:
-        return _single(
+        return metrics.single(
             lambda: (
                 getattr(entry.registry.client, field) if entry.registry else 0
             )
@@ -117,7 +117,7 @@
 
 def _stopped(host) -> Callable:
     """Returns a reader of the number of stopped kinds."""
-    return _single(
+    return metrics.single(
         lambda: sum(
             record.stopped_until_s is not None
             for record in host.outliers.kinds.values()
@@ -147,8 +147,3 @@
     return lambda: [
         metrics.Sample(value, (str(name),)) for name, value in values.items()
     ]
-
-
-def _single(read: Callable[[], float]) -> Callable:
-    """Returns a reader of one value."""
-    return lambda: [metrics.Sample(read())]
--- a/trefoilgw/keyvalue/core.py
+++ b/trefoilgw/keyvalue/core.py
@@ -50,9 +50,8 @@
     _pool: urllib3.HTTPConnectionPool = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        host, _, port = self.address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=POOL_CONNECTIONS
+        self._pool = urllib3.connection_from_url(
+            f"http://{self.address}", maxsize=POOL_CONNECTIONS
         )
 
     def get(self, key: str) -> values.Value | values.Missing | values.Failure:
--- a/trefoilgw/keyvalue/watches.py
+++ b/trefoilgw/keyvalue/watches.py
@@ -107,8 +107,7 @@
 
     def _open(self, start_revision: int):
         """Returns the connection pool and the open response."""
-        host, _, port = self.address.rpartition(":")
-        pool = urllib3.HTTPConnectionPool(host, int(port))
+        pool = urllib3.connection_from_url(f"http://{self.address}")
         create = {
             "key": gateway.to_text(self.prefix.encode()),
             "range_end": gateway.to_text(gateway.range_end(self.prefix)),
--- a/trefoilgw/logs/bounded.py
+++ b/trefoilgw/logs/bounded.py
@@ -15,14 +15,12 @@
     Attributes:
         writer: Queue of lines before the descriptor.
         budget: Lines that may be written.
-        left_out: Lines left out since the start.
     """
 
     def __init__(self, writer: writing.Writer, budget: budgets.Budget):
         super().__init__()
         self.writer = writer
         self.budget = budget
-        self.left_out = 0
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queues the line of a record, or counts it as left out."""
@@ -51,11 +49,9 @@
         left_out = self.budget.next_window(time.monotonic())
         if not left_out:
             return
-        self.left_out += sum(left_out.values())
         if not self.writer.has_room(failure=True):
             # Told once the reader takes lines again.
             self.budget.left_out.update(left_out)
-            self.left_out -= sum(left_out.values())
             return
         record = logging.LogRecord(
             __name__, logging.WARNING, "", 0, LEFT_OUT, (), None
--- a/trefoilgw/logs/stories.py
+++ b/trefoilgw/logs/stories.py
@@ -137,7 +137,7 @@
     last = _last(own, {"job rejected", "job ended", "caller gone"})
     trouble = _trouble(own)
     if last is None:
-        return f"no end is told; {trouble or _lost(story)}"
+        return f"no end is told; {trouble or _lost(own)}"
     match last.event:
         case "job rejected":
             return _rejection(last)
@@ -185,9 +185,9 @@
     return "attempts that did nothing: " + ", ".join(texts)
 
 
-def _lost(story: Story) -> str:
+def _lost(steps: list[Step]) -> str:
     """Returns what may have become of a job without an end."""
-    admitted = _last(list(story.steps), {"job admitted"})
+    admitted = _last(steps, {"job admitted"})
     if admitted is None:
         return "it was never admitted"
     return f"look at what became of {admitted.host} after {admitted.time}"
--- a/trefoilgw/metrics/core.py
+++ b/trefoilgw/metrics/core.py
@@ -55,6 +55,15 @@
     labels: tuple[str, ...] = ()
 
 
+def single(read: Callable[[], float]) -> Callable[[], list[Sample]]:
+    """Returns a reader of one value without labels.
+
+    Args:
+        read: Returns the value.
+    """
+    return lambda: [Sample(read())]
+
+
 @attrs.define(eq=False)
 class _Family:
     """Values of one name by their labels."""
--- a/trefoilgw/platform/store.py
+++ b/trefoilgw/platform/store.py
@@ -67,9 +67,8 @@
     def move(self, address: str) -> None:
         """Makes all later calls to another address."""
         self.address = address
-        host, _, port = address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=CONNECTIONS
+        self._pool = urllib3.connection_from_url(
+            f"http://{address}", maxsize=CONNECTIONS
         )
 
     def get(
--- a/trefoilgw/platform/targets.py
+++ b/trefoilgw/platform/targets.py
@@ -57,9 +57,8 @@
     _pool: urllib3.HTTPConnectionPool = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        host, _, port = self.address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), maxsize=CONNECTIONS, block=True
+        self._pool = urllib3.connection_from_url(
+            f"http://{self.address}", maxsize=CONNECTIONS, block=True
         )
 
     def start(
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -11,7 +11,6 @@
 """
 
 import enum
-import logging
 from collections.abc import Mapping
 
 import attrs
@@ -28,9 +27,6 @@
 OFFER_S = 0.1
 
 
-log = logging.getLogger(__name__)
-
-
 class RunState(enum.Enum):
     """Where an attempt stands."""
 
--- a/trefoilgw/runner/metrics.py
+++ b/trefoilgw/runner/metrics.py
@@ -25,12 +25,14 @@
     start_seconds: metrics.Histogram = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        new = self.registry
-        self.ended = new.counter(
+        registry = self.registry
+        self.ended = registry.counter(
             "runs_ended", "Attempts that are over", "ending", "reason"
         )
-        self.run_seconds = new.histogram("run_seconds", "Seconds of runs done")
-        self.start_seconds = new.histogram(
+        self.run_seconds = registry.histogram(
+            "run_seconds", "Seconds of runs done"
+        )
+        self.start_seconds = registry.histogram(
             "start_seconds", "Seconds until the target confirmed a start"
         )
 
@@ -42,23 +44,23 @@
 
     def read_from(self, keeper: room.RoomKeeper) -> None:
         """Adds what the keeper keeps by itself."""
-        new = self.registry
-        new.read_gauge(
+        registry = self.registry
+        registry.read_gauge(
             "runs",
             "Attempts that use room",
-            lambda: [metrics.Sample(len(keeper.runs))],
+            metrics.single(lambda: len(keeper.runs)),
         )
-        new.read_gauge(
+        registry.read_gauge(
             "free_millicores",
             "Room that is neither used nor reserved",
-            lambda: [metrics.Sample(keeper.free().cpu_millicores)],
+            metrics.single(lambda: keeper.free().cpu_millicores),
         )
-        new.read_gauge(
+        registry.read_gauge(
             "schedulers",
             "Schedulers with authority or runs",
-            lambda: [metrics.Sample(len(keeper.owners))],
+            metrics.single(lambda: len(keeper.owners)),
         )
-        new.read_gauge(
+        registry.read_gauge(
             "target_usable",
             "Whether the target takes work, by why it is in doubt",
             lambda: [
--- a/trefoilgw/scheduler/metrics.py
+++ b/trefoilgw/scheduler/metrics.py
@@ -1,7 +1,5 @@
 """Metrics of a scheduler."""
 
-from collections.abc import Callable
-
 import attrs
 
 from trefoilgw.messages import runs
@@ -36,23 +34,25 @@
     run_seconds: metrics.Histogram = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        new = self.registry
-        self.answered = new.counter(
+        registry = self.registry
+        self.answered = registry.counter(
             "jobs_answered", "Admitted jobs answered", "queue", "outcome"
         )
-        self.rejected = new.counter(
+        self.rejected = registry.counter(
             "jobs_rejected", "Jobs that never ran", "queue", "reason"
         )
-        self.requests_rejected = new.counter(
+        self.requests_rejected = registry.counter(
             "requests_rejected", "Requests that are no valid job", "reason"
         )
-        self.job_seconds = new.histogram(
+        self.job_seconds = registry.histogram(
             "job_seconds", "Seconds from admission to answer", "queue"
         )
-        self.not_done = new.counter(
+        self.not_done = registry.counter(
             "runs_not_done", "Attempts that did nothing", "ending", "reason"
         )
-        self.run_seconds = new.histogram("run_seconds", "Seconds of runs done")
+        self.run_seconds = registry.histogram(
+            "run_seconds", "Seconds of runs done"
+        )
 
     def job_rejected(self, queue: str, reason: str) -> None:
         """Counts a job that was rejected."""
@@ -68,12 +68,6 @@
         if isinstance(outcome, actions.Rejected):
             self.job_rejected(queue, outcome.reason)
 
-    def read_number(
-        self, name: str, text: str, read: Callable[[], float]
-    ) -> None:
-        """Adds a number that a part keeps."""
-        self.registry.read_gauge(name, text, lambda: [metrics.Sample(read())])
-
     def run_ended(self, ended: runs.RunEnded) -> None:
         """Counts the end of an attempt."""
         if ended.ending == work.Ending.DONE:
@@ -83,19 +77,19 @@
 
     def read_from(self, decisions: scheduling.Scheduler) -> None:
         """Adds what the decisions keep by themselves."""
-        new = self.registry
-        new.read_gauge(
+        registry = self.registry
+        registry.read_gauge(
             "jobs_admitted",
             "Jobs without an answer",
-            lambda: [metrics.Sample(len(decisions.admitted))],
+            metrics.single(lambda: len(decisions.admitted)),
         )
-        new.read_gauge(
+        registry.read_gauge(
             "waiting_millicores",
             "Room that waiting tasks need",
             lambda: _waiting(decisions),
             "urgency",
         )
-        new.read_gauge(
+        registry.read_gauge(
             "runners",
             "Runners by what they are used for",
             lambda: _runners(decisions),
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -127,19 +127,25 @@
     def _add_metrics(self) -> None:
         """Adds what the parts keep by themselves."""
         self.counts.read_from(self.decisions)
-        self.counts.read_number(
-            "configuration_version",
-            "Version in force, 0 if none",
-            lambda: getattr(self.configuring.current, "version", 0),
-        )
-        self.counts.read_number(
-            "store_reached",
-            "Whether the store answered the last call",
-            lambda: self.configuring.store_reached,
-        )
-        self.counts.read_number(
-            "peers", "Schedulers connected", lambda: len(self.peers.streams)
+        gauges = (
+            (
+                "configuration_version",
+                "Version in force, 0 if none",
+                lambda: getattr(self.configuring.current, "version", 0),
+            ),
+            (
+                "store_reached",
+                "Whether the store answered the last call",
+                lambda: self.configuring.store_reached,
+            ),
+            (
+                "peers",
+                "Schedulers connected",
+                lambda: len(self.peers.streams),
+            ),
         )
+        for name, text, read in gauges:
+            self.registry.read_gauge(name, text, metrics.single(read))
 
     def start(self) -> None:
         """Starts all parts.
--- a/trefoilgw/scheduling/forecasts.py
+++ b/trefoilgw/scheduling/forecasts.py
@@ -64,12 +64,14 @@
             now_s: Current time.
         """
         service = job.spec.queue.service
-        ahead = self._waiting_ahead(job) + self._rivals_ahead(job)
-        rate = self._freed_rate(service, admitted, now_s)
+        offering = [x for x in self.views.values() if x.offers(service)]
+        sound = [x for x in offering if not x.suspect]
+        ahead = self._waiting_ahead(job) + _rivals_ahead(job, offering)
+        rate = _freed_rate(sound, admitted, now_s)
         needed = ahead + job.waiting_millicores()
         if not ahead:
-            needed -= self._fitting_millicores(job)
-        needed -= self._joining_millicores(service, now_s)
+            needed -= _fitting_millicores(job, sound)
+        needed -= self._joining_millicores(offering, now_s)
         slack_s = job.latest_start_s - now_s
         urgent = schedulers * sum(
             x.rate(now_s)
@@ -79,10 +81,6 @@
         wait_s = admission.predicted_wait_s(needed, rate, urgent)
         return Forecast(wait_s, ahead, rate)
 
-    def _offering(self, service: str) -> list[runners.View]:
-        """Returns the runners of a service."""
-        return [x for x in self.views.values() if x.offers(service)]
-
     def _waiting_ahead(self, job: jobs.Job) -> int:
         """Returns the room for the waiting work that goes before a job."""
         service = job.spec.queue.service
@@ -92,34 +90,16 @@
             if x.rank < job.rank and x.spec.queue.service == service
         )
 
-    def _rivals_ahead(self, job: jobs.Job) -> int:
-        """Returns the room that more urgent work of others needs."""
-        newest = max(
-            self._offering(job.spec.queue.service),
-            key=lambda x: x.heard_s,
-            default=None,
-        )
-        if newest is None:
-            return 0
-        return sum(newest.report.rivals[: job.urgency + 1])
+    def _joining_millicores(
+        self, known: Sequence[runners.View], now_s: float
+    ) -> int:
+        """Returns the room of the runners that have just joined.
 
-    def _fitting_millicores(self, job: jobs.Job) -> int:
-        """Returns the room of the tasks that fit into free room now."""
-        service = job.spec.queue.service
-        room = [x.free() for x in self._offering(service) if not x.suspect]
-        fitting = 0
-        for task in job.tasks:
-            demand = task.spec.demand
-            for index, free in enumerate(room):
-                if demand.fits_in(free):
-                    room[index] = free.minus(demand)
-                    fitting += task.millicores
-                    break
-        return fitting
-
-    def _joining_millicores(self, service: str, now_s: float) -> int:
-        """Returns the room of the runners that have just joined."""
-        known = self._offering(service)
+        Args:
+            known: Runners of the service; the others are taken to be like
+                them.
+            now_s: Current time.
+        """
         joining = sum(
             x.connected and not x.usable and now_s - x.joined_s < JOINING_S
             for x in self.views.values()
@@ -129,26 +109,48 @@
         capacity = sum(x.report.capacity.cpu_millicores for x in known)
         return joining * capacity // len(known)
 
-    def _freed_rate(
-        self, service: str, admitted: Iterable[jobs.Job], now_s: float
-    ) -> float:
-        """Returns the room that is freed a second, in millicores.
 
-        A runner that has not been known for as long as rates are averaged
-        may have started a moment ago. Its rate is at least that of runs
-        like the ones that this scheduler has sent.
-        """
-        views = [x for x in self._offering(service) if not x.suspect]
-        settled_s = now_s - admission.RATE_WINDOW_S
-        share = 0.0
-        if any(x.joined_s > settled_s for x in views):
-            share = _ended_share(admitted)
-        freed = 0.0
-        for view in views:
-            least = share * view.used() if view.joined_s > settled_s else 0.0
-            freed += max(view.report.freed, least)
-        capacity = sum(x.report.capacity.cpu_millicores for x in views)
-        return max(freed, capacity / admission.LONGEST_MEAN_RUN_S)
+def _rivals_ahead(job: jobs.Job, views: Iterable[runners.View]) -> int:
+    """Returns the room that more urgent work of other schedulers needs."""
+    newest = max(views, key=lambda x: x.heard_s, default=None)
+    if newest is None:
+        return 0
+    return sum(newest.report.rivals[: job.urgency + 1])
+
+
+def _fitting_millicores(job: jobs.Job, views: Iterable[runners.View]) -> int:
+    """Returns the room of the tasks that fit into free room now."""
+    room = [x.free() for x in views]
+    fitting = 0
+    for task in job.tasks:
+        demand = task.spec.demand
+        for index, free in enumerate(room):
+            if demand.fits_in(free):
+                room[index] = free.minus(demand)
+                fitting += task.millicores
+                break
+    return fitting
+
+
+def _freed_rate(
+    views: Sequence[runners.View], admitted: Iterable[jobs.Job], now_s: float
+) -> float:
+    """Returns the room that is freed a second, in millicores.
+
+    A runner that has not been known for as long as rates are averaged may
+    have started a moment ago. Its rate is at least that of runs like the ones
+    that this scheduler has sent.
+    """
+    settled_s = now_s - admission.RATE_WINDOW_S
+    share = 0.0
+    if any(x.joined_s > settled_s for x in views):
+        share = _ended_share(admitted)
+    freed = 0.0
+    for view in views:
+        least = share * view.used() if view.joined_s > settled_s else 0.0
+        freed += max(view.report.freed, least)
+    capacity = sum(x.report.capacity.cpu_millicores for x in views)
+    return max(freed, capacity / admission.LONGEST_MEAN_RUN_S)
 
 
 def _ended_share(admitted: Iterable[jobs.Job]) -> float:
--- a/trefoilgw/scheduling/tests/test_forecasts.py
+++ b/trefoilgw/scheduling/tests/test_forecasts.py
@@ -38,6 +38,16 @@
             for x in range(count)
         ]
 
+    def fill(self, now_s):
+        """Fills all room with runs, of which none has ended at a time."""
+        for name in RUNNERS:
+            self.report(name, 10.01)
+        self.submit(16, 10.02)
+        self.found.take_actions()
+        for number, name in enumerate(RUNNERS, 1):
+            busy = scenes.report(free=scenes.NONE, freed=0, received=number)
+            self.found.room_reported(name, busy, now_s)
+
     def test_runners_that_have_just_joined_count(self):
         """One runner of eight knew its target, and 127 jobs were rejected
         that the others could have run a moment later."""
@@ -52,24 +62,12 @@
 
     def test_room_in_use_is_expected_to_come_free(self):
         """No run has ended yet, which is no sign that none will."""
-        for name in RUNNERS:
-            self.report(name, 10.01)
-        self.submit(16, 10.02)
-        self.found.take_actions()
-        for number, name in enumerate(RUNNERS, 1):
-            busy = scenes.report(free=scenes.NONE, freed=0, received=number)
-            self.found.room_reported(name, busy, 10.05)
+        self.fill(10.05)
         self.assertEqual([], rejected(self.submit(4, 10.05)))
 
     def test_measured_rates_count_once_they_are_settled(self):
         """While long runs fill the room, little of it comes free."""
-        for name in RUNNERS:
-            self.report(name, 10.01)
-        self.submit(16, 10.02)
-        self.found.take_actions()
-        for number, name in enumerate(RUNNERS, 1):
-            busy = scenes.report(free=scenes.NONE, freed=0, received=number)
-            self.found.room_reported(name, busy, 11.5)
+        self.fill(11.5)
         self.assertTrue(rejected(self.submit(12, 11.5)))
 
 
