--- a/trefoilgw/agent/entry_selection.py
+++ b/trefoilgw/agent/entry_selection.py
@@ -4,28 +4,16 @@
 dials the selected addresses.
 """
 
-import hashlib
-from collections.abc import Collection
 from collections.abc import Iterable
 
 from trefoilgw.messages import core as messages
+from trefoilgw.subsets import core as subsets
 
 # At the size expected in two years, a full mesh of agents and entries would
 # exceed the goal of 21 KB/s of control traffic per node.
 ENTRIES_PER_AGENT = 4
 
 
-def rendezvous_weight(agent: str, entry: str) -> int:
-    """Returns the weight of a pair of agent and entry for rendezvous hashing.
-
-    Notes:
-        Highest random weight, Thaler and Ravishankar 1998: if an entry joins
-        or leaves, only the agents that it gains or loses are reassigned.
-    """
-    text = f"{agent}/{entry}".encode()
-    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
-
-
 def assigned_entries(
     agent: str,
     entries: Iterable[messages.RosterEntry],
@@ -50,7 +38,7 @@
         for name, entry in by_name.items()
         if entry.stream_address in unreachable
     }
-    names = _first_reachable(agent, by_name, down, ENTRIES_PER_AGENT)
+    names = subsets.first_reachable(agent, by_name, down, ENTRIES_PER_AGENT)
     return tuple(by_name[name] for name in names)
 
 
@@ -61,20 +49,4 @@
     limit: int = ENTRIES_PER_AGENT,
 ) -> list[str]:
     """Returns the seeds to dial, selected by weight like the entries."""
-    return _first_reachable(agent, seeds, unreachable, limit)
-
-
-def _first_reachable(
-    agent: str, names: Iterable[str], down: Collection[str], limit: int
-) -> list[str]:
-    """Returns names by descending weight until `limit` of them are not down."""
-    ranked = sorted(
-        names, key=lambda name: rendezvous_weight(agent, name), reverse=True
-    )
-    chosen = []
-    for name in ranked:
-        if limit <= 0:
-            break
-        chosen.append(name)
-        limit -= name not in down
-    return chosen
+    return subsets.first_reachable(agent, seeds, unreachable, limit)
--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -117,6 +117,7 @@
             averaged over about the last second.
         competing_cpu: CPU that the other schedulers' waiting tasks need, in
             millicores by urgency class, up to the last class with any.
+        schedulers: Number of schedulers connected to the runner, 0 if unknown.
     """
 
     starts_received: int
@@ -127,6 +128,7 @@
     free: Room = attrs.field(metadata={"value": Room})
     freed_cpu: int = 0
     competing_cpu: tuple[int, ...] = ()
+    schedulers: int = 0
 
 
 @attrs.frozen
@@ -238,16 +240,11 @@
 
     Attributes:
         sent_s: Copied from the ping.
+        runners: Number of runners connected to the scheduler, 0 if unknown.
     """
 
     sent_s: float
-
-
-@core.message(60)
-class Schedulers:
-    """Reports the stream addresses of all schedulers known to the sender."""
-
-    addresses: tuple[str, ...]
+    runners: int = 0
 
 
 @core.message(61)
@@ -277,9 +274,73 @@
 
 @core.message(64)
 class PeerPing:
-    """Requests a `PeerPong`, to detect broken streams to other schedulers."""
+    """Requests a `PeerPong`, to detect broken streams to other schedulers.
+
+    Attributes:
+        configuration: Version of the sender's configuration, 0 if it has none.
+    """
+
+    configuration: int = 0
 
 
 @core.message(65)
 class PeerPong:
-    """Answers a `PeerPing`."""
+    """Answers a `PeerPing`, or announces a new configuration on its own.
+
+    Attributes:
+        configuration: Version of the sender's configuration, 0 if it has none.
+    """
+
+    configuration: int = 0
+
+
+@core.message(66)
+class ConfigurationRequest:
+    """Requests a `ConfigurationPush` from a scheduler with a newer version."""
+
+
+@attrs.frozen
+class SchedulerRecord:
+    """What the store's list of schedulers says about one address.
+
+    Attributes:
+        address: ``ip:port`` on which the scheduler accepts streams.
+        domain: Failure domain of the scheduler.
+        incarnation: 16 hex digits, chosen anew at every process start.
+        revision: Revision of the store at which the list was read.
+        present: Whether the list held the address.
+    """
+
+    address: str
+    domain: str
+    incarnation: str
+    revision: int
+    present: bool
+
+
+@core.message(67)
+class SchedulerRecords:
+    """Passes on records; for each address the highest revision applies."""
+
+    records: tuple[SchedulerRecord, ...] = core.items_of(SchedulerRecord)
+
+
+@core.message(68)
+class SchedulerAnnouncement:
+    """Makes a scheduler known that is missing in the store's list.
+
+    Only the scheduler itself issues announcements. The receivers pass each one
+    on once.
+
+    Attributes:
+        address: ``ip:port`` on which the scheduler accepts streams.
+        domain: Failure domain of the scheduler.
+        incarnation: 16 hex digits, chosen anew at every process start.
+        sequence: Time of issue on the issuer's clock in milliseconds since
+            1970, which orders the announcements of an address.
+    """
+
+    address: str
+    domain: str
+    incarnation: str
+    sequence: int
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -23,6 +23,11 @@
 from trefoilgw.room import owners as room_owners
 from trefoilgw.work import core as work
 
+# Mean interval between a target's capacity reports, over all schedulers.
+REPORT_SPACING_S = 0.0125
+# While schedulers bid for capacity, it is offered to them at once, and each
+# gets reports at this interval at most.
+BIDDING_REPORT_INTERVAL_S = 0.1
 # Time after which an unanswered offer expires; a round trip takes 2 ms.
 OFFER_TIMEOUT_S = 0.1
 
@@ -300,6 +305,18 @@
         if owner is not None:
             owner.disconnect(now_s)
 
+    def set_retiring(self, name: str, retiring: bool) -> None:
+        """Stops giving capacity to a scheduler, or starts again."""
+        owner = self.owners.get(name)
+        if owner is not None:
+            owner.retiring = retiring
+
+    def has_runs(self, name: str) -> bool:
+        """Returns whether a scheduler has runs or open offers."""
+        owner = self.owners.get(name)
+        reserved = owner is not None and bool(owner.reservations)
+        return reserved or any(x.owner == name for x in self.runs.values())
+
     def renew_authority(self, name: str, sent_s: float) -> None:
         """Extends a scheduler's authority after its answer to a ping.
 
@@ -458,7 +475,12 @@
         """
         if not self.usable:
             return
-        bids = [(x, bid) for x in self.owners.values() for bid in x.bids]
+        bids = [
+            (x, bid)
+            for x in self.owners.values()
+            if not x.retiring
+            for bid in x.bids
+        ]
         if not bids:
             return
         bids.sort(key=lambda x: x[1].latest_start_s)
@@ -514,27 +536,52 @@
             for x in self.runs.values()
         ]
 
-    def report_capacity(self) -> None:
-        """Reports the capacity to each scheduler whose last report differs."""
-        if not any(x.connected for x in self.owners.values()):
+    def report_capacity(self, now_s: float) -> None:
+        """Reports the capacity to each scheduler whose last report differs.
+
+        Reports to a scheduler are spaced, the more so the more schedulers
+        there are, unless whether it may use the target has changed.
+        """
+        connected = [x for x in self.owners.values() if x.connected]
+        interval_s = REPORT_SPACING_S * len(connected)
+        if any(x.bids for x in connected):
+            interval_s = max(interval_s, BIDDING_REPORT_INTERVAL_S)
+        due = [
+            x
+            for x in connected
+            if now_s - x.reported_s >= interval_s or self._use_changed(x)
+        ]
+        if not due:
             return
         known = self.target
-        free = self.free()
-        for owner in self.owners.values():
+        capacity = messages.Room.of(known.capacity if known else work.Demand())
+        free = messages.Room.of(self.free())
+        for owner in due:
             report = messages.CapacityReport(
                 owner.starts_received,
-                self.usable,
+                self.usable and not owner.retiring,
                 self.target_health.suspect,
                 known.service if known else "",
-                messages.Room.of(known.capacity if known else work.Demand()),
-                messages.Room.of(free),
+                capacity,
+                free,
                 self.freed_cpu_rate.quantized(),
                 self._competing_cpu(owner.name),
+                len(connected),
             )
-            if owner.connected and report != owner.last_report:
+            if report != owner.last_report:
                 owner.last_report = report
+                owner.reported_s = now_s
                 self._send(owner.name, report)
 
+    def _use_changed(self, owner: room_owners.Owner) -> bool:
+        """Returns whether a scheduler's last report misleads it."""
+        last = owner.last_report
+        return (
+            last is None
+            or last.usable != (self.usable and not owner.retiring)
+            or last.suspect != self.target_health.suspect
+        )
+
     def _competing_cpu(self, name: str) -> tuple[int, ...]:
         """Returns the CPU that the other schedulers wait for.
 
@@ -546,7 +593,7 @@
         """
         totals: list[int] = []
         for owner in self.owners.values():
-            if owner.name == name:
+            if owner.name == name or owner.retiring:
                 continue
             for bid in owner.bids:
                 missing = bid.urgency + 1 - len(totals)
--- a/trefoilgw/room/owners.py
+++ b/trefoilgw/room/owners.py
@@ -1,5 +1,7 @@
 """State that a runner keeps of each scheduler."""
 
+import math
+
 import attrs
 
 from trefoilgw.work import core as work
@@ -60,6 +62,9 @@
         bids: Its waiting tasks by urgency class.
         reservations: Open offers by number.
         last_report: The last `CapacityReport` sent to it.
+        reported_s: Time of that report.
+        retiring: Whether its stream will be closed, so that it gets no more
+            capacity.
     """
 
     name: str
@@ -69,6 +74,8 @@
     bids: tuple[Bid, ...] = ()
     reservations: dict[int, Reservation] = attrs.field(factory=dict)
     last_report: object = None
+    reported_s: float = -math.inf
+    retiring: bool = False
 
     def reserved(self) -> work.Demand:
         """Returns the total capacity of its open offers."""
--- a/trefoilgw/room/tests/test_core.py
+++ b/trefoilgw/room/tests/test_core.py
@@ -3,6 +3,7 @@
 import unittest
 
 from trefoilgw.messages import runs as messages
+from trefoilgw.room import core as room
 from trefoilgw.room import owners
 from trefoilgw.room.tests import fixtures
 from trefoilgw.room.tests.fixtures import A
@@ -217,7 +218,7 @@
     def test_report_is_sent_once_per_change(self):
         """Unchanged reports cost traffic between failure domains."""
         allocator = fixtures.make_allocator(A)
-        allocator.report_capacity()
+        allocator.report_capacity(0.0)
         self.assertEqual(
             1,
             len(
@@ -226,9 +227,54 @@
                 )
             ),
         )
-        allocator.report_capacity()
+        allocator.report_capacity(0.0)
         self.assertEqual([], allocator.take_actions())
 
+    def reports(self, allocator, now_s):
+        """Returns owner and report of each report that is sent now."""
+        allocator.report_capacity(now_s)
+        return fixtures.sent_messages(
+            allocator.take_actions(), messages.CapacityReport
+        )
+
+    def test_reports_are_spaced_by_the_number_of_schedulers(self):
+        """Reports of each start to all schedulers outnumbered the starts."""
+        names = [f"{x:016x}" for x in range(8)]
+        allocator = fixtures.make_allocator(*names)
+        for name in names:
+            allocator.renew_authority(name, 100.0)
+        self.reports(allocator, 0.0)
+        sent = 0
+        for step in range(1000):
+            now_s = 1.0 + step * 0.01
+            task = f"j{step}.0.0.0"
+            fixtures.start_confirmed(allocator, names[0], task, now_s=now_s)
+            allocator.run_ended(task, 1, work.Ending.DONE, now_s)
+            sent += len(self.reports(allocator, now_s))
+        self.assertLessEqual(sent, 10.0 / room.REPORT_SPACING_S + len(names))
+
+    def test_target_that_drains_is_reported_at_once(self):
+        """A scheduler must not send tasks to it meanwhile."""
+        allocator = fixtures.make_allocator(A, B)
+        self.reports(allocator, 0.0)
+        allocator.target_reported(
+            fixtures.make_target(draining=True, sequence=2)
+        )
+        reports = self.reports(allocator, 0.001)
+        self.assertEqual([False, False], [x.usable for _, x in reports])
+
+    def test_retiring_scheduler_gets_no_offer(self):
+        """Capacity offered to it would idle until its stream is closed."""
+        allocator = fixtures.make_allocator(A, B)
+        fixtures.update_bid(allocator, A, slack_s=0.1, tasks=8)
+        fixtures.update_bid(allocator, B, slack_s=0.2, tasks=8)
+        allocator.set_retiring(A, True)
+        allocator.offer_capacity(0.1)
+        offers = fixtures.sent_messages(
+            allocator.take_actions(), messages.Offer
+        )
+        self.assertEqual([B], [owner for owner, _ in offers])
+
 
 class HeadroomTest(unittest.TestCase):
     def allocator_with_urgent_use(self):
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -1,21 +1,31 @@
-"""Streams of a runner to all schedulers."""
+"""Streams of a runner to a subset of the schedulers."""
 
 import logging
 from collections.abc import Callable
+from collections.abc import Set
 
 import attrs
 import eventlet
 
+from trefoilgw.membership import schedulers
 from trefoilgw.messages import core as messages
 from trefoilgw.messages import runs
 from trefoilgw.room import core as room
 from trefoilgw.streams import core as streams
 from trefoilgw.streams import redialling
+from trefoilgw.subsets import core as subsets
 
 PING_INTERVAL_S = 0.2
+SELECTION_INTERVAL_S = 0.25
 # A stream is closed this long after the scheduler's authority has expired for
 # lack of answers to pings.
 MAX_SILENCE_S = 1.0
+# A scheduler without a stream for this time is replaced by another one until
+# it answers again.
+UNREACHABLE_AFTER_S = 1.0
+# Time in which orders sent before a scheduler learned that its stream will be
+# closed arrive.
+RETIREMENT_S = 1.0
 
 log = logging.getLogger(__name__)
 
@@ -26,54 +36,137 @@
 
     Attributes:
         address: ``ip:port`` of the scheduler.
+        down_since_s: Time since which there is no stream.
         owner: Incarnation of the scheduler on the last opened stream.
         stream: The open stream, or None.
-        listed: False once the scheduler is no longer listed and its stream is
-            closed.
+        runners: Number of runners connected to the scheduler, 0 if unknown.
+        retiring_since_s: Time since which the scheduler knows that its stream
+            will be closed, or None.
+        wanted: False once the stream is not to be opened again.
     """
 
     address: str
+    down_since_s: float
     owner: str = ""
     stream: streams.Stream | None = None
-    listed: bool = True
+    runners: int = 0
+    retiring_since_s: float | None = None
+    wanted: bool = True
 
 
 @attrs.define(eq=False)
 class Links:
-    """Maintains a stream to each scheduler.
+    """Maintains streams to the selected schedulers.
 
     Attributes:
+        own: Name and failure domain of this runner, by which it selects.
         redialer: Opens the streams.
         allocator: Allocates the capacity of the target.
         now: Clock in seconds.
         on_change: Called after each change of the allocator.
+        seeds: Addresses to dial while too few schedulers are known.
+        known: Known schedulers.
         links: Links by address.
     """
 
+    own: subsets.Member
     redialer: redialling.Redialer
     allocator: room.CapacityAllocator
     now: Callable[[], float]
     on_change: Callable[[], None]
+    seeds: Set[str] = frozenset()
+    known: schedulers.KnownSchedulers = attrs.field(
+        factory=schedulers.KnownSchedulers
+    )
     links: dict[str, Link] = attrs.field(factory=dict)
 
-    def set_addresses(self, addresses: set[str]) -> None:
-        """Opens links to new schedulers and removes closed, unlisted ones.
+    def select(self) -> None:
+        """Dials newly selected schedulers and retires the surplus ones.
 
-        A link whose stream is open stays also if it is no longer listed.
+        Call it every `SELECTION_INTERVAL_S`.
         """
-        for address in addresses - self.links.keys():
-            link = Link(address)
-            self.links[address] = link
-            eventlet.spawn_n(
-                self.redialer.maintain_stream,
-                address,
-                lambda link=link: link.listed,
-                lambda stream, link=link: self._serve(link, stream),
-            )
+        now_s = self.now()
+        self.known.expire(now_s)
+        selected = self._selected(now_s)
+        for address in selected - self.links.keys():
+            self._dial(address, now_s)
+        settled = all(
+            x.stream is not None or self._is_down(x, now_s)
+            for x in self.links.values()
+            if x.address in selected
+        )
         for address, link in list(self.links.items()):
-            if address not in addresses and link.stream is None:
-                link.listed = False
-                del self.links[address]
+            if address in selected:
+                self._keep(link)
+            elif link.stream is None:
+                self._forget(link)
+            elif settled:
+                self._retire(link, now_s)
+
+    def _selected(self, now_s: float) -> set[str]:
+        """Returns the addresses of the schedulers to keep streams to."""
+        members = self.known.members(now_s)
+        open_links = [x for x in self.links.values() if x.stream is not None]
+        runners = sum(x.runners for x in open_links)
+        limit = subsets.stream_count(
+            len(members),
+            len(open_links),
+            runners / len(open_links) if open_links else 0.0,
+        )
+        if len(members) < limit or not open_links:
+            for seed in self.seeds - members.keys():
+                members[seed] = subsets.Member(seed, "")
+        down = {
+            x.address for x in self.links.values() if self._is_down(x, now_s)
+        }
+        return subsets.select_members(self.own, members.values(), down, limit)
+
+    def _is_down(self, link: Link, now_s: float) -> bool:
+        """Returns whether a scheduler has had no stream for a while."""
+        return (
+            link.stream is None
+            and now_s - link.down_since_s >= UNREACHABLE_AFTER_S
+        )
+
+    def _dial(self, address: str, now_s: float) -> None:
+        """Adds a link and keeps its stream open while it is wanted."""
+        link = Link(address, now_s)
+        self.links[address] = link
+        eventlet.spawn_n(
+            self.redialer.maintain_stream,
+            address,
+            lambda: link.wanted,
+            lambda stream: self._serve(link, stream),
+        )
+
+    def _keep(self, link: Link) -> None:
+        """Ends the retirement of a link that is selected again."""
+        if link.retiring_since_s is not None:
+            link.retiring_since_s = None
+            self.allocator.set_retiring(link.owner, False)
+            self.on_change()
+
+    def _retire(self, link: Link, now_s: float) -> None:
+        """Closes a surplus stream without losing an order.
+
+        The scheduler first learns that the runner is not usable for it. The
+        stream is closed later, and only while there are no runs.
+        """
+        if self.allocator.has_runs(link.owner):
+            return
+        if link.retiring_since_s is None:
+            link.retiring_since_s = now_s
+            self.allocator.set_retiring(link.owner, True)
+            self.on_change()
+        elif now_s - link.retiring_since_s >= RETIREMENT_S:
+            stream = link.stream
+            self._forget(link)
+            stream.close("surplus")
+
+    def _forget(self, link: Link) -> None:
+        """Removes a link; its stream is not opened again."""
+        link.wanted = False
+        del self.links[link.address]
 
     def send(self, owner: str, message: object) -> None:
         """Sends a message to a scheduler if its stream is open."""
@@ -93,9 +186,13 @@
 
         A stream on which the scheduler answers no pings is closed.
         """
+        if not link.wanted:
+            stream.close("surplus")
+            return
         closed = eventlet.event.Event()
         link.owner = stream.welcome.incarnation
         link.stream = stream
+        link.retiring_since_s = None
         log.info("scheduler joined", extra={"address": link.address})
         self.allocator.owner_connected(link.owner, self.now())
         self.on_change()
@@ -112,6 +209,7 @@
             if silent and not closed.ready():
                 stream.close("silent")
         link.stream = None
+        link.down_since_s = self.now()
         log.info(
             "scheduler lost",
             extra={"address": link.address, "reason": closed.wait()},
@@ -123,7 +221,8 @@
         """Handles one message of a scheduler."""
         now_s = self.now()
         match message:
-            case runs.RunnerPong(sent_s=sent_s):
+            case runs.RunnerPong(sent_s=sent_s, runners=runners):
+                link.runners = runners
                 self.allocator.renew_authority(link.owner, sent_s)
                 return
             case runs.StartRuns():
@@ -132,8 +231,12 @@
                 self.allocator.stop_runs(link.owner, message)
             case runs.Bid():
                 self.allocator.update_bid(link.owner, message, now_s)
-            case runs.Schedulers(addresses=addresses):
-                self.set_addresses(set(addresses))
+            case runs.SchedulerRecords(records=records):
+                self.known.merge_records(records, now_s)
+                return
+            case runs.SchedulerAnnouncement():
+                self.known.merge_announcement(message, now_s)
+                return
             case _:
                 code = getattr(message, "code", None)
                 log.warning("unexpected message", extra={"code": code})
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -19,15 +19,13 @@
 from trefoilgw.runner import links as runner_links
 from trefoilgw.runner import metrics as runner_metrics
 from trefoilgw.streams import redialling
+from trefoilgw.subsets import core as subsets
 from trefoilgw.timers import clock
 from trefoilgw.timers import core as timer_service
 from trefoilgw.work import core as work
 from trefoilgw.work import hosting
 
 TICK_S = 0.05
-# While schedulers bid for capacity, it is offered to them at once, and reports
-# of free capacity are sent at most once in this time.
-REPORT_INTERVAL_S = 0.1
 # Time that remains before SIGKILL when the runner stops waiting for its runs.
 STOP_MARGIN_S = 0.4
 
@@ -45,7 +43,6 @@
         driver: Starts, stops and polls the runs of the target.
         links: Streams to the schedulers.
         timers: Timer service.
-        last_report_s: Time of the last capacity report.
         counts: Metrics for operators.
         suspect_reason: Why the target was suspect at the last tick.
     """
@@ -58,7 +55,6 @@
     driver: driving.TargetDriver = attrs.field(init=False)
     links: runner_links.Links = attrs.field(init=False)
     timers: timer_service.TimerService = attrs.field(init=False)
-    last_report_s: float = 0.0
     counts: runner_metrics.RunnerMetrics = attrs.field(
         factory=runner_metrics.RunnerMetrics
     )
@@ -80,10 +76,12 @@
             settings.name, self.incarnation, settings.domain
         )
         self.links = runner_links.Links(
+            subsets.Member(settings.name, settings.domain),
             redialling.Redialer(runs.NO_KEY, hello),
             self.allocator,
             clock.boottime,
             self.flush,
+            frozenset(settings.seed_streams()),
         )
         self.counts.register_gauges(self.allocator)
 
@@ -107,15 +105,14 @@
         eventlet.spawn_n(self.driver.run_redundant_poll)
         self.timers.every(TICK_S, self._tick)
         self.timers.every(runner_links.PING_INTERVAL_S, self.links.ping)
-        self.links.set_addresses(set(self.settings.seed_streams()))
+        self.timers.every(runner_links.SELECTION_INTERVAL_S, self.links.select)
+        self.links.select()
 
     def reload(self, settings: hosting.HostSettings) -> None:
         """Applies the settings that can change without a restart."""
         self.settings = settings
         self.driver.lease_s = settings.lease_limit_s
-        self.links.set_addresses(
-            set(self.links.links) | set(settings.seed_streams())
-        )
+        self.links.seeds = frozenset(settings.seed_streams())
 
     def shut_down(self) -> None:
         """Refuses new runs and waits for active ones, up to the stop limit."""
@@ -134,10 +131,7 @@
         """Offers and reports free capacity and carries out pending actions."""
         now_s = clock.boottime()
         self.allocator.offer_capacity(now_s)
-        bids = any(x.bids for x in self.allocator.owners.values())
-        if not bids or now_s - self.last_report_s >= REPORT_INTERVAL_S:
-            self.last_report_s = now_s
-            self.allocator.report_capacity()
+        self.allocator.report_capacity(now_s)
         for action in self.allocator.take_actions():
             match action:
                 case actions.SendMessage(owner=owner, message=message):
--- /dev/null
+++ b/trefoilgw/runner/tests/test_links.py
@@ -0,0 +1,132 @@
+import types
+import unittest
+from unittest import mock
+
+from trefoilgw.messages import runs
+from trefoilgw.room.tests import fixtures
+from trefoilgw.runner import links
+from trefoilgw.subsets import core as subsets
+
+OWN = subsets.Member("r1", "d1")
+
+
+class FakeStream:
+    """A stream that records what is sent over it."""
+
+    def __init__(self, incarnation):
+        self.welcome = types.SimpleNamespace(incarnation=incarnation)
+        self.sent = []
+        self.closed = None
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def close(self, reason):
+        self.closed = reason
+
+
+class LinksTest(unittest.TestCase):
+    def setUp(self):
+        patcher = mock.patch.object(links.eventlet, "spawn_n")
+        patcher.start()
+        self.addCleanup(patcher.stop)
+        self.now_s = 0.0
+        self.allocator = fixtures.make_allocator()
+        self.links = links.Links(
+            OWN,
+            mock.Mock(),
+            self.allocator,
+            lambda: self.now_s,
+            lambda: None,
+            frozenset({"seed:1"}),
+        )
+
+    def learn(self, *addresses, revision=1, present=True):
+        """Tells the runner which schedulers the store lists."""
+        self.links.known.merge_records(
+            [
+                runs.SchedulerRecord(x, "d1", "a" * 16, revision, present)
+                for x in addresses
+            ],
+            self.now_s,
+        )
+
+    def open(self, *addresses):
+        """Opens the streams of links."""
+        for address in addresses:
+            link = self.links.links[address]
+            link.owner = f"owner-{address}"
+            link.stream = FakeStream(link.owner)
+            self.allocator.owner_connected(link.owner, self.now_s)
+
+    def pass_time(self, seconds):
+        self.now_s += seconds
+        self.links.select()
+
+    def test_seeds_are_dialed_until_schedulers_are_known(self):
+        """A runner that starts knows nothing but its seeds."""
+        self.links.select()
+        self.assertEqual({"seed:1"}, set(self.links.links))
+
+    def test_surplus_seed_is_left_without_losing_orders(self):
+        """All runners start at the same seeds, which can't serve them all."""
+        self.links.select()
+        self.open("seed:1")
+        self.learn(*(f"s{x}:1" for x in range(12)))
+        self.links.select()
+        self.assertEqual(9, len(self.links.links))
+        stream = self.links.links["seed:1"].stream
+        self.pass_time(links.RETIREMENT_S)
+        self.assertIsNone(stream.closed, "others are not connected yet")
+        self.open(*(self.links.links.keys() - {"seed:1"}))
+        self.links.select()
+        self.assertIsNone(stream.closed, "orders may be under way")
+        self.allocator.report_capacity(self.now_s)
+        usable = [
+            x.usable
+            for owner, x in fixtures.sent_messages(
+                self.allocator.take_actions(), runs.CapacityReport
+            )
+            if owner == "owner-seed:1"
+        ]
+        self.assertEqual([False], usable)
+        self.pass_time(links.RETIREMENT_S)
+        self.assertEqual("surplus", stream.closed)
+        self.assertNotIn("seed:1", self.links.links)
+
+    def test_scheduler_with_runs_keeps_its_stream(self):
+        """Closing its stream would stop the runs."""
+        self.links.select()
+        self.open("seed:1")
+        self.allocator.renew_authority("owner-seed:1", 100.0)
+        fixtures.start_confirmed(self.allocator, "owner-seed:1", "j.0.0.0")
+        self.learn(*(f"s{x}:1" for x in range(12)))
+        self.links.select()
+        self.open(*(self.links.links.keys() - {"seed:1"}))
+        for _ in range(5):
+            self.pass_time(links.RETIREMENT_S)
+        self.assertIsNone(self.links.links["seed:1"].stream.closed)
+
+    def test_dead_scheduler_is_replaced(self):
+        """A failure domain that is lost must not leave runners idle."""
+        self.learn(*(f"s{x}:1" for x in range(12)))
+        self.links.select()
+        selected = set(self.links.links)
+        dead = min(selected)
+        self.open(*(selected - {dead}))
+        self.pass_time(links.UNREACHABLE_AFTER_S)
+        living = self.links.links.keys() - {dead, "seed:1"}
+        self.assertEqual(8, len(living))
+        self.assertIn(dead, self.links.links, "it is dialed on")
+
+    def test_scheduler_that_left_is_not_dialed(self):
+        """An address may belong to another host soon."""
+        self.learn("s1:1", "s2:1")
+        self.links.select()
+        self.learn("s1:1", revision=2, present=False)
+        self.pass_time(6.0)
+        self.assertEqual({"seed:1", "s2:1"}, set(self.links.links))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilgw/scheduler/clients.py
+++ b/trefoilgw/scheduler/clients.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from trefoilgw.messages import codec
 from trefoilgw.messages import core as messages
 from trefoilgw.messages import runs
 from trefoilgw.scheduling import core as scheduling
@@ -12,6 +13,8 @@
 
 # A runner pings five times a second; the limit tolerates a few late pings.
 MAX_SILENCE_S = 0.9
+# A peer that has opened a stream pings twice a second.
+MAX_PEER_SILENCE_S = 3.0
 # Placeholders for fields that the handshake requires; runners apply their own
 # time limits.
 NO_SESSION = 0
@@ -30,8 +33,9 @@
         scheduler: Queues jobs and assigns their tasks to runners.
         now: Returns the current time in seconds.
         on_change: Called after each change of the scheduler's state.
-        on_peer_connected: Called with the address of each peer that connects.
-        initial_messages: Returns the messages that are sent to a new client.
+        on_peer_message: Called with each message of a peer and its stream.
+        runner_greeting: Returns the messages that are sent to a new runner.
+        peer_greeting: Returns the messages that are sent to a new peer.
         on_run_ended: Called with the runner's name and the message whenever an
             attempt ends.
         runners: Open streams of runners, by the runner's name.
@@ -42,8 +46,9 @@
     scheduler: scheduling.Scheduler
     now: Callable[[], float]
     on_change: Callable[[], None]
-    on_peer_connected: Callable[[str], None]
-    initial_messages: Callable[[], list]
+    on_peer_message: Callable[[streams.Stream, object], None]
+    runner_greeting: Callable[[], list]
+    peer_greeting: Callable[[], list]
     on_run_ended: Callable[[str, runs.RunEnded], None]
     runners: dict[str, streams.Stream] = attrs.field(factory=dict)
     peers: set[streams.Stream] = attrs.field(factory=set)
@@ -64,19 +69,23 @@
         if stream is not None:
             stream.send(message)
 
-    def broadcast(self, message: object, runners: bool) -> None:
-        """Sends a message to all peers and, if asked for, to all runners."""
-        for stream in list(self.peers):
-            stream.send(message)
+    def broadcast(self, message: object, runners: bool = True) -> None:
+        """Sends a message to all connected peers and, by default, runners."""
+        frame = codec.encode(message)
+        clients = list(self.peers)
         if runners:
-            for stream in list(self.runners.values()):
-                stream.send(message)
+            clients += self.runners.values()
+        for stream in clients:
+            stream.send_frame(frame)
 
     def close_silent(self) -> None:
-        """Closes streams of runners silent for over `MAX_SILENCE_S`."""
+        """Closes streams of clients silent for over their limit."""
         for stream in list(self.runners.values()):
             if stream.silence_s() > MAX_SILENCE_S:
                 stream.close("silent")
+        for stream in list(self.peers):
+            if stream.silence_s() > MAX_PEER_SILENCE_S:
+                stream.close("silent")
 
     def _welcome(self, hello: object) -> messages.Welcome:
         """Returns the answer to a hello; every client is accepted."""
@@ -89,24 +98,14 @@
         match stream.hello:
             case runs.RunnerHello():
                 self._register_runner(stream, stream.hello)
-            case runs.SchedulerHello(address=address):
+            case runs.SchedulerHello():
                 self.peers.add(stream)
-                stream.start(
-                    self._handle_peer_message, self._peer_stream_closed
-                )
-                self.on_peer_connected(address)
-                for message in self.initial_messages():
+                stream.start(self.on_peer_message, self._peer_stream_closed)
+                for message in self.peer_greeting():
                     stream.send(message)
             case _:
                 stream.close("unexpected hello")
 
-    def _handle_peer_message(
-        self, stream: streams.Stream, message: object
-    ) -> None:
-        """Answers a ping of a peer; other messages are ignored."""
-        if isinstance(message, runs.PeerPing):
-            stream.send(runs.PeerPong())
-
     def _peer_stream_closed(self, stream: streams.Stream, reason: str) -> None:
         """Removes the closed stream of a peer."""
         self.peers.discard(stream)
@@ -127,9 +126,8 @@
             hello.name, hello.incarnation, hello.domain, self.now()
         )
         stream.start(self._handle_runner_message, self._runner_stream_closed)
-        for message in self.initial_messages():
-            if isinstance(message, runs.Schedulers):
-                stream.send(message)
+        for message in self.runner_greeting():
+            stream.send(message)
         self.on_change()
 
     def _runner_stream_closed(
@@ -154,7 +152,9 @@
         now_s = self.now()
         match message:
             case runs.RunnerPing(sent_s=sent_s):
-                self.scheduler.runner_pinged(name, sent_s, now_s)
+                self.scheduler.runner_pinged(name, now_s)
+                stream.send(runs.RunnerPong(sent_s, len(self.runners)))
+                return
             case runs.CapacityReport():
                 self.scheduler.capacity_reported(name, message, now_s)
             case runs.Offer():
--- a/trefoilgw/scheduler/peers.py
+++ b/trefoilgw/scheduler/peers.py
@@ -1,8 +1,9 @@
 """Outgoing streams to the other schedulers.
 
-Each scheduler connects to all others. Over these streams it receives new
-configurations and the addresses of further schedulers, so that a scheduler
-that can't reach the store stays up to date.
+Each scheduler opens streams to a few others. Over these streams, in both
+directions, the schedulers pass on which of them exist and which version of the
+configuration they have, so that a scheduler that can't reach the store stays
+up to date.
 """
 
 import logging
@@ -20,56 +21,86 @@
 # streams.
 PING_INTERVAL_S = 0.5
 MAX_SILENCE_S = 1.6
+# A peer without a stream for this time is replaced by another one.
+UNREACHABLE_AFTER_S = 1.5
 
 log = logging.getLogger(__name__)
 
 
 @attrs.define(eq=False)
 class Peers:
-    """Streams to the other schedulers.
+    """Streams that this scheduler has opened to others.
 
     Attributes:
         address: Own stream address.
         redialer: Opens the streams, and opens them again when they close.
-        on_message: Called with each message of a peer.
-        peer_addresses: Addresses to which streams are kept.
+        make_ping: Returns the ping to send.
+        on_message: Called with each message of a peer and its stream.
+        now: Clock in seconds.
+        down_since_s: Time since which there is no stream, for each address to
+            which one is to be kept; None while it is open.
         streams: Open streams by address.
     """
 
     address: str
     redialer: redialling.Redialer
-    on_message: Callable[[object], None]
-    peer_addresses: set[str] = attrs.field(factory=set)
+    make_ping: Callable[[], runs.PeerPing]
+    on_message: Callable[[streams_core.Stream, object], None]
+    now: Callable[[], float]
+    down_since_s: dict[str, float | None] = attrs.field(factory=dict)
     streams: dict[str, streams_core.Stream] = attrs.field(factory=dict)
 
     def set_addresses(self, addresses: set[str]) -> None:
-        """Connects to new peers, and stops reconnecting to removed ones."""
-        others = addresses - {self.address}
-        new = others - self.peer_addresses
-        self.peer_addresses = others
+        """Connects to new peers, and closes the streams to removed ones."""
+        new = addresses - self.down_since_s.keys()
+        for address in self.down_since_s.keys() - addresses:
+            del self.down_since_s[address]
+            stream = self.streams.get(address)
+            if stream is not None:
+                stream.close("surplus")
         for address in new:
+            self.down_since_s[address] = self.now()
             eventlet.spawn_n(
                 self.redialer.maintain_stream,
                 address,
-                lambda address=address: address in self.peer_addresses,
+                lambda address=address: address in self.down_since_s,
                 lambda stream, address=address: self._serve(address, stream),
             )
 
+    def down(self, now_s: float) -> set[str]:
+        """Returns the addresses that have had no stream for a while."""
+        return {
+            address
+            for address, since_s in self.down_since_s.items()
+            if since_s is not None and now_s - since_s >= UNREACHABLE_AFTER_S
+        }
+
+    def broadcast(self, message: object) -> None:
+        """Sends a message over all open streams."""
+        for stream in list(self.streams.values()):
+            stream.send(message)
+
     def _serve(self, address: str, stream: streams_core.Stream) -> None:
         """Handles messages and sends pings until the stream is closed."""
+        if address not in self.down_since_s or address in self.streams:
+            stream.close("surplus")
+            return
         closed = eventlet.event.Event()
         self.streams[address] = stream
+        self.down_since_s[address] = None
         log.info("peer joined", extra={"address": address})
         stream.start(
-            lambda _, message: self.on_message(message),
+            self.on_message,
             lambda _, reason: closed.send(reason),
         )
         while not closed.ready():
             closed.wait(timeout=PING_INTERVAL_S)
-            stream.send(runs.PeerPing())
+            stream.send(self.make_ping())
             if stream.silence_s() > MAX_SILENCE_S:
                 stream.close("silent")
         self.streams.pop(address, None)
+        if address in self.down_since_s:
+            self.down_since_s[address] = self.now()
         log.info(
             "peer lost", extra={"address": address, "reason": closed.wait()}
         )
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -23,7 +23,9 @@
 from trefoilgw.scheduler import clients as scheduler_clients
 from trefoilgw.scheduler import configuration as scheduler_configuration
 from trefoilgw.scheduler import decision_log
+from trefoilgw.scheduler import membership as scheduler_membership
 from trefoilgw.scheduler import metrics as scheduler_metrics
+from trefoilgw.scheduler import peer_exchange
 from trefoilgw.scheduler import peers as scheduler_peers
 from trefoilgw.scheduler import roster as scheduler_roster
 from trefoilgw.scheduling import actions
@@ -62,8 +64,6 @@
             job's key.
         shutting_down: Whether an orderly stop has begun, after SIGTERM or
             SIGINT.
-        scheduler_addresses: Stream addresses of all known schedulers,
-            including this one.
         counts: Metrics of jobs and runs.
     """
 
@@ -77,12 +77,13 @@
     )
     roster: scheduler_roster.Roster = attrs.field(init=False)
     peers: scheduler_peers.Peers = attrs.field(init=False)
+    membership: scheduler_membership.Membership = attrs.field(init=False)
+    exchange: peer_exchange.PeerExchange = attrs.field(init=False)
     clients: scheduler_clients.Clients = attrs.field(init=False)
     callers_server: server.HttpServer = attrs.field(init=False)
     readiness_server: server.HttpServer = attrs.field(init=False)
     waiters: dict[str, list[event.Event]] = attrs.field(factory=dict)
     shutting_down: bool = False
-    scheduler_addresses: set[str] = attrs.field(factory=set)
     counts: scheduler_metrics.SchedulerMetrics = attrs.field(
         factory=scheduler_metrics.SchedulerMetrics
     )
@@ -96,25 +97,49 @@
         self.configuration_watcher = (
             scheduler_configuration.ConfigurationWatcher(
                 platform_store.ConfigurationSource(self.store),
-                self._broadcast_configuration,
+                lambda document, version: self.exchange.notify(),
             )
         )
-        self.roster = scheduler_roster.Roster(
-            self.store, settings.name, address, self._merge_listed_addresses
+        record = runs.SchedulerRecord(
+            address, settings.domain, self.incarnation, 0, True
         )
-        hello = scheduler_peers.make_hello(self.incarnation, address)
         self.peers = scheduler_peers.Peers(
             address,
-            redialling.Redialer(runs.NO_KEY, hello),
-            self._handle_peer_message,
+            redialling.Redialer(
+                runs.NO_KEY,
+                scheduler_peers.make_hello(self.incarnation, address),
+            ),
+            lambda: self.exchange.make_ping(),
+            lambda stream, message: self.exchange.handle(stream, message),
+            clock.boottime,
+        )
+        self.membership = scheduler_membership.Membership(
+            record,
+            self.peers,
+            self._broadcast,
+            clock.boottime,
+            frozenset(settings.seed_streams()),
+        )
+        self.exchange = peer_exchange.PeerExchange(
+            self.configuration_watcher,
+            self.membership,
+            lambda message: self.clients.broadcast(message, runners=False),
+        )
+        self.roster = scheduler_roster.Roster(
+            self.store,
+            settings.name,
+            record,
+            self.membership.list_read,
+            self.membership.set_registered,
         )
         self.clients = scheduler_clients.Clients(
             self.incarnation,
             self.scheduler,
             clock.boottime,
             self.flush,
-            self._peer_connected,
-            self._initial_messages,
+            self.exchange.handle,
+            self.membership.known.messages,
+            self.exchange.greeting,
             self._record_run_end,
         )
         application = platform_callers.Application(
@@ -170,9 +195,6 @@
         settings = self.settings
         self.readiness_server.listen(settings.ready_address)
         self.clients.listen(settings.stream_address)
-        self._update_scheduler_addresses(
-            set(settings.seed_streams()) | {settings.stream_address}
-        )
         for loop in (
             self.timers.run,
             self.configuration_watcher.run,
@@ -181,6 +203,9 @@
             eventlet.spawn_n(loop)
         self.timers.every(TICK_S, self._tick)
         self.timers.every(SILENCE_CHECK_INTERVAL_S, self.clients.close_silent)
+        self.timers.every(
+            scheduler_membership.PUBLICATION_INTERVAL_S, self.membership.update
+        )
         eventlet.spawn_n(self._listen_when_serving)
         gc.collect()
         gc.freeze()
@@ -209,9 +234,7 @@
         if settings.store_address != self.settings.store_address:
             self.store.change_address(settings.store_address)
         self.settings = settings
-        self._update_scheduler_addresses(
-            self.scheduler_addresses | set(settings.seed_streams())
-        )
+        self.membership.seeds = frozenset(settings.seed_streams())
 
     def shut_down(self) -> None:
         """Stops after the open jobs were answered; blocks until then.
@@ -330,58 +353,13 @@
 
     def _tick(self) -> None:
         """Applies timeouts and places waiting tasks, every `TICK_S`."""
-        self.scheduler.scheduler_count = 1 + len(self.peers.streams)
         self.scheduler.tick(clock.boottime())
         self.flush()
 
-    # Other schedulers and the store.
-
-    def _update_scheduler_addresses(self, addresses: set[str]) -> None:
-        """Replaces the known addresses; sends them on if they changed."""
-        if addresses == self.scheduler_addresses:
-            return
-        self.scheduler_addresses = addresses
-        self.peers.set_addresses(addresses)
-        message = runs.Schedulers(tuple(sorted(addresses)))
-        self.clients.broadcast(message, runners=True)
-
-    def _merge_listed_addresses(self, addresses: frozenset[str]) -> None:
-        """Updates the known addresses from the store's list.
-
-        The list may be out of date, so connected peers, the seeds and this
-        scheduler stay known.
-        """
-        connected = set(self.peers.streams) | {self.settings.stream_address}
-        seeds = set(self.settings.seed_streams())
-        self._update_scheduler_addresses(set(addresses) | connected | seeds)
-
-    def _peer_connected(self, address: str) -> None:
-        """Adds the address of a peer that has opened a stream."""
-        self._update_scheduler_addresses(self.scheduler_addresses | {address})
-
-    def _handle_peer_message(self, message: object) -> None:
-        """Handles a configuration or a list of schedulers from a peer."""
-        match message:
-            case runs.ConfigurationPush(document=document):
-                self.configuration_watcher.adopt(document, "peer")
-            case runs.Schedulers(addresses=addresses):
-                self._update_scheduler_addresses(
-                    self.scheduler_addresses | set(addresses)
-                )
-
-    def _broadcast_configuration(self, document: bytes, version: int) -> None:
-        """Sends a new configuration to the peers."""
-        message = runs.ConfigurationPush(version, document)
-        self.clients.broadcast(message, runners=False)
-
-    def _initial_messages(self) -> list:
-        """Returns the messages for a client that has just connected."""
-        messages = [runs.Schedulers(tuple(sorted(self.scheduler_addresses)))]
-        current = self.configuration_watcher.current
-        if current is not None:
-            document = self.configuration_watcher.document
-            messages.append(runs.ConfigurationPush(current.version, document))
-        return messages
+    def _broadcast(self, message: object) -> None:
+        """Sends a message to all connected peers and runners."""
+        self.clients.broadcast(message)
+        self.peers.broadcast(message)
 
     def _record_rejected_request(self, path: str, reason: str) -> None:
         """Counts and logs a request that is not served."""
--- a/trefoilgw/scheduler/roster.py
+++ b/trefoilgw/scheduler/roster.py
@@ -1,10 +1,11 @@
 """Discovery of schedulers through the store.
 
-Each scheduler registers its stream address in a key under a lease, and reads
-all such keys periodically. Only schedulers that start depend on the list: all
-others keep the addresses that they know while the store is unavailable.
+Each scheduler registers itself in a key under a lease, and reads all such keys
+periodically. Only schedulers that start depend on the list: all others keep
+what they know while the store is unavailable.
 """
 
+import json
 import logging
 from collections.abc import Callable
 
@@ -12,13 +13,17 @@
 import eventlet
 
 from trefoilgw.keyvalue import values
+from trefoilgw.messages import runs
 from trefoilgw.platform import store as platform_store
 
 KEY_PREFIX = "trefoilgw/schedulers/"
+SCHEMA_VERSION = 1
 LEASE_S = 9.0
 REFRESH_S = 3.0
-# Delay before the next attempt while the own key is not registered.
+# Delay before the next attempt while the own key is not registered, and
+# between the first reads, when other schedulers may start at the same time.
 RETRY_S = 0.7
+STARTING_READS = 6
 
 log = logging.getLogger(__name__)
 
@@ -30,30 +35,42 @@
     Attributes:
         store: The store.
         name: Name of this scheduler's host.
-        address: Stream address of this scheduler.
-        on_addresses_read: Called with all addresses after each read.
+        record: What this scheduler registers about itself.
+        on_list_read: Called with the records of all listed schedulers and the
+            revision of the store after each complete read.
+        on_registered: Called with whether the list holds this scheduler, as
+            far as it is known, after each attempt.
         lease: Lease of the own key, None while it is not registered.
+        reads: Number of complete reads.
     """
 
     store: platform_store.Store
     name: str
-    address: str
-    on_addresses_read: Callable[[frozenset[str]], None]
+    record: runs.SchedulerRecord
+    on_list_read: Callable[[list[runs.SchedulerRecord], int], None]
+    on_registered: Callable[[bool], None]
     lease: values.Lease | None = None
+    reads: int = 0
 
     @property
     def key(self) -> str:
-        """Key that holds the address of this scheduler."""
+        """Key that holds the record of this scheduler."""
         return KEY_PREFIX + self.name
 
     def run(self) -> None:
-        """Keeps the key registered and reads the addresses, forever.
+        """Keeps the key registered and reads the list, forever.
 
         Run it in a greenthread of its own.
         """
         while True:
-            done = self._renew_registration() and self._read_addresses()
-            eventlet.sleep(REFRESH_S if done else RETRY_S)
+            done = False
+            try:
+                done = self._renew_registration() and self._read_list()
+            except Exception:
+                log.exception("roster update failed")
+            self.on_registered(self.lease is not None)
+            starting = self.reads < STARTING_READS
+            eventlet.sleep(REFRESH_S if done and not starting else RETRY_S)
 
     def deregister(self) -> None:
         """Ends the lease, which deletes the own key."""
@@ -78,7 +95,8 @@
         granted = self.store.grant_lease(LEASE_S)
         if not isinstance(granted, values.Lease):
             return False
-        put = values.Put(self.key, self.address.encode(), granted.lease_id)
+        data = encode_record(self.record)
+        put = values.Put(self.key, data, granted.lease_id)
         answer = self.store.txn((), (put,))
         if not isinstance(answer, values.Committed):
             # If the key was written although the outcome is unknown, it
@@ -87,22 +105,68 @@
         self.lease = granted
         return True
 
-    def _read_addresses(self) -> bool:
-        """Reads all addresses; a missing own key is registered again.
+    def _read_list(self) -> bool:
+        """Reads the list; a missing own key is registered again.
 
         Returns:
-            Whether the list was read and holds the own address.
+            Whether the list was read and holds this scheduler.
         """
         page = self.store.list_stale(KEY_PREFIX)
         if not isinstance(page, values.Page):
             return False
-        addresses = frozenset(
-            x.data.decode("ascii", "replace") for x in page.items
-        )
-        self.on_addresses_read(addresses)
-        if self.address not in addresses:
+        records = []
+        for item in page.items:
+            record = decode_record(item, page.revision)
+            if isinstance(record, str):
+                log.warning(
+                    "roster entry unreadable",
+                    extra={"key": item.key, "error": record},
+                )
+                continue
+            records.append(record)
+        self.reads += 1
+        if page.more:
+            # Nothing may be concluded from what an incomplete list lacks.
+            log.warning("roster incomplete", extra={"entries": len(records)})
+            return True
+        self.on_list_read(records, page.revision)
+        if self.record.address not in {x.address for x in records}:
             # The read may be stale and older than the key. Otherwise the key
             # was deleted although its lease was renewed.
             self.lease = None
             return False
         return True
+
+
+def encode_record(record: runs.SchedulerRecord) -> bytes:
+    """Returns the stored form of a scheduler's record."""
+    document = {
+        "schema": SCHEMA_VERSION,
+        "address": record.address,
+        "domain": record.domain,
+        "incarnation": record.incarnation,
+    }
+    return json.dumps(document).encode()
+
+
+def decode_record(
+    item: values.KeyValue, revision: int
+) -> runs.SchedulerRecord | str:
+    """Returns the record in a stored item, or the reason why there is none.
+
+    Fields that this release doesn't know are ignored.
+
+    Args:
+        item: Item of the store.
+        revision: Revision of the store at which it was read.
+    """
+    try:
+        document = json.loads(item.data)
+    except ValueError as error:
+        return f"not JSON: {error}"
+    if not isinstance(document, dict):
+        return "not an object"
+    texts = [document.get(x) for x in ("address", "domain", "incarnation")]
+    if not all(isinstance(x, str) for x in texts):
+        return "a field is missing or not a text"
+    return runs.SchedulerRecord(*texts, revision, True)
--- a/trefoilgw/scheduling/bidding.py
+++ b/trefoilgw/scheduling/bidding.py
@@ -1,6 +1,13 @@
-"""Bids, with which a scheduler reports its waiting work to the runners."""
+"""Bids, with which a scheduler reports its waiting work to the runners.
+
+Load pattern: work waits at all schedulers of a large fleet. Bids to all runners
+after each change would take more time than the work. The rate of bids is
+therefore limited by the number of runners, and little work bids at some of the
+runners only, as in the batch sampling of Sparrow (Ousterhout et al. 2013).
+"""
 
 from collections.abc import Iterable
+from collections.abc import Sequence
 
 import attrs
 
@@ -12,6 +19,11 @@
 # Minimum interval between bids to a runner, except for the first bid of some
 # waiting work and its withdrawal.
 BID_INTERVAL_S = 0.02
+# Mean interval between updates of the bids, over all runners.
+BID_SPACING_S = 0.002
+# Runners at which work bids at least, and for each waiting task.
+MIN_BID_RUNNERS = 12
+BID_RUNNERS_PER_TASK = 4
 
 
 def make_bid(
@@ -44,6 +56,55 @@
     return messages.Bid(tuple(demands.values()))
 
 
+def update_interval_s(runner_count: int) -> float:
+    """Returns the least interval between updates of the bids in seconds."""
+    return max(BID_INTERVAL_S, BID_SPACING_S * runner_count)
+
+
+def is_due_at_once(urgency: int | None, previous: int | None) -> bool:
+    """Returns whether bids must be updated without waiting for the interval.
+
+    Args:
+        urgency: Urgency class of the most urgent waiting job, None if none
+            waits.
+        previous: The same at the last update.
+    """
+    if urgency is None or previous is None:
+        return urgency != previous
+    return urgency < previous
+
+
+def select_bidders(
+    views: Sequence[runners.RunnerView], bid: messages.Bid, rotation: int
+) -> list[runners.RunnerView]:
+    """Returns the runners that get a bid.
+
+    Those that have one already keep getting updates, and the withdrawal.
+
+    Args:
+        views: Usable runners of the service.
+        bid: The bid.
+        rotation: Changes from job to job, so that the load of the bids is
+            spread over the runners.
+    """
+    selected = [x for x in views if x.bid.demands]
+    wanted = max(MIN_BID_RUNNERS, BID_RUNNERS_PER_TASK * _task_count(bid))
+    missing = min(wanted, len(views)) - len(selected)
+    if not bid.demands or missing <= 0:
+        return selected
+    others = [x for x in views if not x.bid.demands]
+    start = rotation % len(others)
+    return selected + (others[start:] + others[:start])[:missing]
+
+
+def _task_count(bid: messages.Bid) -> int:
+    """Returns about how many tasks a bid is for."""
+    return sum(
+        -(-x.wanted.cpu_millicores // max(1, x.room.cpu_millicores))
+        for x in bid.demands
+    )
+
+
 def must_send(
     view: runners.RunnerView, bid: messages.Bid, now_s: float
 ) -> bool:
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -15,6 +15,7 @@
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import admission
 from trefoilgw.scheduling import bidding
+from trefoilgw.scheduling import capacities
 from trefoilgw.scheduling import forecasts
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import placing
@@ -51,8 +52,6 @@
 
     Attributes:
         domain: Failure domain of the scheduler.
-        scheduler_count: Number of schedulers that share the runners, this one
-            included.
         admitted: Jobs that have not ended, by key.
         waiting_jobs: Jobs with waiting tasks, most urgent first.
         runner_views: Runners by name.
@@ -60,19 +59,27 @@
         arrivals: Arrival rates of admitted jobs by queue.
         lost_runners: Time of the last answered ping of each disconnected
             runner whose runs may still go on, by its name and incarnation.
+        largest_targets: Capacities of the targets that were reported lately.
         forecaster: Predicts how long a job would wait.
+        bid_urgency: Most urgent class of the last bids, None while nothing
+            waits.
+        bids_updated_s: Time of the last update of the bids.
         pending_actions: Actions not yet taken by the program.
     """
 
     domain: str
-    scheduler_count: int = 1
     admitted: dict[str, jobs.Job] = attrs.field(factory=dict)
     waiting_jobs: list[jobs.Job] = attrs.field(factory=list)
     runner_views: dict[str, runners.RunnerView] = attrs.field(factory=dict)
     run_times: runtimes.RunTimes = attrs.field(factory=runtimes.RunTimes)
     arrivals: dict[str, admission.ArrivalRate] = attrs.field(factory=dict)
     lost_runners: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    largest_targets: capacities.LargestTargets = attrs.field(
+        factory=capacities.LargestTargets
+    )
     forecaster: forecasts.Forecaster = attrs.field(init=False)
+    bid_urgency: int | None = None
+    bids_updated_s: float = 0.0
     pending_actions: list = attrs.field(factory=list)
     _order: int = 0
 
@@ -105,15 +112,16 @@
         known = self.admitted.get(spec.key)
         if known is not None:
             return known
+        refusal = self._refuse_too_large(spec, now_s)
+        if refusal is not None:
+            return refusal
         job = self._make_job(spec, first_run, now_s)
         slack_s = job.latest_start_s - now_s
         if not any(
             x.serves(spec.queue.service) for x in self.runner_views.values()
         ):
             return actions.Rejected("no_target", 1.0)
-        forecast = self.forecaster.predict(
-            job, self.admitted.values(), self.scheduler_count, now_s
-        )
+        forecast = self.forecaster.predict(job, self.admitted.values(), now_s)
         if forecast.wait_s > slack_s:
             return actions.Rejected(
                 "overload",
@@ -133,6 +141,24 @@
         self._place(now_s)
         return job
 
+    def _refuse_too_large(
+        self, spec: work.JobSpec, now_s: float
+    ) -> actions.Rejected | None:
+        """Rejects a job for good if one of its tasks fits in no target."""
+        service = spec.queue.service
+        for demand in {x.demand for x in spec.tasks}:
+            limit = self.largest_targets.exceeded(service, demand, now_s)
+            if limit is not None:
+                detail = (
+                    f"a task needs {demand.cpu_millicores} millicores, "
+                    f"{demand.memory_mb} MB and {demand.accelerators} "
+                    f"accelerators; targets have at most "
+                    f"{limit.cpu_millicores}, {limit.memory_mb} and "
+                    f"{limit.accelerators}"
+                )
+                return actions.Rejected("too_large", None, detail=detail)
+        return None
+
     def _make_job(
         self, spec: work.JobSpec, first_run: int, now_s: float
     ) -> jobs.Job:
@@ -238,11 +264,9 @@
             self._send_message(name, messages.StopRuns(unknown))
         self._place(now_s)
 
-    def runner_pinged(self, name: str, sent_s: float, now_s: float) -> None:
-        """Renews the scheduler's authority at a runner."""
-        view = self.runner_views[name]
-        view.last_pong_s = now_s
-        self._send_message(name, messages.RunnerPong(sent_s))
+    def runner_pinged(self, name: str, now_s: float) -> None:
+        """Notes that a ping of a runner is answered."""
+        self.runner_views[name].last_pong_s = now_s
 
     def capacity_reported(
         self, name: str, report: messages.CapacityReport, now_s: float
@@ -251,6 +275,12 @@
         view = self.runner_views[name]
         view.update_report(report)
         view.last_report_s = now_s
+        self.largest_targets.record(
+            report.service, name, report.capacity.demand, now_s
+        )
+        if view.bid.demands and self.bid_urgency is None:
+            # It was not usable when the other bids were withdrawn.
+            self.bid_urgency = view.bid.demands[0].urgency
         self._place(now_s)
 
     def run_ended(
@@ -348,6 +378,9 @@
 
     def _place(self, now_s: float) -> None:
         """Sends waiting tasks to runners with free capacity, then bids."""
+        if not self.waiting_jobs:
+            self._send_bids(now_s)
+            return
         batches: dict[str, dict[jobs.Job, list[jobs.Task]]] = {}
         with_capacity = [
             x
@@ -376,9 +409,7 @@
                     skipped += 1
                     break
                 self._mark_sent(job, task, view, now_s)
-                view.unreported_demands.append(
-                    (view.starts_sent + 1, task.spec.demand)
-                )
+                view.add_unreported(task.spec.demand)
                 batches.setdefault(view.name, {}).setdefault(job, []).append(
                     task
                 )
@@ -467,21 +498,27 @@
         self._send_bids(now_s)
 
     def _send_bids(self, now_s: float) -> None:
-        """Sends each usable runner a bid if the waiting work has changed."""
-        bids: dict[str, messages.Bid] = {}
-        for view in self.runner_views.values():
-            if not view.usable:
-                continue
-            service = view.report.service
-            if service not in bids:
-                bids[service] = bidding.make_bid(
-                    self.waiting_jobs, service, now_s
-                )
-            bid = bids[service]
-            if bidding.must_send(view, bid, now_s):
-                view.bid = bid
-                view.bid_sent_s = now_s
-                self._send_message(view.name, bid)
+        """Updates the bids at the runners if the waiting work has changed."""
+        first = self.waiting_jobs[0].urgency if self.waiting_jobs else None
+        interval_s = bidding.update_interval_s(len(self.runner_views))
+        if first is None and self.bid_urgency is None:
+            return
+        if now_s - self.bids_updated_s < interval_s and not (
+            bidding.is_due_at_once(first, self.bid_urgency)
+        ):
+            return
+        self.bid_urgency = first
+        self.bids_updated_s = now_s
+        usable = [x for x in self.runner_views.values() if x.usable]
+        services = {x.report.service for x in usable}
+        for service in services:
+            bid = bidding.make_bid(self.waiting_jobs, service, now_s)
+            views = [x for x in usable if x.report.service == service]
+            for view in bidding.select_bidders(views, bid, self._order):
+                if bidding.must_send(view, bid, now_s):
+                    view.bid = bid
+                    view.bid_sent_s = now_s
+                    self._send_message(view.name, bid)
 
     # Time.
 
--- a/trefoilgw/scheduling/forecasts.py
+++ b/trefoilgw/scheduling/forecasts.py
@@ -54,7 +54,6 @@
         self,
         job: jobs.Job,
         admitted: Iterable[jobs.Job],
-        scheduler_count: int,
         now_s: float,
     ) -> Forecast:
         """Predicts the wait of a new job.
@@ -62,8 +61,6 @@
         Args:
             job: The job, not yet among the waiting jobs.
             admitted: All admitted jobs of this scheduler.
-            scheduler_count: Number of schedulers that share the runners. Each
-                is assumed to admit urgent work at the same rate.
             now_s: Current time.
         """
         service = job.spec.queue.service
@@ -76,7 +73,7 @@
             needed -= _fitting_millicores(job, healthy)
         needed -= self._joining_millicores(serving, now_s)
         slack_s = job.latest_start_s - now_s
-        urgent_rate = scheduler_count * sum(
+        urgent_rate = _scheduler_count(serving) * sum(
             x.rate(now_s)
             for x in self.arrivals.values()
             if x.slack_s < slack_s / 2
@@ -113,18 +110,30 @@
         return joining * capacity // len(known)
 
 
+def _scheduler_count(views: Sequence[runners.RunnerView]) -> float:
+    """Returns how many schedulers share a runner on average.
+
+    Each of them is assumed to admit urgent work at the same rate.
+    """
+    if not views:
+        return 1.0
+    return max(1.0, sum(x.report.schedulers for x in views) / len(views))
+
+
 def _other_demand_ahead(
-    job: jobs.Job, views: Iterable[runners.RunnerView]
+    job: jobs.Job, views: Sequence[runners.RunnerView]
 ) -> int:
     """Returns the capacity needed by other schedulers' work before a job.
 
-    The newest report is used; it lists that work by urgency class. Work of the
-    job's own class is included.
+    A report lists all waiting work of the other schedulers of a runner, by
+    urgency class. Each of them bids at about as many runners as this
+    scheduler, so the mean over the runners is the demand that this scheduler
+    competes with. Work of the job's own class is included.
     """
-    newest = max(views, key=lambda x: x.last_report_s, default=None)
-    if newest is None:
+    if not views:
         return 0
-    return sum(newest.report.competing_cpu[: job.urgency + 1])
+    demand = sum(sum(x.report.competing_cpu[: job.urgency + 1]) for x in views)
+    return demand // len(views)
 
 
 def _fitting_millicores(
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -67,6 +67,7 @@
     bid: messages.Bid = NO_BID
     bid_sent_s: float = 0.0
     probed_s: float = -1e9
+    _free: work.Demand | None = None
 
     @property
     def usable(self) -> bool:
@@ -95,12 +96,16 @@
         """
         if self.blocked or self.report is None:
             return work.Demand()
-        free = self.report.free.demand
-        if not self.unreported_demands:
-            return free
-        return free.minus(
-            work.total(demand for _, demand in self.unreported_demands)
-        )
+        if self._free is None:
+            self._free = self.report.free.demand.minus(
+                work.total(demand for _, demand in self.unreported_demands)
+            )
+        return self._free
+
+    def add_unreported(self, demand: work.Demand) -> None:
+        """Subtracts the demand of a task in the next `StartRuns` message."""
+        self.unreported_demands.append((self.starts_sent + 1, demand))
+        self._free = None
 
     def used(self) -> int:
         """Returns the millicores in use."""
@@ -116,6 +121,7 @@
     def update_report(self, report: messages.CapacityReport) -> None:
         """Stores a report and drops the demands that it covers."""
         self.report = report
+        self._free = None
         self.blocked = False
         self.unreported_demands = [
             x for x in self.unreported_demands if x[0] > report.starts_received
--- a/trefoilgw/streams/core.py
+++ b/trefoilgw/streams/core.py
@@ -115,9 +115,19 @@
             closes now, as its outbox is full. True does not mean that the
             message arrived.
         """
+        return not self.closed and self.send_frame(codec.encode(message))
+
+    def send_frame(self, frame: bytes) -> bool:
+        """Queues an encoded message, which may go to many streams.
+
+        Args:
+            frame: The result of `codec.encode`.
+
+        Returns:
+            False if the message was not sent; see `send`.
+        """
         if self.closed:
             return False
-        frame = codec.encode(message)
         self._outbox.append(frame)
         self._outbox_bytes += len(frame)
         self.sent_messages += 1
--- a/trefoilgw/streams/redialling.py
+++ b/trefoilgw/streams/redialling.py
@@ -9,7 +9,7 @@
 
 from trefoilgw.streams import core as streams
 
-DIAL_TIMEOUT_S = 0.5
+DIAL_TIMEOUT_S = 1.0
 MIN_REDIAL_DELAY_S = 0.1
 MAX_REDIAL_DELAY_S = 1.0
 
--- a/trefoilgw/tests/test_layers.py
+++ b/trefoilgw/tests/test_layers.py
@@ -22,6 +22,7 @@
         "room",
         "scheduling",
         "slots",
+        "subsets",
         "work",
     }
 )
