Refuse input that no process can handle, and reject for good what never fits

Cause: a payload with half of a surrogate pair, an estimate or a header of hundreds of digits ended in a 500 with a stack trace; NaN passed as a time between processes, and a lease compared with it never expires; a task larger than any target was rejected as overload with a Retry-After.

Change: text is checked for UTF-8, integers for 2**53, floats of messages for being finite.

Result: the new cases of test_decoding, test_callers and test_codec fail without the change and pass with it; 61 tests of the parts concerned pass.

--- a/trefoilgw/messages/codec.py
+++ b/trefoilgw/messages/codec.py
@@ -7,6 +7,7 @@
 
 import functools
 import itertools
+import math
 import operator
 import struct
 from collections.abc import Callable
@@ -117,6 +118,28 @@
     return frozenset(itertools.product(*(field.types for field in fields)))
 
 
+@functools.cache
+def _float_indexes(cls: type) -> tuple[int, ...]:
+    """Returns the positions of the fields that hold a float."""
+    return tuple(
+        index
+        for index, field in enumerate(_fields(cls))
+        if float in field.types
+    )
+
+
+def _check_finite(cls: type, flat: list) -> None:
+    """Checks the floats of a value; comparisons with NaN are always false.
+
+    Raises:
+        FrameError: A float is infinite or not a number.
+    """
+    for index in _float_indexes(cls):
+        if index < len(flat) and not math.isfinite(flat[index]):
+            name = _fields(cls)[index].name
+            raise FrameError(f"field {name} is not a finite number")
+
+
 def _read_field(field: _Field, content):
     """Returns the value of one field from its wire form.
 
@@ -143,9 +166,12 @@
     if not isinstance(flat, list) or len(flat) < _required_count(cls):
         raise FrameError(f"{cls.__name__} has too few fields")
     if tuple(map(type, flat)) in _plain_signatures(cls):
+        _check_finite(cls, flat)
         return cls(*flat)
     pairs = zip(_fields(cls), flat, strict=False)
-    return cls(*[_read_field(field, content) for field, content in pairs])
+    values = [_read_field(field, content) for field, content in pairs]
+    _check_finite(cls, values)
+    return cls(*values)
 
 
 def encode(message) -> bytes:
--- a/trefoilgw/messages/tests/test_codec.py
+++ b/trefoilgw/messages/tests/test_codec.py
@@ -10,6 +10,7 @@
 
 from trefoilgw.messages import codec
 from trefoilgw.messages import core as messages
+from trefoilgw.messages import runs
 from trefoilgw.outcomes import core as outcomes
 
 ENTRY = messages.RosterEntry("a" * 16, "127.0.0.1:1", "127.0.0.1:2", "d1")
@@ -57,6 +58,18 @@
             with self.subTest(name), self.assertRaises(codec.FrameError):
                 list(codec.Decoder().feed(data))
 
+    def test_times_that_are_no_numbers_are_refused(self):
+        """No comparison with NaN holds, so a lease would never expire."""
+        for value in (float("nan"), float("inf")):
+            for message in (
+                runs.RunnerPing(value),
+                runs.RunEnded("t", 1, "done", "", value),
+            ):
+                with self.subTest(message=message):
+                    frame = codec.encode(message)
+                    with self.assertRaises(codec.FrameError):
+                        list(codec.Decoder().feed(frame))
+
     def test_truncated_frame_yields_nothing(self):
         """A stream cut within a frame must not yield a partial message."""
         data = codec.encode(SAMPLES[-1])
--- a/trefoilgw/platform/callers.py
+++ b/trefoilgw/platform/callers.py
@@ -15,6 +15,8 @@
 _KEY = re.compile(r"[0-9a-f]{16}")
 _BAD_GATEWAY = "502 Bad Gateway"
 _UNAVAILABLE = "503 Service Unavailable"
+# Enough for days in milliseconds.
+MAX_WAIT_DIGITS = 9
 
 
 @attrs.frozen
@@ -136,9 +138,9 @@
     name suggests, a point in time.
 
     Returns:
-        None if the header is absent or not a decimal number.
+        None if the header is absent or not a sensible decimal number.
     """
-    if not header.isdecimal():
+    if not header.isdecimal() or len(header) > MAX_WAIT_DIGITS:
         return None
     return int(header) / 1000
 
@@ -166,9 +168,11 @@
             return _reply(start_response, "200 OK", _state_body("completed"))
         case actions.Failed():
             return _reply(start_response, "200 OK", _state_body("failed"))
-        case actions.Rejected(reason=reason, retry_after_s=retry_after_s):
-            body = _reason_body(reason)
-            return _reply(start_response, _UNAVAILABLE, body, retry_after_s)
+        case actions.Rejected(reason=reason, detail=detail):
+            body = _reason_body(f"{reason}: {detail}" if detail else reason)
+            return _reply(
+                start_response, _UNAVAILABLE, body, outcome.retry_after_s
+            )
         case actions.Unfinished(reason=reason):
             # This is the only status on which callers resubmit a job.
             return _reply(start_response, _BAD_GATEWAY, _reason_body(reason))
--- a/trefoilgw/platform/fields.py
+++ b/trefoilgw/platform/fields.py
@@ -6,9 +6,14 @@
 """
 
 import json
+import sys
 
 import attrs
 
+# Larger integers lose digits in other JSON implementations, and messages
+# between processes hold 64 bits.
+MAX_INTEGER = 2**53
+
 
 class FieldError(Exception):
     """A body has a missing or invalid field; the message says where."""
@@ -63,20 +68,29 @@
         return value
 
     def text(self, name: str, default: str | None = None) -> str:
-        """Returns a string."""
-        return self._get(name, (str,), default)
+        """Returns a string that can be encoded as UTF-8."""
+        value = self._get(name, (str,), default)
+        try:
+            value.encode()
+        except UnicodeEncodeError as error:
+            # JSON can escape half of a surrogate pair.
+            detail = f"{self.location}{name} is not valid Unicode"
+            raise FieldError(detail) from error
+        return value
 
     def integer(self, name: str, default: int | None = None) -> int:
-        """Returns an integer that is not negative."""
+        """Returns an integer from 0 to `MAX_INTEGER`."""
         value = self._get(name, (int,), default)
         if value < 0:
             raise FieldError(f"{self.location}{name} is negative")
+        if value > MAX_INTEGER:
+            raise FieldError(f"{self.location}{name} is out of range")
         return value
 
     def number(self, name: str, default: float | None = None) -> float:
         """Returns a finite number that is not negative, as a float."""
         value = self._get(name, (int, float), default)
-        if not 0 <= value < float("inf"):
+        if not 0 <= value <= sys.float_info.max:
             raise FieldError(f"{self.location}{name} is out of range")
         return float(value)
 
--- a/trefoilgw/platform/tests/test_callers.py
+++ b/trefoilgw/platform/tests/test_callers.py
@@ -38,7 +38,7 @@
 
     def test_missing_or_invalid_header_is_ignored(self):
         """A header that can't be parsed must not reject the job."""
-        for text in ("", "soon", "-5", "1.5", "²"):
+        for text in ("", "soon", "-5", "1.5", "²", "9" * 5000):
             with self.subTest(text=text):
                 found = parse_submission(HTTP_X_DEADLINE_MS=text)
                 self.assertIsNone(found.job.caller_wait_s)
--- a/trefoilgw/platform/tests/test_decoding.py
+++ b/trefoilgw/platform/tests/test_decoding.py
@@ -122,6 +122,8 @@
             [{"count": 1, "cpu": -5}],
             [{"count": True}],
             [{"count": 1, "estimateMs": "long"}],
+            [{"count": 1, "estimateMs": 10**400}],
+            [{"count": 1, "cpu": 10**30}],
             [7],
             "none",
         )
@@ -129,7 +131,15 @@
             with self.subTest(steps=steps):
                 self.assertIsInstance(submission(steps), requests.Malformed)
         queue = configuration().queues[0]
-        for data in (b"", b"\xff", b"[]", b"{" * 100_000, b'{"spec": 1}'):
+        surrogate = b'{"spec": "\\ud800", "steps": [{"count": 1}]}'
+        for data in (
+            b"",
+            b"\xff",
+            b"[]",
+            b"{" * 100_000,
+            b'{"spec": 1}',
+            surrogate,
+        ):
             with self.subTest(data=data[:20]):
                 found = submissions.decode(KEY, queue, data)
                 self.assertIsInstance(found, requests.Malformed)
--- a/trefoilgw/scheduler/decision_log.py
+++ b/trefoilgw/scheduler/decision_log.py
@@ -53,7 +53,7 @@
             "queue": spec.queue.name,
             "configuration": version,
             "reason": outcome.reason,
-            "retry_after_s": round(outcome.retry_after_s, 3),
+            "retry_after_s": round(outcome.retry_after_s or 0.0, 3),
             "wait_s": round(outcome.wait_s, 3),
             "slack_s": round(outcome.slack_s, 3),
             "ahead_millicores": outcome.ahead_millicores,
--- a/trefoilgw/scheduling/actions.py
+++ b/trefoilgw/scheduling/actions.py
@@ -35,20 +35,23 @@
 
     Attributes:
         reason: Stable code for logs and metrics.
-        retry_after_s: Seconds after which it would probably be admitted.
+        retry_after_s: Seconds after which it would probably be admitted, None
+            if it never will.
         wait_s: Predicted wait for capacity in seconds; 0 if the job was
             rejected for another reason.
         slack_s: Seconds that the job could have waited.
         ahead_millicores: Capacity needed by more urgent waiting work.
         rate: Capacity freed per second, in millicores.
+        detail: What the caller would have to change, for people.
     """
 
     reason: str
-    retry_after_s: float
+    retry_after_s: float | None
     wait_s: float = 0.0
     slack_s: float = 0.0
     ahead_millicores: int = 0
     rate: float = 0.0
+    detail: str = ""
 
 
 @attrs.frozen
--- a/trefoilgw/scheduling/tests/test_core.py
+++ b/trefoilgw/scheduling/tests/test_core.py
@@ -264,13 +264,32 @@
         self.assertEqual([], fixtures.answers(scheduler.take_actions()))
 
 
+class TooLargeTest(unittest.TestCase):
+    def test_task_larger_than_any_target_is_rejected_for_good(self):
+        """A Retry-After would make its caller return for ever."""
+        scheduler = fixtures.make_scheduler("r1", "r2")
+        outcome = scheduler.submit(fixtures.job("j", millicores=10**9), 1, 0.0)
+        self.assertEqual("too_large", outcome.reason)
+        self.assertIsNone(outcome.retry_after_s)
+        self.assertIn("4000", outcome.detail)
+
+    def test_limit_is_remembered_while_targets_are_away(self):
+        """Otherwise the job would be told to come back during an outage."""
+        scheduler = fixtures.make_scheduler("r1")
+        scheduler.runner_disconnected("r1")
+        outcome = scheduler.submit(fixtures.job("j", millicores=5000), 1, 9.0)
+        self.assertEqual("too_large", outcome.reason)
+        outcome = scheduler.submit(fixtures.job("k", millicores=4000), 1, 9.0)
+        self.assertEqual("no_target", outcome.reason)
+
+
 class LostRunnerTest(unittest.TestCase):
     def scheduler_without_runner(self):
         """Returns a scheduler that has lost the runner of its only job."""
         scheduler = fixtures.make_scheduler("r1", "r2")
         scheduler.submit(fixtures.job("j"), 1, 0.0)
         self.name = fixtures.sent(scheduler.take_actions())[0][0]
-        scheduler.runner_pinged(self.name, 0.0, 1.0)
+        scheduler.runner_pinged(self.name, 1.0)
         scheduler.take_actions()
         scheduler.runner_disconnected(self.name)
         return scheduler
