Keep streams, configuration and starts going after an unexpected error

Cause: the listener of streams ended with the first failed accept, for example while no descriptor was free, and nothing could connect any more. An exception ended the watch of the configuration, the redialing of a scheduler, or the start of a run, whose capacity then stayed in use.

Change: a failed accept is repeated until the listener is closed; the watch starts again with a read; the stream is closed and opened again; the start is handled like one whose answer was lost.

--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -105,9 +105,14 @@
             self.on_change()
             return
         sent_s = self.now()
-        answer = self.client.start(
-            target.instance, task, run, payload, self._lease_end_s()
-        )
+        try:
+            answer = self.client.start(
+                target.instance, task, run, payload, self._lease_end_s()
+            )
+        except Exception as error:
+            # The order may have been sent, so it is handled like a lost answer.
+            log.exception("start failed", extra={"task": task, "run": run})
+            answer = orders.NoAnswer(True, repr(error))
         match answer:
             case orders.Accepted(clock_s=clock_s):
                 self._set_clock(clock_s)
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -195,11 +195,30 @@
         link.retiring_since_s = None
         log.info("scheduler joined", extra={"address": link.address})
         self.allocator.owner_connected(link.owner, self.now())
-        self.on_change()
-        stream.start(
-            lambda _, message: self._handle(link, message),
-            lambda _, reason: closed.send(reason),
+        try:
+            self.on_change()
+            stream.start(
+                lambda _, message: self._handle(link, message),
+                lambda _, reason: closed.send(reason),
+            )
+            self._watch(link, stream, closed)
+        finally:
+            link.stream = None
+            link.down_since_s = self.now()
+            self.allocator.owner_disconnected(link.owner, self.now())
+        log.info(
+            "scheduler lost",
+            extra={"address": link.address, "reason": closed.wait()},
         )
+        self.on_change()
+
+    def _watch(
+        self,
+        link: Link,
+        stream: streams.Stream,
+        closed: eventlet.event.Event,
+    ) -> None:
+        """Waits until a stream is closed; closes it if no ping is answered."""
         while not closed.ready():
             closed.wait(timeout=MAX_SILENCE_S / 4)
             owner = self.allocator.owners.get(link.owner)
@@ -208,14 +227,6 @@
             )
             if silent and not closed.ready():
                 stream.close("silent")
-        link.stream = None
-        link.down_since_s = self.now()
-        log.info(
-            "scheduler lost",
-            extra={"address": link.address, "reason": closed.wait()},
-        )
-        self.allocator.owner_disconnected(link.owner, self.now())
-        self.on_change()
 
     def _handle(self, link: Link, message: object) -> None:
         """Handles one message of a scheduler."""
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -27,7 +27,10 @@
     stopped: list = attrs.field(factory=list)
 
     def _next(self, answers):
-        return answers.pop(0) if len(answers) > 1 else answers[0]
+        answer = answers.pop(0) if len(answers) > 1 else answers[0]
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
 
     def start(self, instance, task, run, payload, lease_end_s):
         return self._next(self.starts)
@@ -90,6 +93,15 @@
             [(A, "j.0.0.0", "not_run", "not_answered")], self.endings()
         )
 
+    def test_unexpected_error_of_a_start_is_like_a_lost_answer(self):
+        """The run would keep its capacity until the runner restarts."""
+        self.request_start("j.0.0.0")
+        self.client.starts = [RuntimeError("unexpected")]
+        with self.assertLogs("trefoilgw.runner.driving", "ERROR"):
+            self.driver.start("j.0.0.0", 1, "p")
+        self.assertEqual(["j.0.0.0"], self.client.stopped)
+        self.assertEqual({}, self.allocator.runs)
+
     def test_two_stops_share_one_confirmation(self):
         """A pending stop must not be taken for a confirmed one."""
         self.request_start("j.0.0.0")
--- a/trefoilgw/scheduler/configuration.py
+++ b/trefoilgw/scheduler/configuration.py
@@ -77,22 +77,29 @@
         revision = 0
         pause_s = MIN_RETRY_S
         while True:
-            answer = self._fetch(revision)
-            match answer:
-                case (data, new_revision):
-                    pause_s = MIN_RETRY_S
-                    revision = new_revision
-                    if data:
-                        self.adopt(data, "store")
-                    elif self.current is None:
-                        eventlet.sleep(MIN_RETRY_S)
-                case platform_store.HistoryGone():
-                    log.warning("store has dropped its history")
-                    revision = 0
-                case _:
-                    eventlet.sleep(pause_s * self.rng.uniform(0.7, 1.3))
-                    pause_s = min(MAX_RETRY_S, pause_s * 2)
-            self._update_store_reached(answer)
+            try:
+                answer = self._fetch(revision)
+                self._update_store_reached(answer)
+                match answer:
+                    case (data, new_revision):
+                        pause_s = MIN_RETRY_S
+                        revision = new_revision
+                        if data:
+                            self.adopt(data, "store")
+                        elif self.current is None:
+                            eventlet.sleep(MIN_RETRY_S)
+                        continue
+                    case platform_store.HistoryGone():
+                        log.warning("store has dropped its history")
+                        revision = 0
+                        continue
+            except Exception:
+                # A watch that ended here would leave this process behind for
+                # good, so it starts again with a read.
+                log.exception("configuration update failed")
+                revision = 0
+            eventlet.sleep(pause_s * self.rng.uniform(0.7, 1.3))
+            pause_s = min(MAX_RETRY_S, pause_s * 2)
 
     def _fetch(self, revision: int):
         """Reads the document, or waits for a change after a revision."""
--- a/trefoilgw/streams/core.py
+++ b/trefoilgw/streams/core.py
@@ -32,6 +32,8 @@
 MAX_OUTBOX_BYTES = 32 * 1024 * 1024
 NONCE_BYTES = 16
 LISTEN_BACKLOG = 1024
+# Pause after a failed accept, for example while no descriptor is free.
+ACCEPT_RETRY_S = 0.1
 
 log = logging.getLogger(__name__)
 
@@ -346,12 +348,14 @@
             `HelloRefused`.
         on_stream: Called with each accepted stream, which is not started yet.
         refused_hellos: Hellos refused and handshakes failed so far.
+        closed: True once `close` was called.
     """
 
     key: bytes
     admit: Callable
     on_stream: Callable
     refused_hellos: int = 0
+    closed: bool = False
     _sock: socket.socket | None = None
 
     def listen(self, address: str) -> str:
@@ -369,16 +373,20 @@
 
     def close(self) -> None:
         """Stops accepting connections; open streams stay open."""
+        self.closed = True
         if self._sock is not None:
             close_socket(self._sock)
 
     def _accept_loop(self) -> None:
         """Accepts connections until the listener is closed."""
-        while True:
+        while not self.closed:
             try:
                 sock, peer = self._sock.accept()
-            except OSError:
-                return
+            except OSError as error:
+                if not self.closed:
+                    log.warning("accept failed", extra={"error": str(error)})
+                    eventlet.sleep(ACCEPT_RETRY_S)
+                continue
             eventlet.spawn_n(
                 self._handle_connection, sock, f"{peer[0]}:{peer[1]}"
             )
--- a/trefoilgw/streams/redialling.py
+++ b/trefoilgw/streams/redialling.py
@@ -40,7 +40,8 @@
 
         Runs until `is_wanted` returns False, so spawn it as a greenthread. The
         delay between dials doubles with each failure up to
-        `MAX_REDIAL_DELAY_S`.
+        `MAX_REDIAL_DELAY_S`. An exception of `serve` is logged and closes the
+        stream.
 
         Args:
             address: ``ip:port`` of a listener.
@@ -59,4 +60,9 @@
                 delay_s = min(MAX_REDIAL_DELAY_S, delay_s * 2)
                 continue
             delay_s = MIN_REDIAL_DELAY_S
-            serve(stream)
+            try:
+                serve(stream)
+            except Exception:
+                log.exception("stream failed", extra={"address": address})
+                stream.close("failed")
+                eventlet.sleep(delay_s)
--- a/trefoilgw/streams/tests/test_core.py
+++ b/trefoilgw/streams/tests/test_core.py
@@ -1,7 +1,9 @@
 """Tests of streams: handshake, refusals, interrupted connections."""
 
+import errno
 import socket as stdlib_socket
 import unittest
+from unittest import mock
 
 import eventlet
 from eventlet import hubs
@@ -11,6 +13,7 @@
 from trefoilgw.messages import codec
 from trefoilgw.messages import core as messages
 from trefoilgw.streams import core as streams
+from trefoilgw.streams import redialling
 
 KEY = b"shared key"
 TIMEOUT_S = 10.0
@@ -151,6 +154,49 @@
             pass
         self.assertTrue(self.accepted.empty())
 
+    def test_failed_accept_does_not_end_the_listener(self):
+        """While no descriptor is free, accept fails for some time."""
+        accept = self.listener._sock.accept
+        failures = [OSError(errno.EMFILE, "too many open files")] * 2
+
+        def accept_after_failures():
+            if failures:
+                raise failures.pop()
+            return accept()
+
+        with (
+            mock.patch.object(
+                self.listener._sock, "accept", accept_after_failures
+            ),
+            mock.patch.object(streams, "ACCEPT_RETRY_S", 0.01),
+        ):
+            # The accept that is already waiting takes the first connection.
+            self.connect()
+            self.connect()
+        self.assertEqual([], failures)
+
+
+class RedialTest(unittest.TestCase):
+    def test_unexpected_error_does_not_end_redialing(self):
+        """The peer would stay unreachable until the process restarts."""
+        accepted = queue.Queue()
+        listener = streams.Listener(KEY, welcome, accepted.put)
+        address = listener.listen("127.0.0.1:0")
+        self.addCleanup(listener.close)
+        served = []
+
+        def serve(stream):
+            served.append(stream)
+            if len(served) == 1:
+                raise RuntimeError("unexpected")
+
+        redialer = redialling.Redialer(KEY, hello())
+        with self.assertLogs("trefoilgw.streams.redialling", "ERROR"):
+            redialer.maintain_stream(address, lambda: len(served) < 2, serve)
+        self.assertEqual(2, len(served))
+        self.assertTrue(served[0].closed)
+        served[1].close("done")
+
 
 class ListenTest(unittest.TestCase):
     def test_a_port_is_bound_once(self):
