Reserve the ports of a test deployment while it exists

Cause: two test runs on one machine could choose the same ports, since a port was free again as soon as it was chosen.

Change: a listening socket on another address keeps each port until the deployment is closed.

--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -24,13 +24,13 @@
 POLL_INTERVAL_S = 0.02
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports that nothing listens on."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [x.getsockname()[1] for x in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+def reserve_ports(count: int) -> list[socket.socket]:
+    """Returns listening sockets whose ports no other deployment chooses.
+
+    No host of a deployment has the address that they are bound to, so the
+    programs can listen on the same ports while the sockets stay open.
+    """
+    return [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
 
 
 def new_key() -> str:
@@ -59,17 +59,33 @@
         launcher: Starts and ends the processes.
         schedulers: Number of schedulers.
         runners: Number of runners, each with a target.
-        ports: Ports of every host for callers, readiness, streams, reports,
-            targets and metrics, in this order.
+        reservations: Sockets that keep the ports from other deployments.
         store: Address of the store; empty until `start` was called.
     """
 
     launcher: processes.Launcher
     schedulers: int = 2
     runners: int = 3
-    ports: list[int] = attrs.field(factory=lambda: free_ports(6))
+    reservations: list[socket.socket] = attrs.field(
+        factory=lambda: reserve_ports(6)
+    )
     store: str = ""
 
+    @property
+    def ports(self) -> list[int]:
+        """Ports of every host.
+
+        Those for callers, readiness, streams, reports, targets and metrics, in
+        this order.
+        """
+        return [x.getsockname()[1] for x in self.reservations]
+
+    def close(self) -> None:
+        """Ends all processes and gives the ports up."""
+        self.launcher.close()
+        for reservation in self.reservations:
+            reservation.close()
+
     def start(self) -> None:
         """Starts all processes and waits until jobs are served."""
         store = self.launcher.start("store", "tools.standins.platform_store")
--- a/tools/tests/test_platform_faults.py
+++ b/tools/tests/test_platform_faults.py
@@ -21,7 +21,7 @@
         self.deployment = deployments.make_deployment(
             pathlib.Path(directory.name)
         )
-        self.addCleanup(self.deployment.launcher.close)
+        self.addCleanup(self.deployment.close)
         self.deployment.start()
         self.answers = {}
 
