Place tasks at random, end declined offers, and send fewer pings and reports

Cause: schedulers whose view of the free capacity is some tens of milliseconds old all chose the same runner and were refused; a bid that had been served was answered with further offers, each declined and offered again; a target that reset its connections was polled without a pause; pings and reports woke all hosts some dozens of times a second.

Change: a runner is chosen at random by the square of the tasks that fit; a declined offer ends the bids of its class until the next bid; reports, pings and polls without runs are spaced wider, with the authority at 0.9 s and the expiry of lost runs at 2.05 s accordingly; a refusal is followed by a report.

--- /dev/null
+++ b/tools/fleet_trial.py
@@ -0,0 +1,492 @@
+"""Discrete-event trial of schedulers and runners under a load pattern.
+
+The decisions are those of the product: `scheduling.Scheduler` and
+`room.CapacityAllocator` exchange their messages with a delay. There is no
+network and there are no processes, so a trial compares policies and counts
+messages, but doesn't measure the product.
+"""
+
+import collections
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import attrs
+
+from trefoilgw.messages import runs as messages
+from trefoilgw.room import actions as room_actions
+from trefoilgw.room import core as room
+from trefoilgw.scheduling import actions
+from trefoilgw.scheduling import core as scheduling
+from trefoilgw.subsets import core as subsets
+from trefoilgw.work import core as work
+
+SERVICE = "proof"
+STRETCH = 1.6
+LATENCY_S = 0.06
+# An answer within this many times the objective is late, but still of use.
+LATE_FACTOR = 3.0
+LATE_VALUE = 0.2
+# Time from sending a message to the end of its handling by the receiver.
+MESSAGE_DELAY_S = (0.0005, 0.0025)
+# Time of a call of the target by its runner.
+CALL_S = 0.0015
+SCHEDULER_TICK_S = 0.02
+RUNNER_TICK_S = 0.05
+# Length of the windows of which the worst ones are reported.
+WINDOW_S = 2.0
+# Standard deviation of the logarithm of declared over actual run times.
+DECLARED_SPREAD = 0.35
+
+
+@attrs.frozen
+class Kind:
+    """A kind of job.
+
+    Attributes:
+        name: Name of its queue.
+        jobs_s: Mean rate of submissions, over all schedulers.
+        tasks: Mean number of tasks of a job.
+        run_s: Mean run time of a task on a target of normal speed.
+        millicores: Capacity that a task needs.
+        priority: Priority of its queue.
+    """
+
+    name: str
+    jobs_s: float
+    tasks: int
+    run_s: float
+    millicores: int = 10_000
+    priority: int = 0
+
+    @property
+    def queue(self) -> work.Queue:
+        """The queue of its jobs."""
+        return work.Queue(
+            self.name,
+            "h",
+            f"/{self.name}/",
+            SERVICE,
+            self.priority,
+            3,
+            STRETCH,
+            LATENCY_S,
+        )
+
+
+@attrs.frozen
+class Burst:
+    """A time in which more jobs of a kind are submitted.
+
+    Attributes:
+        kind: Name of the kind.
+        from_s: Begin of the burst.
+        to_s: End of the burst.
+        factor: Ratio to the usual rate of submissions.
+    """
+
+    kind: str
+    from_s: float
+    to_s: float
+    factor: float
+
+
+@attrs.frozen
+class Fleet:
+    """Sizes of a fleet.
+
+    Attributes:
+        schedulers: Number of schedulers.
+        runners: Number of runners.
+        domains: Number of failure domains.
+        millicores: Capacity of a target; every third has half as much again.
+        speeds: Speeds of the targets, in turn.
+        unevenness: Standard deviation of the logarithm of the schedulers'
+            shares of the submissions.
+    """
+
+    schedulers: int
+    runners: int
+    domains: int = 3
+    millicores: int = 64_000
+    speeds: Sequence[float] = (0.8, 1.0, 1.25)
+    unevenness: float = 0.4
+
+    def capacity(self, number: int) -> int:
+        """Returns the millicores of a target."""
+        return self.millicores * (3 if number % 3 == 2 else 2) // 2
+
+    def speed(self, number: int) -> float:
+        """Returns the speed of a target."""
+        return self.speeds[number // self.domains % len(self.speeds)]
+
+
+@attrs.define(eq=False)
+class JobRecord:
+    """What became of a job.
+
+    Attributes:
+        kind: Name of its kind.
+        at_s: Time of its submission.
+        objective_s: Time in which it should be answered.
+        work: Core-seconds of work.
+        ended_s: Time of the answer, None before it.
+        outcome: The answer.
+    """
+
+    kind: str
+    at_s: float
+    objective_s: float
+    work: float
+    ended_s: float | None = None
+    outcome: object = None
+
+    @property
+    def value(self) -> float:
+        """1 if it was done in time, `LATE_VALUE` if late, else 0."""
+        if not isinstance(self.outcome, actions.Completed):
+            return 0.0
+        took_s = self.ended_s - self.at_s
+        if took_s <= self.objective_s:
+            return 1.0
+        return LATE_VALUE if took_s <= LATE_FACTOR * self.objective_s else 0.0
+
+
+@attrs.define(eq=False)
+class _Stream:
+    """Delivers the messages of one direction in order."""
+
+    trial: "Trial"
+    deliver: Callable[[object], None]
+    last_s: float = 0.0
+
+    def send(self, message: object) -> None:
+        self.trial.messages[type(message).__name__] += 1
+        delay_s = self.trial.rng.uniform(*MESSAGE_DELAY_S)
+        self.last_s = max(self.last_s, self.trial.now_s + delay_s)
+        self.trial.at(self.last_s, self.deliver, message)
+
+
+@attrs.define(eq=False)
+class _Runner:
+    """A runner with its target."""
+
+    trial: "Trial"
+    name: str
+    speed: float
+    allocator: room.CapacityAllocator
+    streams: dict[str, _Stream] = attrs.field(factory=dict)
+
+    def receive(self, owner: str, message: object) -> None:
+        now_s = self.trial.now_s
+        match message:
+            case messages.StartRuns():
+                self.allocator.start_runs(owner, message, now_s)
+            case messages.StopRuns():
+                self.allocator.stop_runs(owner, message)
+            case messages.Bid():
+                self.allocator.update_bid(owner, message, now_s)
+        self.flush()
+
+    def tick(self) -> None:
+        now_s = self.trial.now_s
+        for owner in self.streams:
+            self.allocator.renew_authority(owner, now_s)
+        self.allocator.tick(now_s)
+        self.flush()
+
+    def flush(self) -> None:
+        now_s = self.trial.now_s
+        self.allocator.offer_capacity(now_s)
+        self.allocator.report_capacity(now_s)
+        for action in self.allocator.take_actions():
+            match action:
+                case room_actions.SendMessage(owner=owner, message=message):
+                    if isinstance(message, messages.RunEnded):
+                        ending = f"{message.ending} {message.reason}".strip()
+                        self.trial.endings[ending] += 1
+                    self.streams[owner].send(message)
+                case room_actions.Start(task=task, run=run):
+                    self.trial.after(CALL_S, self.started, task, run)
+                case room_actions.Stop(task=task, run=run):
+                    ending = work.Ending.STOPPED
+                    self.trial.after(CALL_S, self.ended, task, run, ending)
+
+    def started(self, task: str, run: int) -> None:
+        self.allocator.run_started(task, run, self.trial.now_s)
+        run_s = self.trial.run_times[task] / self.speed
+        self.trial.after(run_s, self.ended, task, run, work.Ending.DONE)
+        self.flush()
+
+    def ended(self, task: str, run: int, ending: work.Ending) -> None:
+        self.allocator.run_ended(task, run, ending, self.trial.now_s)
+        self.flush()
+
+
+@attrs.define(eq=False)
+class _Scheduler:
+    """A scheduler with its callers."""
+
+    trial: "Trial"
+    name: str
+    state: scheduling.Scheduler
+    streams: dict[str, _Stream] = attrs.field(factory=dict)
+
+    def receive(self, runner: str, message: object) -> None:
+        now_s = self.trial.now_s
+        match message:
+            case messages.CapacityReport():
+                self.state.capacity_reported(runner, message, now_s)
+            case messages.Offer():
+                self.state.capacity_offered(runner, message, now_s)
+            case messages.RunEnded():
+                self.state.run_ended(runner, message, now_s)
+            case messages.ActiveRuns():
+                self.state.reconcile_runs(runner, message, now_s)
+        self.flush()
+
+    def submit(self, spec: work.JobSpec, record: JobRecord) -> None:
+        now_s = self.trial.now_s
+        result = self.state.submit(spec, 1, now_s)
+        if isinstance(result, actions.Rejected):
+            record.ended_s, record.outcome = now_s, result
+        self.flush()
+
+    def tick(self) -> None:
+        self.state.tick(self.trial.now_s)
+        self.flush()
+
+    def flush(self) -> None:
+        for action in self.state.take_actions():
+            match action:
+                case actions.SendMessage(runner=runner, message=message):
+                    self.streams[runner].send(message)
+                case actions.Answer(job=job, outcome=outcome):
+                    record = self.trial.jobs[job.key]
+                    record.ended_s = self.trial.now_s
+                    record.outcome = outcome
+
+
+@attrs.define(eq=False)
+class Trial:
+    """One trial of a fleet under a load.
+
+    Attributes:
+        fleet: Sizes of the fleet.
+        kinds: Kinds of jobs.
+        bursts: Times with more load.
+        seed: Seed of all random choices.
+        now_s: Simulated time.
+        jobs: Records by key of the job.
+        run_times: Run time of each task on a target of normal speed.
+        messages: Number of messages sent by type.
+        endings: Number of ended attempts by ending and reason.
+    """
+
+    fleet: Fleet
+    kinds: Sequence[Kind]
+    bursts: Sequence[Burst] = ()
+    seed: int = 1
+    now_s: float = 0.0
+    jobs: dict[str, JobRecord] = attrs.field(factory=dict)
+    run_times: dict[str, float] = attrs.field(factory=dict)
+    messages: collections.Counter = attrs.field(factory=collections.Counter)
+    endings: collections.Counter = attrs.field(factory=collections.Counter)
+    rng: random.Random = attrs.field(init=False)
+    _events: list = attrs.field(factory=list)
+    _numbers: itertools.count = attrs.field(factory=itertools.count)
+
+    def __attrs_post_init__(self):
+        self.rng = random.Random(self.seed)
+
+    def at(self, at_s: float, call: Callable, *args) -> None:
+        """Calls a function at a time."""
+        heapq.heappush(self._events, (at_s, next(self._numbers), call, args))
+
+    def after(self, delay_s: float, call: Callable, *args) -> None:
+        """Calls a function after a delay."""
+        self.at(self.now_s + delay_s, call, *args)
+
+    def run(self, duration_s: float) -> "Trial":
+        """Runs the trial until all jobs submitted in a time have ended."""
+        schedulers = self._build()
+        weights = [
+            self.rng.lognormvariate(0.0, self.fleet.unevenness)
+            for _ in schedulers
+        ]
+        for kind in self.kinds:
+            for at_s in self._arrivals(kind, duration_s):
+                scheduler = self.rng.choices(schedulers, weights)[0]
+                self._plan_job(kind, at_s, scheduler)
+        end_s = duration_s + 10.0
+        while self._events and self._events[0][0] < end_s:
+            self.now_s, _, call, args = heapq.heappop(self._events)
+            call(*args)
+        return self
+
+    def _build(self) -> list[_Scheduler]:
+        """Returns the schedulers, connected to the runners."""
+        domains = [f"d{x}" for x in range(self.fleet.domains)]
+        schedulers = {
+            f"s{x}": _Scheduler(
+                self,
+                f"s{x}",
+                scheduling.Scheduler(domains[x % len(domains)], rng=self.rng),
+            )
+            for x in range(self.fleet.schedulers)
+        }
+        members = [
+            subsets.Member(name, x.state.domain)
+            for name, x in schedulers.items()
+        ]
+        for scheduler in schedulers.values():
+            self._repeat(SCHEDULER_TICK_S, scheduler.tick)
+        for number in range(self.fleet.runners):
+            runner = self._make_runner(number)
+            domain = domains[number % len(domains)]
+            limit = subsets.stream_count(
+                len(members), len(members), self.fleet.runners
+            )
+            chosen = subsets.select_members(
+                subsets.Member(runner.name, domain), members, (), limit
+            )
+            for name in sorted(chosen):
+                self._connect(runner, domain, schedulers[name])
+            self._repeat(RUNNER_TICK_S, runner.tick)
+        return list(schedulers.values())
+
+    def _make_runner(self, number: int) -> _Runner:
+        """Returns a runner whose target is known."""
+        allocator = room.CapacityAllocator()
+        capacity = work.Demand(self.fleet.capacity(number), 1_000_000, 0)
+        allocator.target_reported(
+            work.Target(f"t{number}", 1, SERVICE, capacity, False, 1)
+        )
+        allocator.runs_reconciled = True
+        return _Runner(self, f"r{number}", self.fleet.speed(number), allocator)
+
+    def _connect(
+        self, runner: _Runner, domain: str, scheduler: _Scheduler
+    ) -> None:
+        """Opens the stream between a runner and a scheduler."""
+
+        def to_runner(message):
+            runner.receive(scheduler.name, message)
+
+        def to_scheduler(message):
+            scheduler.receive(runner.name, message)
+
+        scheduler.streams[runner.name] = _Stream(self, to_runner)
+        runner.streams[scheduler.name] = _Stream(self, to_scheduler)
+        scheduler.state.runner_connected(runner.name, "i", domain, 0.0)
+        runner.allocator.owner_connected(scheduler.name, 0.0)
+
+    def _repeat(self, interval_s: float, call: Callable) -> None:
+        """Calls a function at an interval, from a random moment on."""
+
+        def tick():
+            call()
+            self.after(interval_s, tick)
+
+        self.at(self.rng.uniform(0.0, interval_s), tick)
+
+    def _arrivals(self, kind: Kind, duration_s: float) -> list[float]:
+        """Returns the times of the submissions of a kind."""
+        bursts = [x for x in self.bursts if x.kind == kind.name]
+        peak = max([1.0, *(x.factor for x in bursts)])
+        times = []
+        at_s = 0.0
+        while True:
+            at_s += self.rng.expovariate(kind.jobs_s * peak)
+            if at_s >= duration_s:
+                return times
+            factor = max(
+                [1.0] + [x.factor for x in bursts if x.from_s <= at_s < x.to_s]
+            )
+            if self.rng.random() < factor / peak:
+                times.append(at_s)
+
+    def _plan_job(self, kind: Kind, at_s: float, scheduler: _Scheduler) -> None:
+        """Draws a job and submits it at a time."""
+        key = f"j{len(self.jobs)}"
+        count = max(1, round(self.rng.lognormvariate(-0.08, 0.4) * kind.tasks))
+        job_run_s = kind.run_s * self.rng.lognormvariate(-0.08, 0.4)
+        declared_s = job_run_s * self.rng.lognormvariate(0.0, DECLARED_SPREAD)
+        millicores = round(kind.millicores * self.rng.uniform(0.8, 1.2))
+        demand = work.Demand(millicores, 64, 0)
+        names = [f"{key}.0.0.{x}" for x in range(count)]
+        for name in names:
+            self.run_times[name] = job_run_s * self.rng.uniform(0.85, 1.15)
+        longest_s = max(self.run_times[x] for x in names)
+        record = JobRecord(
+            kind.name,
+            at_s,
+            STRETCH * longest_s + LATENCY_S,
+            sum(self.run_times[x] for x in names) * millicores / 1000,
+        )
+        self.jobs[key] = record
+        spec = work.JobSpec(
+            key,
+            kind.queue,
+            "p",
+            tuple(work.TaskSpec(x, demand, declared_s) for x in names),
+        )
+        self.at(at_s, scheduler.submit, spec, record)
+
+    # Results.
+
+    def value(self, kind: str | None = None) -> float:
+        """Returns the mean value of the jobs of a kind, or of all."""
+        values = [x.value for x in self.jobs.values() if kind in (None, x.kind)]
+        return sum(values) / len(values) if values else math.nan
+
+    def worst_value(self, windows: int = 2) -> float:
+        """Returns the mean value of the worst windows, by work of the jobs."""
+        earned: dict[int, float] = collections.defaultdict(float)
+        owed: dict[int, float] = collections.defaultdict(float)
+        for record in self.jobs.values():
+            window = int(record.at_s / WINDOW_S)
+            owed[window] += record.work
+            earned[window] += record.value * record.work
+        shares = sorted(earned[x] / owed[x] for x in owed)
+        return sum(shares[:windows]) / windows
+
+    def count(self, outcome: type) -> int:
+        """Returns the number of jobs with an outcome of a type."""
+        return sum(isinstance(x.outcome, outcome) for x in self.jobs.values())
+
+    def refused_starts(self) -> float:
+        """Returns the refused starts for each task that was done."""
+        refused = sum(
+            count
+            for ending, count in self.endings.items()
+            if ending.startswith(work.Ending.NOT_RUN)
+        )
+        return refused / max(1, self.endings["done"])
+
+    def summary(self) -> str:
+        """Returns the results as text."""
+        kinds = " ".join(
+            f"{x.name} {self.value(x.name):.3f}" for x in self.kinds
+        )
+        return (
+            f"value {self.value():.3f} worst {self.worst_value():.3f} {kinds}"
+            f" rejected {self.count(actions.Rejected) / len(self.jobs):.3f}"
+            f" refused starts {self.refused_starts():.3f}"
+            f" messages a job {self.messages.total() / len(self.jobs):.1f}"
+        )
+
+
+def scale_load(
+    fleet: Fleet, kinds: Sequence[Kind], utilization: float
+) -> tuple[Kind, ...]:
+    """Returns the kinds at rates that need a share of the fleet's capacity."""
+    needed = sum(x.jobs_s * x.tasks * x.run_s * x.millicores for x in kinds)
+    capacity = sum(
+        fleet.capacity(x) * fleet.speed(x) for x in range(fleet.runners)
+    )
+    factor = utilization * capacity / needed
+    return tuple(attrs.evolve(x, jobs_s=factor * x.jobs_s) for x in kinds)
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -11,6 +11,7 @@
 """
 
 import enum
+import math
 from collections.abc import Mapping
 
 import attrs
@@ -24,10 +25,10 @@
 from trefoilgw.work import core as work
 
 # Mean interval between a target's capacity reports, over all schedulers.
-REPORT_SPACING_S = 0.0125
+REPORT_SPACING_S = 0.025
 # While schedulers bid for capacity, it is offered to them at once, and each
 # gets reports at this interval at most.
-BIDDING_REPORT_INTERVAL_S = 0.1
+BIDDING_REPORT_INTERVAL_S = 0.2
 # Time after which an unanswered offer expires; a round trip takes 2 ms.
 OFFER_TIMEOUT_S = 0.1
 
@@ -133,7 +134,9 @@
         if self.target is None:
             return work.Demand()
         used = work.total(x.demand for x in self.runs.values())
-        reserved = work.total(x.reserved() for x in self.owners.values())
+        reserved = work.total(
+            x.reserved() for x in self.owners.values() if x.reservations
+        )
         return self.target.capacity.minus(used).minus(reserved)
 
     # The target.
@@ -337,7 +340,10 @@
         if owner is None:
             return
         owner.starts_received += 1
-        offered = owner.reservations.pop(message.offer, None) is not None
+        reservation = owner.reservations.pop(message.offer, None)
+        offered = reservation is not None
+        if offered and not message.groups:
+            owner.drop_bids(reservation.urgency)
         for group in message.groups:
             for order in group.orders:
                 self._start(owner, group.payload, order, offered, now_s)
@@ -361,6 +367,8 @@
         """
         reason = self._refusal(owner, order, offered, now_s)
         if reason:
+            # The scheduler's view is out of date.
+            owner.reported_s = -math.inf
             ending = str(work.Ending.NOT_RUN)
             self._send(
                 owner.name,
@@ -546,10 +554,12 @@
         interval_s = REPORT_SPACING_S * len(connected)
         if any(x.bids for x in connected):
             interval_s = max(interval_s, BIDDING_REPORT_INTERVAL_S)
+        usable, suspect = self.usable, self.target_health.suspect
         due = [
             x
             for x in connected
-            if now_s - x.reported_s >= interval_s or self._use_changed(x)
+            if now_s - x.reported_s >= interval_s
+            or x.is_misled(usable, suspect)
         ]
         if not due:
             return
@@ -559,8 +569,8 @@
         for owner in due:
             report = messages.CapacityReport(
                 owner.starts_received,
-                self.usable and not owner.retiring,
-                self.target_health.suspect,
+                usable and not owner.retiring,
+                suspect,
                 known.service if known else "",
                 capacity,
                 free,
@@ -573,15 +583,6 @@
                 owner.reported_s = now_s
                 self._send(owner.name, report)
 
-    def _use_changed(self, owner: room_owners.Owner) -> bool:
-        """Returns whether a scheduler's last report misleads it."""
-        last = owner.last_report
-        return (
-            last is None
-            or last.usable != (self.usable and not owner.retiring)
-            or last.suspect != self.target_health.suspect
-        )
-
     def _competing_cpu(self, name: str) -> tuple[int, ...]:
         """Returns the CPU that the other schedulers wait for.
 
--- a/trefoilgw/room/owners.py
+++ b/trefoilgw/room/owners.py
@@ -9,7 +9,7 @@
 # A scheduler's runs are stopped this long after the last ping that it answered
 # was sent. Must stay well below the time after which a caller sends its job
 # again, which may then run through another scheduler.
-AUTHORITY_S = 0.6
+AUTHORITY_S = 0.9
 # Time in which the same two processes may reopen a broken stream and keep the
 # runs.
 RECONNECT_S = 0.3
@@ -89,6 +89,28 @@
             if x.urgency == urgency
         )
 
+    def is_misled(self, usable: bool, suspect: bool) -> bool:
+        """Returns whether the last report misleads the scheduler.
+
+        Args:
+            usable: Whether the target may be used.
+            suspect: Whether the target is suspect.
+        """
+        last = self.last_report
+        return (
+            last is None
+            or last.usable != (usable and not self.retiring)
+            or last.suspect != suspect
+        )
+
+    def drop_bids(self, urgency: int) -> None:
+        """Removes the bids of a class and of all more urgent ones.
+
+        A scheduler that declines an offer has no such work left, and tells of
+        new work with its next bid.
+        """
+        self.bids = tuple(x for x in self.bids if x.urgency > urgency)
+
     def disconnect(self, now_s: float) -> None:
         """Clears the state of a broken stream.
 
--- a/trefoilgw/room/tests/test_core.py
+++ b/trefoilgw/room/tests/test_core.py
@@ -12,6 +12,24 @@
 
 
 class StartTest(unittest.TestCase):
+    def test_refusal_is_followed_by_a_report(self):
+        """The scheduler would send more tasks, or none, until the next one."""
+        allocator = fixtures.make_allocator(A, B, cores=2)
+        allocator.report_capacity(0.1)
+        fixtures.start_runs(allocator, B, "k.0.0.0", "k.0.0.1", now_s=0.11)
+        issued = fixtures.start_runs(allocator, A, "j.0.0.0", now_s=0.12)
+        self.assertEqual(
+            [(A, "j.0.0.0", "not_run", "room")], fixtures.sent_endings(issued)
+        )
+        allocator.report_capacity(0.12)
+        reports = dict(
+            fixtures.sent_messages(
+                allocator.take_actions(), messages.CapacityReport
+            )
+        )
+        self.assertEqual([A], list(reports))
+        self.assertEqual(0, reports[A].free.cpu_millicores)
+
     def test_runs_that_do_not_fit_are_refused(self):
         """Runs beyond the capacity overload a target without its own limit."""
         allocator = fixtures.make_allocator(A, cores=2)
@@ -199,6 +217,32 @@
         fixtures.start_runs(allocator, A, offer=1)
         self.assertEqual(1000, allocator.free().cpu_millicores)
 
+    def test_declined_offer_is_not_repeated_before_the_next_bid(self):
+        """Offers and refusals of them would go back and forth meanwhile."""
+        allocator = fixtures.make_allocator(A, cores=2)
+        fixtures.update_bid(allocator, A, slack_s=0.1)
+        fixtures.update_bid(allocator, A, slack_s=0.1)
+        self.assertEqual(1, len(self.offers(allocator)))
+        fixtures.start_runs(allocator, A, offer=1)
+        self.assertEqual([], self.offers(allocator))
+        fixtures.update_bid(allocator, A, slack_s=0.1)
+        self.assertEqual(1, len(self.offers(allocator)))
+
+    def test_declined_offer_keeps_the_bid_of_less_urgent_work(self):
+        """The scheduler has only said that it has no urgent work left."""
+        allocator = fixtures.make_allocator(A, cores=2)
+        demands = tuple(
+            messages.WaitingDemand(
+                urgency, slack_s, fixtures.TASK_DEMAND, fixtures.TASK_DEMAND
+            )
+            for urgency, slack_s in ((1, 0.1), (4, 0.9))
+        )
+        allocator.update_bid(A, messages.Bid(demands), 0.1)
+        self.assertEqual(2, len(self.offers(allocator)))
+        fixtures.start_runs(allocator, A, offer=1)
+        bids = allocator.owners[A].bids
+        self.assertEqual([4], [x.urgency for x in bids])
+
     def test_capacity_accumulates_for_the_most_urgent_task(self):
         """A large urgent task would otherwise starve behind small ones."""
         allocator = fixtures.make_allocator(A, B, cores=2)
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -22,6 +22,9 @@
 # Time that the target may delay the answer to `hold` while no run ends. Short
 # enough to detect stalled runs early; far below any lease.
 HOLD_WAIT_S = 0.1
+# The same while there are no runs whose progress must be watched. Shorter than
+# `EXTEND_TIMEOUT_S`, so that a run started meanwhile keeps its lease.
+IDLE_HOLD_WAIT_S = 0.25
 # Time after an unanswered call in which two calls poll the target concurrently.
 REDUNDANT_POLL_S = 3.0
 # Without any answer for this time the lease is no longer extended, so that it
@@ -241,7 +244,8 @@
         lease_end_s = None
         wait_s = 0.0
         if self.clock_offset_s is not None:
-            wait_s = HOLD_WAIT_S
+            idle = not self.allocator.runs
+            wait_s = IDLE_HOLD_WAIT_S if idle else HOLD_WAIT_S
             if sent_s - self.last_answer_s < EXTEND_TIMEOUT_S:
                 lease_end_s = self._lease_end_s()
         answer = self.client.hold(
@@ -263,7 +267,9 @@
                 self.last_unanswered_s = self.now()
                 if self.last_unanswered_s > self.lease_until_s:
                     self._mark_unreachable(detail)
-                return True
+                # A target that resets each connection fails at once. Without a
+                # pause the next connection would follow immediately.
+                return self.now() - sent_s >= RETRY_INTERVAL_S
         return False
 
     def _mark_unreachable(self, detail: str) -> None:
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -1,6 +1,7 @@
 """Streams of a runner to a subset of the schedulers."""
 
 import logging
+import math
 from collections.abc import Callable
 from collections.abc import Set
 
@@ -15,7 +16,13 @@
 from trefoilgw.streams import redialling
 from trefoilgw.subsets import core as subsets
 
-PING_INTERVAL_S = 0.2
+# Time between two pings of a scheduler. Two may be lost or late before its
+# authority expires.
+PING_INTERVAL_S = 0.3
+PING_CHECK_INTERVAL_S = 0.15
+# From this time on a ping goes out with another message, which saves both hosts
+# a wake-up.
+EARLY_PING_S = 0.15
 SELECTION_INTERVAL_S = 0.25
 # A stream is closed this long after the scheduler's authority has expired for
 # lack of answers to pings.
@@ -39,6 +46,7 @@
         down_since_s: Time since which there is no stream.
         owner: Incarnation of the scheduler on the last opened stream.
         stream: The open stream, or None.
+        pinged_s: Time of the last ping on the open stream.
         runners: Number of runners connected to the scheduler, 0 if unknown.
         retiring_since_s: Time since which the scheduler knows that its stream
             will be closed, or None.
@@ -49,6 +57,7 @@
     down_since_s: float
     owner: str = ""
     stream: streams.Stream | None = None
+    pinged_s: float = -math.inf
     runners: int = 0
     retiring_since_s: float | None = None
     wanted: bool = True
@@ -170,16 +179,29 @@
 
     def send(self, owner: str, message: object) -> None:
         """Sends a message to a scheduler if its stream is open."""
+        now_s = self.now()
         for link in self.links.values():
             if link.owner == owner and link.stream is not None:
                 link.stream.send(message)
+                if now_s - link.pinged_s >= EARLY_PING_S:
+                    self._ping(link, now_s)
 
     def ping(self) -> None:
-        """Sends a ping to each scheduler, whose answer renews its authority."""
+        """Pings the schedulers, whose answers renew their authority.
+
+        Call it every `PING_CHECK_INTERVAL_S`.
+        """
         now_s = self.now()
+        # Rounded to the next check, as these are not exactly on time.
+        due_s = PING_INTERVAL_S - PING_CHECK_INTERVAL_S / 2
         for link in list(self.links.values()):
-            if link.stream is not None:
-                link.stream.send(runs.RunnerPing(now_s))
+            if link.stream is not None and now_s - link.pinged_s >= due_s:
+                self._ping(link, now_s)
+
+    def _ping(self, link: Link, now_s: float) -> None:
+        """Sends a ping over the open stream of a link."""
+        link.pinged_s = now_s
+        link.stream.send(runs.RunnerPing(now_s))
 
     def _serve(self, link: Link, stream: streams.Stream) -> None:
         """Handles the messages of a stream until it is closed.
@@ -192,6 +214,7 @@
         closed = eventlet.event.Event()
         link.owner = stream.welcome.incarnation
         link.stream = stream
+        link.pinged_s = -math.inf
         link.retiring_since_s = None
         log.info("scheduler joined", extra={"address": link.address})
         self.allocator.owner_connected(link.owner, self.now())
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -104,7 +104,7 @@
         eventlet.spawn_n(self.driver.run)
         eventlet.spawn_n(self.driver.run_redundant_poll)
         self.timers.every(TICK_S, self._tick)
-        self.timers.every(runner_links.PING_INTERVAL_S, self.links.ping)
+        self.timers.every(runner_links.PING_CHECK_INTERVAL_S, self.links.ping)
         self.timers.every(runner_links.SELECTION_INTERVAL_S, self.links.select)
         self.links.select()
 
--- a/trefoilgw/runner/tests/test_links.py
+++ b/trefoilgw/runner/tests/test_links.py
@@ -3,6 +3,7 @@
 from unittest import mock
 
 from trefoilgw.messages import runs
+from trefoilgw.room import owners
 from trefoilgw.room.tests import fixtures
 from trefoilgw.runner import links
 from trefoilgw.subsets import core as subsets
@@ -119,6 +120,36 @@
         self.assertEqual(8, len(living))
         self.assertIn(dead, self.links.links, "it is dialed on")
 
+    def test_pings_go_out_with_reports_and_otherwise_seldom(self):
+        """Each message of its own wakes both hosts, for all their streams."""
+        self.links.select()
+        self.open("seed:1")
+        sent = self.links.links["seed:1"].stream.sent
+        report = runs.Offer(1, 1, fixtures.TASK_DEMAND)
+
+        def pings():
+            return [x.sent_s for x in sent if isinstance(x, runs.RunnerPing)]
+
+        for _ in range(20):  # No messages.
+            self.now_s += links.PING_CHECK_INTERVAL_S
+            self.links.ping()
+        self.assertEqual(10, len(pings()))
+        sent.clear()
+        for _ in range(40):  # A message every 0.075 s.
+            self.now_s += links.PING_CHECK_INTERVAL_S / 2
+            self.links.send("owner-seed:1", report)
+            self.links.ping()
+        alone = [
+            x
+            for previous, x in zip([None, *sent], sent, strict=False)
+            if isinstance(x, runs.RunnerPing) and previous is not report
+        ]
+        self.assertEqual([], alone)
+        longest_s = max(
+            b - a for a, b in zip(pings(), pings()[1:], strict=False)
+        )
+        self.assertLess(longest_s, owners.AUTHORITY_S / 2)
+
     def test_scheduler_that_left_is_not_dialed(self):
         """An address may belong to another host soon."""
         self.learn("s1:1", "s2:1")
--- a/trefoilgw/scheduler/clients.py
+++ b/trefoilgw/scheduler/clients.py
@@ -11,8 +11,8 @@
 from trefoilgw.scheduling import core as scheduling
 from trefoilgw.streams import core as streams
 
-# A runner pings five times a second; the limit tolerates a few late pings.
-MAX_SILENCE_S = 0.9
+# A runner pings three times a second; the limit tolerates a few late pings.
+MAX_SILENCE_S = 1.2
 # A peer that has opened a stream pings twice a second.
 MAX_PEER_SILENCE_S = 3.0
 # Placeholders for fields that the handshake requires; runners apply their own
--- a/trefoilgw/scheduling/bidding.py
+++ b/trefoilgw/scheduling/bidding.py
@@ -22,8 +22,8 @@
 # Mean interval between updates of the bids, over all runners.
 BID_SPACING_S = 0.002
 # Runners at which work bids at least, and for each waiting task.
-MIN_BID_RUNNERS = 12
-BID_RUNNERS_PER_TASK = 4
+MIN_BID_RUNNERS = 4
+BID_RUNNERS_PER_TASK = 3
 
 
 def make_bid(
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -8,6 +8,8 @@
 
 import bisect
 import logging
+import random
+from collections.abc import Iterable
 
 import attrs
 
@@ -65,6 +67,7 @@
             waits.
         bids_updated_s: Time of the last update of the bids.
         pending_actions: Actions not yet taken by the program.
+        rng: Source of random choices.
     """
 
     domain: str
@@ -81,6 +84,7 @@
     bid_urgency: int | None = None
     bids_updated_s: float = 0.0
     pending_actions: list = attrs.field(factory=list)
+    rng: random.Random = attrs.field(factory=random.Random)
     _order: int = 0
 
     def __attrs_post_init__(self):
@@ -274,6 +278,7 @@
         """Stores a runner's capacity report and places waiting tasks."""
         view = self.runner_views[name]
         view.update_report(report)
+        view.expire_refusals(now_s)
         view.last_report_s = now_s
         self.largest_targets.record(
             report.service, name, report.capacity.demand, now_s
@@ -281,7 +286,8 @@
         if view.bid.demands and self.bid_urgency is None:
             # It was not usable when the other bids were withdrawn.
             self.bid_urgency = view.bid.demands[0].urgency
-        self._place(now_s)
+        # No waiting task fitted in what was known of the other runners.
+        self._place(now_s, (view,))
 
     def run_ended(
         self, name: str, message: messages.RunEnded, now_s: float
@@ -294,6 +300,8 @@
         match work.Ending(message.ending):
             case work.Ending.DONE:
                 self._task_done(name, job, task, message.run_s)
+                # The next report tells which capacity is free now.
+                return
             case work.Ending.FAILED:
                 self._task_failed(name, job, task)
             case work.Ending.NOT_RUN:
@@ -376,15 +384,24 @@
 
     # Placement.
 
-    def _place(self, now_s: float) -> None:
-        """Sends waiting tasks to runners with free capacity, then bids."""
+    def _place(
+        self,
+        now_s: float,
+        views: Iterable[runners.RunnerView] | None = None,
+    ) -> None:
+        """Sends waiting tasks to runners with free capacity, then bids.
+
+        Args:
+            now_s: Current time.
+            views: Runners to consider, None for all.
+        """
         if not self.waiting_jobs:
             self._send_bids(now_s)
             return
         batches: dict[str, dict[jobs.Job, list[jobs.Task]]] = {}
         with_capacity = [
             x
-            for x in self.runner_views.values()
+            for x in views or self.runner_views.values()
             if x.usable and x.has_capacity()
         ]
         skipped = 0
@@ -404,6 +421,7 @@
                     service,
                     self.domain,
                     now_s,
+                    self.rng,
                 )
                 if view is None:
                     skipped += 1
@@ -495,6 +513,8 @@
             if remaining.cpu_millicores <= 0:
                 break
         self._send_batch(view, batch, offer.number)
+        if not batch:
+            view.drop_bids(offer.urgency)
         self._send_bids(now_s)
 
     def _send_bids(self, now_s: float) -> None:
--- a/trefoilgw/scheduling/placing.py
+++ b/trefoilgw/scheduling/placing.py
@@ -1,13 +1,21 @@
-"""Selection of the runner for a task."""
+"""Selection of the runner for a task.
 
+Load pattern: several schedulers place work on the same runners, and what they
+know of the free capacity is some tens of milliseconds old. If each chose the
+best runner, all would choose the same one, and most of the tasks would be
+refused. They therefore choose at random, and prefer capacity that is likely to
+be free still.
+"""
+
+import random
 from collections.abc import Iterable
 
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import runners
 
-# Relative run times are rounded to multiples of this; smaller differences are
-# noise.
-SPEED_STEP = 0.2
+# Factor on the weight of runners in the failure domain of the scheduler, since
+# others cause traffic between failure domains.
+LOCAL_WEIGHT = 2.0
 # Interval at which a suspect runner gets one task, to detect its recovery.
 PROBE_INTERVAL_S = 1.0
 # Slack that a task needs to serve as a probe, since a probe may fail late.
@@ -21,8 +29,9 @@
     service: str,
     domain: str,
     now_s: float,
+    rng: random.Random,
 ) -> runners.RunnerView | None:
-    """Returns the best runner with capacity for a task, or None.
+    """Returns a runner with capacity for a task, or None.
 
     A suspect runner that is due for a probe comes first if the task may serve
     as one; otherwise suspect runners are not used.
@@ -32,9 +41,9 @@
         task: The task.
         slack_s: Seconds until the task should start.
         service: Service that must run it.
-        domain: Failure domain of the scheduler; its runners win ties, since
-            others cause traffic between failure domains.
+        domain: Failure domain of the scheduler.
         now_s: Current time.
+        rng: Source of the random choice.
     """
     fitting = [
         x
@@ -51,15 +60,25 @@
     ]
     if probes and not task.excluded_runners and slack_s >= MIN_PROBE_SLACK_S:
         return probes[0]
-    return min(healthy, key=lambda x: _preference(x, domain), default=None)
+    if not healthy:
+        return None
+    weights = [_weight(x, task.millicores, domain) for x in healthy]
+    return rng.choices(healthy, weights)[0]
+
 
+def _weight(view: runners.RunnerView, millicores: int, domain: str) -> float:
+    """Returns the relative probability of a runner.
 
-def _preference(view: runners.RunnerView, domain: str) -> tuple[int, bool, int]:
-    """Returns the sort key of a runner; the lowest is preferred.
+    Args:
+        view: The runner.
+        millicores: Processor capacity that the task needs.
+        domain: Failure domain of the scheduler.
 
-    Fast runners come first, then those in the failure domain of the
-    scheduler, then those with the most free capacity.
+    Notes:
+        With the square of the tasks that fit, a runner with little free
+        capacity, which other schedulers are about to fill, is seldom chosen.
+        Slow runners are chosen less by the same power.
     """
-    steps = round((view.slowness - 1.0) / SPEED_STEP)
-    is_remote = view.domain != domain
-    return steps, is_remote, -view.free().cpu_millicores
+    fitting_tasks = view.free().cpu_millicores / max(1, millicores)
+    weight = (fitting_tasks / view.slowness) ** 2
+    return weight * LOCAL_WEIGHT if view.domain == domain else weight
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -8,10 +8,10 @@
 from trefoilgw.work import core as work
 
 # Time after the last answered ping by which all runs of an unreachable runner
-# have ended. The runner may start runs during its 0.6 s of authority. Its
+# have ended. The runner may start runs during its 0.9 s of authority. Its
 # target may then go on with them for the lease, 1.02 s on a slow clock, and
 # needs 0.05 s to stop them.
-RUN_EXPIRY_S = 1.75
+RUN_EXPIRY_S = 2.05
 # Weight of a new run in the moving average of the slowness.
 SLOWNESS_WEIGHT = 0.1
 # Bounds the ratio of actual to expected run time of a single run, and its
@@ -131,13 +131,30 @@
         """Excludes an urgency class and all less urgent ones for a time."""
         self.refused_until_s[urgency] = until_s
 
+    def expire_refusals(self, now_s: float) -> None:
+        """Forgets the refusals whose time is over."""
+        for urgency, until_s in list(self.refused_until_s.items()):
+            if now_s >= until_s:
+                del self.refused_until_s[urgency]
+
     def accepts(self, urgency: int, now_s: float) -> bool:
         """Returns whether work of an urgency class may be sent."""
+        if not self.refused_until_s:
+            return True
         return all(
             now_s >= until_s or urgency < refused_class
             for refused_class, until_s in self.refused_until_s.items()
         )
 
+    def drop_bids(self, urgency: int) -> None:
+        """Notes that the runner drops the bids of a class and above.
+
+        It does so when it learns that an offer is declined.
+        """
+        self.bid = messages.Bid(
+            tuple(x for x in self.bid.demands if x.urgency > urgency)
+        )
+
     def learn(self, run_s: float, expected_s: float) -> None:
         """Updates the slowness with one completed run."""
         ratio = min(MAX_RUN_RATIO, max(run_s, 0.001) / max(expected_s, 0.001))
