Call the target over connections of the standard library

Cause: profiles of a runner at 20 starts a second show 38% of its time in urllib3's calls, of which each run needs two, and 16% in log lines. A call took 469 us of processor time, one over http.client 169 us (loopback, same server). Imports that a runner never uses took a tenth of its start.

Change: one small pool of http.client connections for the target and the store, which replaces two urllib3 pools that were opened alike; log records without thread and process; packages of the adapter and of membership import nothing by themselves.

The six tests of refused, closed, reset and silent connections pass.

--- a/tools/policy_bench.py
+++ b/tools/policy_bench.py
@@ -15,9 +15,10 @@
 
 from tools import policy_trial
 from trefoilgw import admission
-from trefoilgw import membership
 from trefoilgw import placement
 from trefoilgw import retries
+from trefoilgw.membership import heartbeats as heartbeat_monitors
+from trefoilgw.membership import outliers as outlier_detectors
 
 CALLS = 2000  # Calls in one round of `per_call_us`.
 QUEUED_JOBS = 10_000
@@ -217,8 +218,8 @@
     names = [f"{number:016x}" for number in range(agents)]
 
     def build():
-        heartbeats = membership.HeartbeatMonitor()
-        outliers = membership.OutlierDetector()
+        heartbeats = heartbeat_monitors.HeartbeatMonitor()
+        outliers = outlier_detectors.OutlierDetector()
         for number, name in enumerate(names * 30):
             heartbeats.message_received(name, 0.0)
             outliers.observe(name, f"k{number % 3}", number < agents, 0.0)
--- a/trefoilgw/logs/core.py
+++ b/trefoilgw/logs/core.py
@@ -88,6 +88,10 @@
             timestamp=TIME_FIELD,
         )
     )
+    # The lines don't contain them, and they are costly to determine.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
     root = logging.getLogger()
     root.setLevel(level)
     for old in root.handlers[:]:
--- a/trefoilgw/membership/tests/test_heartbeats.py
+++ b/trefoilgw/membership/tests/test_heartbeats.py
@@ -2,7 +2,6 @@
 
 import unittest
 
-from trefoilgw import membership
 from trefoilgw.membership import heartbeats
 
 
@@ -22,7 +21,7 @@
         monitor.message_received("a", 100.0)
         changes = self.collect_changes(monitor, 100.0, 105.0)
         self.assertEqual(
-            [membership.Suspected("a"), membership.Removed("a")],
+            [heartbeats.Suspected("a"), heartbeats.Removed("a")],
             [item for _, item in changes],
         )
         self.assertAlmostEqual(102.0, changes[0][0], delta=0.11)
@@ -33,14 +32,14 @@
         monitor = heartbeats.HeartbeatMonitor()
         monitor.message_received("a", 100.0)
         changes = self.collect_changes(monitor, 100.0, 103.29, 0.47)
-        self.assertEqual([membership.Suspected("a")], [c for _, c in changes])
+        self.assertEqual([heartbeats.Suspected("a")], [c for _, c in changes])
 
     def test_recovery_is_reported_once(self):
         monitor = heartbeats.HeartbeatMonitor()
         monitor.message_received("a", 0.0)
         self.collect_changes(monitor, 0.0, 2.5)
         monitor.message_received("a", 2.6)
-        self.assertEqual((membership.Recovered("a"),), monitor.check(2.7))
+        self.assertEqual((heartbeats.Recovered("a"),), monitor.check(2.7))
         self.assertEqual((), monitor.check(2.8))
 
     def test_own_pause_removes_no_agent(self):
@@ -52,7 +51,7 @@
         self.assertEqual((), monitor.check(70.0))
         changes = self.collect_changes(monitor, 70.0, 71.0)
         self.assertEqual(
-            {membership.Suspected(agent) for agent in ("a", "b", "c")},
+            {heartbeats.Suspected(agent) for agent in ("a", "b", "c")},
             {item for _, item in changes},
         )
 
--- a/trefoilgw/membership/tests/test_outliers.py
+++ b/trefoilgw/membership/tests/test_outliers.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
-from trefoilgw import membership
+from trefoilgw.membership import changes as membership_changes
 from trefoilgw.membership import outliers
 
 AGENTS = tuple(f"{number:016x}" for number in range(11))
@@ -31,7 +31,9 @@
     def ejected(self, changes):
         """Returns the agents that the changes eject."""
         return {
-            item.agent for item in changes if isinstance(item, membership.Eject)
+            item.agent
+            for item in changes
+            if isinstance(item, membership_changes.Eject)
         }
 
     def test_which_agents_are_ejected(self):
@@ -97,7 +99,7 @@
             self.assertEqual((), detector.check(now_s + duration_s - 0.1))
             now_s += duration_s
             self.assertEqual(
-                (membership.Probe(AGENTS[0]),), detector.check(now_s)
+                (membership_changes.Probe(AGENTS[0]),), detector.check(now_s)
             )
             record_outcomes(detector, AGENTS[:1], "k", 2, 1.0, now_s)
         detector.check(now_s)
@@ -107,7 +109,7 @@
         self.assertEqual((), detector.check(now_s))
         record_outcomes(detector, AGENTS[:1], "k", 1, 0.0, now_s)
         self.assertEqual(
-            (membership.Readmit(AGENTS[0]),), detector.check(now_s)
+            (membership_changes.Readmit(AGENTS[0]),), detector.check(now_s)
         )
 
     def test_ejections_at_once_are_limited(self):
@@ -127,7 +129,9 @@
         self.assertEqual({AGENTS[0]}, self.ejected(detector.check(1.0)))
         detector.check(11.0)
         record_outcomes(detector, AGENTS[:1], "k", 8, 0.4, 11.0)
-        self.assertEqual((membership.Readmit(AGENTS[0]),), detector.check(12.0))
+        self.assertEqual(
+            (membership_changes.Readmit(AGENTS[0]),), detector.check(12.0)
+        )
 
     def test_limit_holds_after_agents_left(self):
         """Agents must be readmitted when others leave, to avoid overload."""
@@ -139,7 +143,7 @@
             detector.agent_left(agent)
         changes = detector.check(2.0)
         self.assertEqual(
-            [membership.Readmit] * 1, [type(item) for item in changes]
+            [membership_changes.Readmit] * 1, [type(item) for item in changes]
         )
         self.assertEqual(2, len(detector.restricted))
 
@@ -171,9 +175,9 @@
                 record_outcomes(detector, (agent,), kind, tasks, share, now_s)
             for change in detector.check(now_s):
                 match change:
-                    case membership.Eject(agent=name):
+                    case membership_changes.Eject(agent=name):
                         out.add(name)
-                    case membership.Readmit(agent=name):
+                    case membership_changes.Readmit(agent=name):
                         out.discard(name)
             self.assertLessEqual(len(out), 0.3 * len(detector.agents))
 
@@ -199,7 +203,7 @@
                 got = {
                     item.kind
                     for item in changes
-                    if isinstance(item, membership.PoisonKind)
+                    if isinstance(item, membership_changes.PoisonKind)
                 }
                 self.assertEqual(stopped, got)
                 if stopped:
@@ -213,7 +217,7 @@
         self.assertEqual((), detector.check(1.0))
         record_outcomes(detector, AGENTS[1:8], "bad", 3, 1.0, 1.0)
         (stop,) = detector.check(1.0)
-        self.assertEqual(membership.PoisonKind("bad", 8, 8), stop)
+        self.assertEqual(membership_changes.PoisonKind("bad", 8, 8), stop)
 
     def test_one_probe_after_the_stop(self):
         """A stopped kind is released after one successful probe job."""
@@ -226,7 +230,9 @@
         self.assertFalse(detector.admit_kind("k", 61.9))
         self.assertTrue(detector.admit_kind("k", 62.0))
         detector.observe(AGENTS[0], "k", False, 62.1)
-        self.assertEqual((membership.KindReleased("k"),), detector.check(63.0))
+        self.assertEqual(
+            (membership_changes.KindReleased("k"),), detector.check(63.0)
+        )
         self.assertTrue(detector.admit_kind("k", 63.0))
 
 
--- a/trefoilgw/platform/__init__.py
+++ b/trefoilgw/platform/__init__.py
@@ -2,11 +2,8 @@
 
 This is the only package that knows the platform's names, paths, headers and
 body formats. It makes no decisions and holds no state besides connections.
-"""
-
-from trefoilgw.platform.callers import Application
-from trefoilgw.platform.reports import ReportsApplication
-from trefoilgw.platform.store import Store
-from trefoilgw.platform.targets import TargetClient
 
-__all__ = ["Application", "ReportsApplication", "Store", "TargetClient"]
+Notes:
+    Nothing is exported here: a runner needs other modules than a scheduler, and
+    each import delays the start of hundreds of processes.
+"""
--- a/trefoilgw/platform/store.py
+++ b/trefoilgw/platform/store.py
@@ -13,10 +13,10 @@
 from collections.abc import Sequence
 
 import attrs
-import urllib3
 
 from trefoilgw.keyvalue import values
 from trefoilgw.platform import configurations
+from trefoilgw.platform import connections
 from trefoilgw.platform import fields
 from trefoilgw.work import core as work
 
@@ -54,12 +54,10 @@
 
     Attributes:
         address: ``ip:port`` of the store.
-        calls: Number of calls made so far.
     """
 
     address: str
-    calls: int = 0
-    _pool: urllib3.HTTPConnectionPool = attrs.field(init=False)
+    _pool: connections.ConnectionPool = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self.change_address(self.address)
@@ -67,9 +65,7 @@
     def change_address(self, address: str) -> None:
         """Directs all later calls to another address."""
         self.address = address
-        self._pool = urllib3.connection_from_url(
-            f"http://{address}", maxsize=MAX_CONNECTIONS
-        )
+        self._pool = connections.ConnectionPool(address, MAX_CONNECTIONS)
 
     def get(
         self, key: str
@@ -235,22 +231,11 @@
                 answer is lost.
             timeout_s: Limit for the whole call in seconds.
         """
-        self.calls += 1
         data = None if body is None else json.dumps(body).encode()
-        try:
-            response = self._pool.request(
-                method,
-                path,
-                body=data,
-                headers=_HEADERS,
-                timeout=urllib3.Timeout(total=timeout_s),
-                retries=False,
-            )
-        except urllib3.exceptions.NewConnectionError as error:
-            return values.Unavailable(str(error), False)
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            text = f"{type(error).__name__}: {error}"
-            return values.Unavailable(text, mutating)
+        response = self._pool.call(method, path, data, _HEADERS, timeout_s)
+        if isinstance(response, connections.Failure):
+            uncertain = mutating and response.reached
+            return values.Unavailable(response.detail, uncertain)
         status = response.status
         if status not in expected:
             # With these statuses the store states that the call had no effect.
--- a/trefoilgw/platform/targets.py
+++ b/trefoilgw/platform/targets.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 
 import attrs
-import urllib3
 
+from trefoilgw.platform import connections
 from trefoilgw.platform import fields
 from trefoilgw.work import core as work
 from trefoilgw.work import orders
@@ -21,12 +21,7 @@
 # Time that `hold` may take in addition to its requested wait.
 HOLD_MARGIN_S = 0.05
 
-# urllib3 would add the two skipped headers, which only cost CPU time here.
-_HEADERS = {
-    "Content-Type": "application/json",
-    "Accept-Encoding": urllib3.util.SKIP_HEADER,
-    "User-Agent": urllib3.util.SKIP_HEADER,
-}
+_HEADERS = {"Content-Type": "application/json"}
 _REASONS = {
     "fence": orders.RefusalReason.FENCED,
     "old": orders.RefusalReason.OLD,
@@ -49,17 +44,13 @@
 
     Attributes:
         address: ``ip:port`` of the target.
-        calls: Number of calls made so far.
     """
 
     address: str
-    calls: int = 0
-    _pool: urllib3.HTTPConnectionPool = attrs.field(init=False)
+    _pool: connections.ConnectionPool = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        self._pool = urllib3.connection_from_url(
-            f"http://{self.address}", maxsize=MAX_CONNECTIONS, block=True
-        )
+        self._pool = connections.ConnectionPool(self.address, MAX_CONNECTIONS)
 
     def start(
         self,
@@ -151,20 +142,11 @@
         convert: Callable,
     ):
         """Makes one call and returns the converted answer."""
-        self.calls += 1
-        try:
-            response = self._pool.request(
-                "POST",
-                path,
-                body=json.dumps(body).encode(),
-                headers={**_HEADERS, "X-Expect-Instance": instance},
-                timeout=urllib3.Timeout(total=timeout_s),
-                retries=False,
-            )
-        except urllib3.exceptions.NewConnectionError as error:
-            return orders.NoAnswer(False, str(error))
-        except (urllib3.exceptions.HTTPError, OSError) as error:
-            return orders.NoAnswer(True, f"{type(error).__name__}: {error}")
+        headers = {**_HEADERS, "X-Expect-Instance": instance}
+        data = json.dumps(body).encode()
+        response = self._pool.call("POST", path, data, headers, timeout_s)
+        if isinstance(response, connections.Failure):
+            return orders.NoAnswer(response.reached, response.detail)
         try:
             return _decode_answer(response.status, response.data, convert)
         except fields.FieldError as error:
--- /dev/null
+++ b/trefoilgw/platform/tests/test_connections.py
@@ -0,0 +1,125 @@
+"""Tests of calls whose connection is refused, closed, reset or silent."""
+
+import collections
+import contextlib
+import struct
+import unittest
+
+import eventlet
+from eventlet.green import socket
+
+from trefoilgw.platform import connections
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Server:
+    """Answers each request with the next of some byte strings.
+
+    Attributes:
+        answers: Bytes to send; None leaves the request unanswered, an empty
+            string resets the connection.
+        requests: The requests so far.
+        accepted: Number of connections so far.
+    """
+
+    def __init__(self):
+        self.sock = eventlet.listen(("127.0.0.1", 0))
+        self.address = "{}:{}".format(*self.sock.getsockname()[:2])
+        self.answers = collections.deque()
+        self.requests = []
+        self.accepted = 0
+        self.open = []
+        eventlet.spawn_n(self.accept)
+
+    def accept(self):
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self.sock.accept()
+                self.accepted += 1
+                self.open.append(sock)
+                eventlet.spawn_n(self.serve, sock)
+
+    def serve(self, sock):
+        while data := sock.recv(65536):
+            self.requests.append(data)
+            answer = self.answers.popleft() if self.answers else ANSWER
+            if answer == b"":
+                sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
+                )
+                sock.close()
+                return
+            if answer is not None:
+                sock.sendall(answer)
+
+    def close_open(self):
+        """Closes the accepted connections."""
+        for sock in self.open:
+            sock.shutdown(socket.SHUT_RDWR)
+        eventlet.sleep(0.01)
+
+
+class ConnectionPoolTest(unittest.TestCase):
+    def setUp(self):
+        self.server = Server()
+        self.addCleanup(self.server.sock.close)
+        self.pool = connections.ConnectionPool(self.server.address, 2)
+        self.addCleanup(self.pool.close)
+
+    def call(self, timeout_s=0.5):
+        return self.pool.call("POST", "/x", b"{}", {"A": "b"}, timeout_s)
+
+    def test_connection_is_reused(self):
+        """New connections cost time at both ends."""
+        for _ in range(3):
+            self.assertEqual(connections.Response(200, b"ok"), self.call())
+        self.assertEqual(1, self.server.accepted)
+        self.assertIn(b"POST /x HTTP/1.1\r\n", self.server.requests[0])
+        self.assertIn(b"A: b\r\n", self.server.requests[0])
+
+    def test_connection_that_the_server_closed_is_not_reused(self):
+        """A request on it would be lost, and nobody could tell its fate."""
+        self.call()
+        self.server.close_open()
+        self.assertEqual(connections.Response(200, b"ok"), self.call())
+        self.assertEqual(2, self.server.accepted)
+
+    def test_refused_connection_was_not_reached(self):
+        """Only then has the request certainly not been carried out."""
+        self.server.sock.close()
+        failure = self.call()
+        self.assertIsInstance(failure, connections.Failure)
+        self.assertFalse(failure.reached)
+
+    def test_failures_after_connecting_may_have_been_carried_out(self):
+        """A false "not reached" would let a second run start elsewhere."""
+        cases = {
+            "silent": None,
+            "reset": b"",
+            "not http": b"hello\r\n\r\n",
+            "cut": b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok",
+        }
+        for name, answer in cases.items():
+            with self.subTest(name):
+                self.server.answers.append(answer)
+                failure = self.call(timeout_s=0.05)
+                self.assertIsInstance(failure, connections.Failure)
+                self.assertTrue(failure.reached)
+
+    def test_connection_of_a_late_answer_is_not_reused(self):
+        """The next call would take the late answer for its own."""
+        self.server.answers.append(None)
+        self.call(timeout_s=0.05)
+        self.assertEqual(connections.Response(200, b"ok"), self.call())
+        self.assertEqual(2, self.server.accepted)
+
+    def test_calls_beyond_the_limit_wait(self):
+        """A target accepts a limited number of connections."""
+        self.server.answers.extend([None, None])
+        for _ in range(2):
+            eventlet.spawn_n(self.call, 0.1)
+        eventlet.sleep(0)
+        self.assertEqual(connections.Response(200, b"ok"), self.call())
+        self.assertEqual(3, self.server.accepted)
