Renew the authority with orders, ping idle streams once a second

Cause: each runner pinged each of its 8 schedulers three times a second, also without any run, and a stream's watch woke the runner four times a second more. On idle hosts this was most of the work. A scheduler whose last report was up to 0.2 s old also rejected jobs right after a burst while all targets were free.

Change: an order to start runs carries a time on the runner's clock at which the scheduler was certainly not paused, and renews the authority like the answer to a ping. After a pause that time is old until the second tick, so that nothing starts before what happened meanwhile is handled. Streams with runs are pinged as before, others once a second; the silence of a runner counts from the first order. Reports go along with the ends of runs and at once from a target that was full and is half free. The bound of the reports is now tested for each scheduler, since those with ends cost no wake-up of their own.

--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -146,15 +146,18 @@
 
 @core.message(53)
 class StartRuns:
-    """Asks a runner to start attempts.
+    """Asks a runner to start attempts, and renews the authority like a pong.
 
     Attributes:
         offer: Number of the `Offer` that this message answers, 0 if none.
         groups: The attempts; empty to decline an offer.
+        alive_s: Time in seconds on the runner's clock at which the scheduler
+            was certainly not paused; 0 if it does not know the clock yet.
     """
 
     offer: int
     groups: tuple[RunGroup, ...] = core.items_of(RunGroup)
+    alive_s: float = 0.0
 
 
 @core.message(54)
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -29,6 +29,9 @@
 # While schedulers bid for capacity, it is offered to them at once, and each
 # gets reports at this interval at most.
 BIDDING_REPORT_INTERVAL_S = 0.2
+# Least interval between reports that go along with the ends of runs. Without
+# them a scheduler would reject jobs for lack of capacity that is free.
+END_REPORT_INTERVAL_S = 0.05
 # Time after which an unanswered offer expires; a round trip takes 2 ms.
 OFFER_TIMEOUT_S = 0.1
 
@@ -279,6 +282,9 @@
     ) -> None:
         """Frees the capacity of a run and reports its end to its scheduler."""
         del self.runs[run.key]
+        owner = self.owners.get(run.owner)
+        if owner is not None:
+            owner.run_ended = True
         self.freed_cpu_rate.record(run.demand.cpu_millicores)
         task, number = run.key
         self._send(
@@ -320,16 +326,18 @@
         reserved = owner is not None and bool(owner.reservations)
         return reserved or any(x.owner == name for x in self.runs.values())
 
-    def renew_authority(self, name: str, sent_s: float) -> None:
-        """Extends a scheduler's authority after its answer to a ping.
+    def renew_authority(self, name: str, alive_s: float) -> None:
+        """Extends a scheduler's authority after it has shown that it lives.
 
         Args:
             name: Incarnation of the scheduler.
-            sent_s: When the ping was sent.
+            alive_s: Time on the own clock at which it was certainly not
+                paused: when the ping that it answers was sent, or as it says
+                in an order.
         """
         owner = self.owners.get(name)
         if owner is not None and owner.connected:
-            until_s = sent_s + room_owners.AUTHORITY_S
+            until_s = alive_s + room_owners.AUTHORITY_S
             owner.authority_until_s = max(owner.authority_until_s, until_s)
 
     def start_runs(
@@ -339,6 +347,7 @@
         owner = self.owners.get(name)
         if owner is None:
             return
+        self.renew_authority(name, message.alive_s)
         owner.starts_received += 1
         reservation = owner.reservations.pop(message.offer, None)
         offered = reservation is not None
@@ -548,32 +557,36 @@
         """Reports the capacity to each scheduler whose last report differs.
 
         Reports to a scheduler are spaced, the more so the more schedulers
-        there are, unless whether it may use the target has changed.
+        there are, unless whether it may use the target has changed. They go
+        along with the ends of its runs, in the same write.
         """
         connected = [x for x in self.owners.values() if x.connected]
         interval_s = REPORT_SPACING_S * len(connected)
         if any(x.bids for x in connected):
             interval_s = max(interval_s, BIDDING_REPORT_INTERVAL_S)
         usable, suspect = self.usable, self.target_health.suspect
+        free = self.free()
         due = [
             x
             for x in connected
             if now_s - x.reported_s >= interval_s
-            or x.is_misled(usable, suspect)
+            or x.is_misled(usable, suspect, free)
+            or (x.run_ended and now_s - x.reported_s >= END_REPORT_INTERVAL_S)
         ]
         if not due:
             return
         known = self.target
         capacity = messages.Room.of(known.capacity if known else work.Demand())
-        free = messages.Room.of(self.free())
+        free_room = messages.Room.of(free)
         for owner in due:
+            owner.run_ended = False
             report = messages.CapacityReport(
                 owner.starts_received,
                 usable and not owner.retiring,
                 suspect,
                 known.service if known else "",
                 capacity,
-                free,
+                free_room,
                 self.freed_cpu_rate.quantized(),
                 self._competing_cpu(owner.name),
                 len(connected),
--- a/trefoilgw/room/owners.py
+++ b/trefoilgw/room/owners.py
@@ -13,6 +13,10 @@
 # Time in which the same two processes may reopen a broken stream and keep the
 # runs.
 RECONNECT_S = 0.3
+# A target counts as busy while less than the first share of its CPU is free,
+# and as free from the second one on.
+BUSY_SHARE = 0.25
+FREE_SHARE = 0.5
 
 
 @attrs.frozen
@@ -63,6 +67,7 @@
         reservations: Open offers by number.
         last_report: The last `CapacityReport` sent to it.
         reported_s: Time of that report.
+        run_ended: Whether one of its runs has ended since then.
         retiring: Whether its stream will be closed, so that it gets no more
             capacity.
     """
@@ -75,6 +80,7 @@
     reservations: dict[int, Reservation] = attrs.field(factory=dict)
     last_report: object = None
     reported_s: float = -math.inf
+    run_ended: bool = False
     retiring: bool = False
 
     def reserved(self) -> work.Demand:
@@ -89,19 +95,21 @@
             if x.urgency == urgency
         )
 
-    def is_misled(self, usable: bool, suspect: bool) -> bool:
+    def is_misled(self, usable: bool, suspect: bool, free: work.Demand) -> bool:
         """Returns whether the last report misleads the scheduler.
 
         Args:
             usable: Whether the target may be used.
             suspect: Whether the target is suspect.
+            free: Capacity that is neither in use nor reserved.
         """
         last = self.last_report
-        return (
-            last is None
-            or last.usable != (usable and not self.retiring)
-            or last.suspect != suspect
-        )
+        if last is None or last.usable != (usable and not self.retiring):
+            return True
+        capacity = last.capacity.cpu_millicores
+        took_for_busy = last.free.cpu_millicores < BUSY_SHARE * capacity
+        is_free = free.cpu_millicores >= FREE_SHARE * capacity
+        return last.suspect != suspect or (took_for_busy and is_free)
 
     def drop_bids(self, urgency: int) -> None:
         """Removes the bids of a class and of all more urgent ones.
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -21,10 +21,10 @@
 
 # Time that the target may delay the answer to `hold` while no run ends. Short
 # enough to detect stalled runs early; far below any lease.
-HOLD_WAIT_S = 0.1
+HOLD_WAIT_S = 0.15
 # The same while there are no runs whose progress must be watched. Shorter than
 # `EXTEND_TIMEOUT_S`, so that a run started meanwhile keeps its lease.
-IDLE_HOLD_WAIT_S = 0.25
+IDLE_HOLD_WAIT_S = 0.45
 # Time after an unanswered call in which two calls poll the target concurrently.
 REDUNDANT_POLL_S = 3.0
 # Without any answer for this time the lease is no longer extended, so that it
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -16,17 +16,19 @@
 from trefoilgw.streams import redialling
 from trefoilgw.subsets import core as subsets
 
-# Time between two pings of a scheduler. Two may be lost or late before its
-# authority expires.
+# Time between two pings of a scheduler that has runs here. Two may be lost or
+# late before its authority expires.
 PING_INTERVAL_S = 0.3
+# The same for other schedulers, which need no authority before their next
+# order. The pings detect a broken stream.
+IDLE_PING_INTERVAL_S = 1.0
 PING_CHECK_INTERVAL_S = 0.15
-# From this time on a ping goes out with another message, which saves both hosts
-# a wake-up.
-EARLY_PING_S = 0.15
+# A ping that is due within this time goes out with another message, which saves
+# both hosts a wake-up.
+EARLY_PING_S = 0.1
 SELECTION_INTERVAL_S = 0.25
-# A stream is closed this long after the scheduler's authority has expired for
-# lack of answers to pings.
-MAX_SILENCE_S = 1.0
+# A stream is closed if a ping is not answered for this time.
+MAX_SILENCE_S = 1.6
 # A scheduler without a stream for this time is replaced by another one until
 # it answers again.
 UNREACHABLE_AFTER_S = 1.0
@@ -47,6 +49,7 @@
         owner: Incarnation of the scheduler on the last opened stream.
         stream: The open stream, or None.
         pinged_s: Time of the last ping on the open stream.
+        unanswered_s: Time of the first ping since the last answer, or None.
         runners: Number of runners connected to the scheduler, 0 if unknown.
         retiring_since_s: Time since which the scheduler knows that its stream
             will be closed, or None.
@@ -58,6 +61,7 @@
     owner: str = ""
     stream: streams.Stream | None = None
     pinged_s: float = -math.inf
+    unanswered_s: float | None = None
     runners: int = 0
     retiring_since_s: float | None = None
     wanted: bool = True
@@ -183,31 +187,44 @@
         for link in self.links.values():
             if link.owner == owner and link.stream is not None:
                 link.stream.send(message)
-                if now_s - link.pinged_s >= EARLY_PING_S:
+                if self._ping_due_s(link) - now_s <= EARLY_PING_S:
                     self._ping(link, now_s)
 
     def ping(self) -> None:
-        """Pings the schedulers, whose answers renew their authority.
+        """Pings the schedulers, and closes streams that are not answered.
 
-        Call it every `PING_CHECK_INTERVAL_S`.
+        The answers renew the authority of the schedulers. Call it every
+        `PING_CHECK_INTERVAL_S`.
         """
         now_s = self.now()
-        # Rounded to the next check, as these are not exactly on time.
-        due_s = PING_INTERVAL_S - PING_CHECK_INTERVAL_S / 2
         for link in list(self.links.values()):
-            if link.stream is not None and now_s - link.pinged_s >= due_s:
+            if link.stream is None:
+                continue
+            unanswered_s = link.unanswered_s
+            if (
+                unanswered_s is not None
+                and now_s - unanswered_s > MAX_SILENCE_S
+            ):
+                link.stream.close("silent")
+            elif self._ping_due_s(link) - now_s <= PING_CHECK_INTERVAL_S / 2:
+                # Rounded to the next check, as these are not exactly on time.
                 self._ping(link, now_s)
 
+    def _ping_due_s(self, link: Link) -> float:
+        """Returns when the next ping of a scheduler is due."""
+        if self.allocator.has_runs(link.owner):
+            return link.pinged_s + PING_INTERVAL_S
+        return link.pinged_s + IDLE_PING_INTERVAL_S
+
     def _ping(self, link: Link, now_s: float) -> None:
         """Sends a ping over the open stream of a link."""
         link.pinged_s = now_s
+        if link.unanswered_s is None:
+            link.unanswered_s = now_s
         link.stream.send(runs.RunnerPing(now_s))
 
     def _serve(self, link: Link, stream: streams.Stream) -> None:
-        """Handles the messages of a stream until it is closed.
-
-        A stream on which the scheduler answers no pings is closed.
-        """
+        """Handles the messages of a stream until it is closed."""
         if not link.wanted:
             stream.close("surplus")
             return
@@ -215,6 +232,7 @@
         link.owner = stream.welcome.incarnation
         link.stream = stream
         link.pinged_s = -math.inf
+        link.unanswered_s = None
         link.retiring_since_s = None
         log.info("scheduler joined", extra={"address": link.address})
         self.allocator.owner_connected(link.owner, self.now())
@@ -224,7 +242,7 @@
                 lambda _, message: self._handle(link, message),
                 lambda _, reason: closed.send(reason),
             )
-            self._watch(link, stream, closed)
+            closed.wait()
         finally:
             link.stream = None
             link.down_since_s = self.now()
@@ -235,28 +253,13 @@
         )
         self.on_change()
 
-    def _watch(
-        self,
-        link: Link,
-        stream: streams.Stream,
-        closed: eventlet.event.Event,
-    ) -> None:
-        """Waits until a stream is closed; closes it if no ping is answered."""
-        while not closed.ready():
-            closed.wait(timeout=MAX_SILENCE_S / 4)
-            owner = self.allocator.owners.get(link.owner)
-            silent = owner is None or (
-                self.now() - owner.authority_until_s > MAX_SILENCE_S
-            )
-            if silent and not closed.ready():
-                stream.close("silent")
-
     def _handle(self, link: Link, message: object) -> None:
         """Handles one message of a scheduler."""
         now_s = self.now()
         match message:
             case runs.RunnerPong(sent_s=sent_s, runners=runners):
                 link.runners = runners
+                link.unanswered_s = None
                 self.allocator.renew_authority(link.owner, sent_s)
                 return
             case runs.StartRuns():
--- a/trefoilgw/scheduler/clients.py
+++ b/trefoilgw/scheduler/clients.py
@@ -11,8 +11,10 @@
 from trefoilgw.scheduling import core as scheduling
 from trefoilgw.streams import core as streams
 
-# A runner pings three times a second; the limit tolerates a few late pings.
+# A runner that has tasks pings three times a second, and any other one once a
+# second; the limits tolerate a few late pings.
 MAX_SILENCE_S = 1.2
+MAX_IDLE_SILENCE_S = 3.0
 # A peer that has opened a stream pings twice a second.
 MAX_PEER_SILENCE_S = 3.0
 # Placeholders for fields that the handshake requires; runners apply their own
@@ -39,6 +41,8 @@
         on_run_ended: Called with the runner's name and the message whenever an
             attempt ends.
         runners: Open streams of runners, by the runner's name.
+        ordered_s: Time of the first order to each runner since something was
+            received from it.
         peers: Open streams of peers.
     """
 
@@ -51,6 +55,7 @@
     peer_greeting: Callable[[], list]
     on_run_ended: Callable[[str, runs.RunEnded], None]
     runners: dict[str, streams.Stream] = attrs.field(factory=dict)
+    ordered_s: dict[str, float] = attrs.field(factory=dict)
     peers: set[streams.Stream] = attrs.field(factory=set)
 
     def listen(self, address: str) -> None:
@@ -66,8 +71,11 @@
     def send(self, runner: str, message: object) -> None:
         """Sends a message to a runner if its stream is open."""
         stream = self.runners.get(runner)
-        if stream is not None:
-            stream.send(message)
+        if stream is None:
+            return
+        stream.send(message)
+        if isinstance(message, runs.StartRuns):
+            self.ordered_s.setdefault(runner, self.now())
 
     def broadcast(self, message: object, runners: bool = True) -> None:
         """Sends a message to all connected peers and, by default, runners."""
@@ -80,13 +88,28 @@
 
     def close_silent(self) -> None:
         """Closes streams of clients silent for over their limit."""
-        for stream in list(self.runners.values()):
-            if stream.silence_s() > MAX_SILENCE_S:
+        for name, stream in list(self.runners.items()):
+            if self._is_silent(name, stream):
                 stream.close("silent")
         for stream in list(self.peers):
             if stream.silence_s() > MAX_PEER_SILENCE_S:
                 stream.close("silent")
 
+    def _is_silent(self, name: str, stream: streams.Stream) -> bool:
+        """Returns whether a runner is silent for over its limit.
+
+        The limit for a runner with tasks holds from the first of them on.
+        """
+        silence_s = stream.silence_s()
+        if silence_s <= MAX_SILENCE_S:
+            return False
+        if silence_s > MAX_IDLE_SILENCE_S:
+            return True
+        ordered_s = self.ordered_s.get(name)
+        if ordered_s is not None:
+            return self.now() - ordered_s > MAX_SILENCE_S
+        return self.scheduler.has_tasks_at(name)
+
     def _welcome(self, hello: object) -> messages.Welcome:
         """Returns the answer to a hello; every client is accepted."""
         return messages.Welcome(
@@ -138,6 +161,7 @@
         if self.runners.get(name) is not stream:
             return
         del self.runners[name]
+        self.ordered_s.pop(name, None)
         log.info("runner lost", extra={"runner": name, "reason": reason})
         self.scheduler.runner_disconnected(name)
         self.on_change()
@@ -150,9 +174,10 @@
         if self.runners.get(name) is not stream:
             return
         now_s = self.now()
+        self.ordered_s.pop(name, None)
         match message:
             case runs.RunnerPing(sent_s=sent_s):
-                self.scheduler.runner_pinged(name, now_s)
+                self.scheduler.runner_pinged(name, sent_s, now_s)
                 stream.send(runs.RunnerPong(sent_s, len(self.runners)))
                 return
             case runs.CapacityReport():
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -59,13 +59,16 @@
         runner_views: Runners by name.
         run_times: Run time estimation.
         arrivals: Arrival rates of admitted jobs by queue.
-        lost_runners: Time of the last answered ping of each disconnected
-            runner whose runs may still go on, by its name and incarnation.
+        lost_runners: Time of the last renewal of the authority at each
+            disconnected runner whose runs may still go on, by its name and
+            incarnation.
         largest_targets: Capacities of the targets that were reported lately.
         forecaster: Predicts how long a job would wait.
         bid_urgency: Most urgent class of the last bids, None while nothing
             waits.
         bids_updated_s: Time of the last update of the bids.
+        alive_s: Time of the last tick but one. After a pause of the process it
+            is old until all that happened meanwhile has been handled.
         pending_actions: Actions not yet taken by the program.
         rng: Source of random choices.
     """
@@ -83,9 +86,11 @@
     forecaster: forecasts.Forecaster = attrs.field(init=False)
     bid_urgency: int | None = None
     bids_updated_s: float = 0.0
+    alive_s: float = 0.0
     pending_actions: list = attrs.field(factory=list)
     rng: random.Random = attrs.field(factory=random.Random)
     _order: int = 0
+    _ticked_s: float = 0.0
 
     def __attrs_post_init__(self):
         self.forecaster = forecasts.Forecaster(
@@ -244,7 +249,7 @@
         view = self.runner_views.get(name)
         if view is not None:
             view.connected = False
-            self.lost_runners[name, view.incarnation] = view.last_pong_s
+            self.lost_runners[name, view.incarnation] = view.renewed_s
 
     def reconcile_runs(
         self, name: str, message: messages.ActiveRuns, now_s: float
@@ -268,9 +273,17 @@
             self._send_message(name, messages.StopRuns(unknown))
         self._place(now_s)
 
-    def runner_pinged(self, name: str, now_s: float) -> None:
-        """Notes that a ping of a runner is answered."""
-        self.runner_views[name].last_pong_s = now_s
+    def runner_pinged(self, name: str, sent_s: float, now_s: float) -> None:
+        """Notes that a ping of a runner, sent at `sent_s`, is answered."""
+        self.runner_views[name].pinged(sent_s, now_s)
+
+    def has_tasks_at(self, name: str) -> bool:
+        """Returns whether the latest attempt at some task is at a runner."""
+        return any(
+            task.runner == name
+            for job in self.admitted.values()
+            for task in job.sent()
+        )
 
     def capacity_reported(
         self, name: str, report: messages.CapacityReport, now_s: float
@@ -484,7 +497,9 @@
             )
             for job, tasks in batch.items()
         )
-        self._send_message(view.name, messages.StartRuns(offer, groups))
+        alive_s = view.renew_by_order(self.alive_s)
+        order = messages.StartRuns(offer, groups, alive_s)
+        self._send_message(view.name, order)
 
     def capacity_offered(
         self, name: str, offer: messages.Offer, now_s: float
@@ -550,11 +565,13 @@
         self._expire_lost_runners(now_s)
         self._reject_overdue(now_s)
         self._place(now_s)
+        self.alive_s = self._ticked_s
+        self._ticked_s = now_s
 
     def _expire_lost_runners(self, now_s: float) -> None:
         """Requeues tasks of lost runners whose runs have certainly ended."""
-        for key, last_pong_s in list(self.lost_runners.items()):
-            if now_s - last_pong_s < runners.RUN_EXPIRY_S:
+        for key, renewed_s in list(self.lost_runners.items()):
+            if now_s - renewed_s < runners.RUN_EXPIRY_S:
                 continue
             del self.lost_runners[key]
             lost = self._sent_to(*key)
@@ -565,7 +582,7 @@
                 extra={
                     "runner": key[0],
                     "incarnation": key[1],
-                    "silent_s": round(now_s - last_pong_s, 3),
+                    "silent_s": round(now_s - renewed_s, 3),
                     "tasks": [task.spec.name for _, task in lost],
                 },
             )
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -7,10 +7,10 @@
 from trefoilgw.messages import runs as messages
 from trefoilgw.work import core as work
 
-# Time after the last answered ping by which all runs of an unreachable runner
-# have ended. The runner may start runs during its 0.9 s of authority. Its
-# target may then go on with them for the lease, 1.02 s on a slow clock, and
-# needs 0.05 s to stop them.
+# Time after the last renewal of the authority by which all runs of an
+# unreachable runner have ended. The runner may start runs during its 0.9 s of
+# authority. Its target may then go on with them for the lease, 1.02 s on a slow
+# clock, and needs 0.05 s to stop them.
 RUN_EXPIRY_S = 2.05
 # Weight of a new run in the moving average of the slowness.
 SLOWNESS_WEIGHT = 0.1
@@ -36,8 +36,12 @@
         unreported_demands: Number of the `StartRuns` message and demand of
             each task that the latest report does not cover.
         joined_s: Time at which its stream was opened.
-        last_pong_s: Time at which its last ping was answered, or its stream
-            opened if that is later.
+        renewed_s: Time at which this scheduler's authority at the runner was
+            last renewed: by the answer to a ping, by an order, or by opening
+            the stream.
+        ping_sent_s: When its last ping was sent, on its own clock; None before
+            the first one.
+        ping_received_s: Time at which that ping was received.
         last_report_s: Time of its latest report, or at which its stream opened
             if that is later.
         log_slowness: Moving average of the logarithm of actual over expected
@@ -60,7 +64,9 @@
         factory=list
     )
     joined_s: float = -math.inf
-    last_pong_s: float = 0.0
+    renewed_s: float = 0.0
+    ping_sent_s: float | None = None
+    ping_received_s: float = 0.0
     last_report_s: float = 0.0
     log_slowness: float = 0.0
     refused_until_s: dict[int, float] = attrs.field(factory=dict)
@@ -155,6 +161,32 @@
             tuple(x for x in self.bid.demands if x.urgency > urgency)
         )
 
+    def pinged(self, sent_s: float, now_s: float) -> None:
+        """Notes that a ping is answered, which renews the authority.
+
+        Args:
+            sent_s: When the ping was sent, on the runner's clock.
+            now_s: Current time.
+        """
+        self.renewed_s = now_s
+        self.ping_sent_s = sent_s
+        self.ping_received_s = now_s
+
+    def renew_by_order(self, alive_s: float) -> float:
+        """Notes that an order is sent, which renews the authority.
+
+        Args:
+            alive_s: Time at which this process was certainly not paused.
+
+        Returns:
+            That time on the runner's clock, or a little earlier, as its last
+            ping took some time to arrive; 0 if there was no ping.
+        """
+        if self.ping_sent_s is None:
+            return 0.0
+        self.renewed_s = max(self.renewed_s, alive_s)
+        return max(0.0, self.ping_sent_s + alive_s - self.ping_received_s)
+
     def learn(self, run_s: float, expected_s: float) -> None:
         """Updates the slowness with one completed run."""
         ratio = min(MAX_RUN_RATIO, max(run_s, 0.001) / max(expected_s, 0.001))
@@ -170,5 +202,6 @@
         self.unreported_demands.clear()
         self.bid = NO_BID
         self.joined_s = now_s
-        self.last_pong_s = now_s
+        self.renewed_s = now_s
+        self.ping_sent_s = None
         self.last_report_s = now_s
