Read streams in the event loop, and share wake-ups between timers

Cause: for each message a runner made five system calls and two switches of greenthreads, as eventlet tries to read, registers the descriptor, and removes it again; timers with intervals of 0.02 to 0.25 s each woke the process by themselves, 70 times a second on a scheduler without work.

Change: streams between schedulers and runners are read by the hub itself, since their handlers never wait; repeated timers are called at common moments, and the ticks are every 0.05 s at a scheduler and 0.1 s at a runner.

The stream tests run in both modes.

--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -22,11 +22,11 @@
 # The same for other schedulers, which need no authority before their next
 # order. The pings detect a broken stream.
 IDLE_PING_INTERVAL_S = 1.0
-PING_CHECK_INTERVAL_S = 0.15
+PING_CHECK_INTERVAL_S = 0.1
 # A ping that is due within this time goes out with another message, which saves
 # both hosts a wake-up.
 EARLY_PING_S = 0.1
-SELECTION_INTERVAL_S = 0.25
+SELECTION_INTERVAL_S = 0.3
 # A stream is closed if a ping is not answered for this time.
 MAX_SILENCE_S = 1.6
 # A scheduler without a stream for this time is replaced by another one until
@@ -241,6 +241,7 @@
             stream.start(
                 lambda _, message: self._handle(link, message),
                 lambda _, reason: closed.send(reason),
+                may_yield=False,
             )
             closed.wait()
         finally:
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -25,7 +25,7 @@
 from trefoilgw.work import core as work
 from trefoilgw.work import hosting
 
-TICK_S = 0.05
+TICK_S = 0.1
 # Time that remains before SIGKILL when the runner stops waiting for its runs.
 STOP_MARGIN_S = 0.4
 
--- a/trefoilgw/scheduler/clients.py
+++ b/trefoilgw/scheduler/clients.py
@@ -148,7 +148,11 @@
         self.scheduler.runner_connected(
             hello.name, hello.incarnation, hello.domain, self.now()
         )
-        stream.start(self._handle_runner_message, self._runner_stream_closed)
+        stream.start(
+            self._handle_runner_message,
+            self._runner_stream_closed,
+            may_yield=False,
+        )
         for message in self.runner_greeting():
             stream.send(message)
         self.on_change()
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -36,7 +36,7 @@
 from trefoilgw.work import core as work
 from trefoilgw.work import hosting
 
-TICK_S = 0.02
+TICK_S = 0.05
 SILENCE_CHECK_INTERVAL_S = 0.1
 # The load balancer keeps sending new connections until it has missed two
 # answers of the readiness probe.
--- a/trefoilgw/streams/core.py
+++ b/trefoilgw/streams/core.py
@@ -96,18 +96,27 @@
     _wake: event.Event = attrs.field(factory=event.Event)
     _decoder: codec.Decoder = attrs.field(factory=codec.Decoder)
     _undelivered: list = attrs.field(factory=list)
+    _listener: object | None = None
 
-    def start(self, on_message: Callable, on_closed: Callable) -> None:
-        """Starts the greenthreads that read and write.
+    def start(
+        self,
+        on_message: Callable,
+        on_closed: Callable,
+        may_yield: bool = True,
+    ) -> None:
+        """Starts to read and write.
 
         Args:
             on_message: Called as ``on_message(stream, message)``.
             on_closed: Called once as ``on_closed(stream, reason)``.
+            may_yield: Whether `on_message` may wait. If not, the event loop
+                itself calls it, which saves three of five system calls and two
+                switches of greenthreads for each read.
         """
         self.on_message = on_message
         self.on_closed = on_closed
         eventlet.spawn_n(self._write_loop)
-        eventlet.spawn_n(self._read_loop)
+        eventlet.spawn_n(self._read_loop if may_yield else self._listen)
 
     def send(self, message) -> bool:
         """Queues a message.
@@ -145,6 +154,8 @@
             return
         self.closed = True
         self._notify()
+        if self._listener is not None:
+            hubs.get_hub().remove(self._listener)
         close_socket(self.sock)
         eventlet.spawn_n(self.on_closed, self, reason)
 
@@ -194,18 +205,54 @@
                 data = self.sock.recv(READ_BYTES)
                 if not data:
                     break
-                self.last_received_s = time.monotonic()
-                self.received_bytes += len(data)
-                self._deliver(self._decoder.feed(data))
+                self._receive(data)
         except EOFError:
             reason = "closed locally"
-        except (OSError, codec.FrameError) as error:
-            reason = f"read failed: {error}"
-        except Exception:
-            log.exception("message handler failed", extra={"peer": self.peer})
-            reason = "message handler failed"
+        except Exception as error:
+            reason = self._describe_failure(error)
         self.close(reason)
 
+    def _listen(self) -> None:
+        """Delivers what came with the handshake, and has the hub read more."""
+        try:
+            self._deliver(self._undelivered)
+        except Exception as error:
+            self.close(self._describe_failure(error))
+        if not self.closed:
+            hub = hubs.get_hub()
+            self._listener = hub.add(
+                hub.READ, self.sock.fileno(), self._readable, _ignore, None
+            )
+
+    def _readable(self, fileno: int) -> None:
+        """Reads and delivers what has arrived; called by the hub."""
+        if self.closed:
+            return
+        try:
+            data = self.sock.fd.recv(READ_BYTES)
+            if data:
+                self._receive(data)
+                return
+            reason = "closed by the peer"
+        except BlockingIOError:
+            return
+        except Exception as error:
+            reason = self._describe_failure(error)
+        self.close(reason)
+
+    def _describe_failure(self, error: Exception) -> str:
+        """Returns why an error closes the stream; logs an unexpected one."""
+        if isinstance(error, (OSError, codec.FrameError)):
+            return f"read failed: {error}"
+        log.exception("message handler failed", extra={"peer": self.peer})
+        return "message handler failed"
+
+    def _receive(self, data: bytes) -> None:
+        """Delivers the messages that some bytes complete."""
+        self.last_received_s = time.monotonic()
+        self.received_bytes += len(data)
+        self._deliver(self._decoder.feed(data))
+
     def _deliver(self, received) -> None:
         """Passes messages to `on_message` while the stream is open."""
         for message in received:
@@ -240,6 +287,10 @@
         self.sent_bytes += len(frame)
 
 
+def _ignore(error: Exception) -> None:
+    """Takes the hub's notice that a descriptor was closed."""
+
+
 def close_socket(sock: socket.socket) -> None:
     """Closes a socket and wakes the greenthreads that wait for it.
 
--- a/trefoilgw/streams/tests/test_core.py
+++ b/trefoilgw/streams/tests/test_core.py
@@ -30,6 +30,8 @@
 
 
 class StreamTest(unittest.TestCase):
+    options = {}
+
     def setUp(self):
         self.accepted = queue.Queue()
         self.listener = streams.Listener(KEY, welcome, self.accepted.put)
@@ -50,10 +52,12 @@
         server.start(
             lambda stream, message: stream.send(message),
             lambda stream, reason: None,
+            **self.options,
         )
         client.start(
             lambda stream, message: received.put(message),
             lambda stream, reason: closed.put(reason),
+            **self.options,
         )
         sent = [messages.CreditGrant(number) for number in range(50)]
         for message in sent:
@@ -106,6 +110,7 @@
         server.start(
             lambda stream, message: received.put(message),
             lambda stream, reason: closed.put(reason),
+            **self.options,
         )
         frame = codec.encode(messages.CreditGrant(1))
         client.sock.sendall(frame + frame[:-1])
@@ -121,7 +126,7 @@
         """
         client, server = self.connect()
         for stream in (client, server):
-            stream.start(lambda *_: None, lambda *_: None)
+            stream.start(lambda *_: None, lambda *_: None, **self.options)
         numbers = [s.sock.fileno() for s in (client, server)]
         numbers.append(self.listener._sock.fileno())
         readers = hubs.get_hub().listeners["read"]
@@ -132,6 +137,41 @@
         self.listener.close()
         self.assertEqual(set(), set(numbers) & set(readers))
 
+    def test_failing_handler_closes_the_stream(self):
+        """A message that a handler can't process must not end the process."""
+        client, server = self.connect()
+        closed = queue.Queue()
+
+        def fail(stream, message):
+            raise ValueError("unexpected")
+
+        server.start(
+            fail,
+            lambda stream, reason: closed.put(reason),
+            **self.options,
+        )
+        client.start(lambda *_: None, lambda *_: None, **self.options)
+        with self.assertLogs(streams.log, "ERROR"):
+            client.send(messages.CreditGrant(1))
+            reason = closed.get(timeout=TIMEOUT_S)
+        self.assertEqual("message handler failed", reason)
+
+    def test_handler_may_close_another_stream(self):
+        """Both may have become readable in the same turn of the hub."""
+        pairs = [self.connect() for _ in range(2)]
+        servers = [server for _, server in pairs]
+        received = []
+
+        def close_other(stream, message):
+            received.append(message)
+            servers[servers.index(stream) - 1].close("done")
+
+        for client, server in pairs:
+            server.start(close_other, lambda *_: None, **self.options)
+            client.send_handshake(messages.CreditGrant(1))
+        eventlet.sleep(0.05)
+        self.assertEqual(1, len(received))
+
     def test_garbage_closes_the_stream(self):
         """Bytes of another protocol must close the stream with a reason."""
         client, server = self.connect()
@@ -139,6 +179,7 @@
         server.start(
             lambda stream, message: None,
             lambda stream, reason: closed.put(reason),
+            **self.options,
         )
         client.sock.sendall(b"\xff" * 64)
         self.assertIn("limit", closed.get(timeout=TIMEOUT_S))
@@ -176,6 +217,12 @@
         self.assertEqual([], failures)
 
 
+class EventLoopStreamTest(StreamTest):
+    """The same with messages that the event loop itself delivers."""
+
+    options = {"may_yield": False}
+
+
 class RedialTest(unittest.TestCase):
     def test_unexpected_error_does_not_end_redialing(self):
         """The peer would stay unreachable until the process restarts."""
--- a/trefoilgw/timers/core.py
+++ b/trefoilgw/timers/core.py
@@ -20,6 +20,9 @@
 # A gap between two turns of the loop counts as a pause above this. Shorter
 # gaps are ordinary scheduling noise on a loaded machine.
 PAUSE_THRESHOLD_S = 1.0
+# Repeated timers without jitter are called at multiples of this, so that one
+# wake-up of the process serves several of them.
+ALIGNMENT_S = 0.05
 # The loop sleeps at most this long, so that a pause is detected soon.
 MAX_SLEEP_S = 0.25
 
@@ -54,25 +57,35 @@
     Attributes:
         rng: Source of jitter.
         now: Monotonic clock in seconds.
+        phase_s: Offset of the aligned calls. It is random, so that not all
+            hosts work at the same moments.
     """
 
     rng: random.Random = attrs.field(factory=random.Random)
     now: Callable[[], float] = time.monotonic
+    phase_s: float = attrs.field(init=False)
     _due: list = attrs.field(factory=list)
     _sequence: itertools.count = attrs.field(factory=itertools.count)
     _pause_callbacks: list = attrs.field(factory=list)
     _wake: event.Event = attrs.field(factory=event.Event)
     _running: bool = False
 
+    def __attrs_post_init__(self):
+        self.phase_s = self.rng.uniform(0.0, ALIGNMENT_S)
+
     def every(
         self,
         interval_s: float,
         callback: Callable[[], None],
         jitter: float = 0.0,
     ) -> Timer:
-        """Calls `callback` every `interval_s` seconds until canceled."""
+        """Calls `callback` every `interval_s` seconds until canceled.
+
+        Without jitter and with an interval of at least `ALIGNMENT_S`, the first
+        call is at a multiple of that, and all calls keep to the interval.
+        """
         timer = Timer(callback, interval_s, jitter)
-        self._schedule(timer, interval_s)
+        self._schedule_repeated(timer, self.now())
         return timer
 
     def after(self, delay_s: float, callback: Callable[[], None]) -> Timer:
@@ -110,7 +123,26 @@
     def _schedule(self, timer: Timer, delay_s: float) -> None:
         """Queues a timer and wakes the loop if the timer is due first."""
         jitter_s = delay_s * timer.jitter * self.rng.uniform(-1.0, 1.0)
-        due_s = self.now() + max(0.0, delay_s + jitter_s)
+        self._push(timer, self.now() + max(0.0, delay_s + jitter_s))
+
+    def _schedule_repeated(self, timer: Timer, last_s: float) -> None:
+        """Queues the next call of a repeated timer.
+
+        Args:
+            timer: The timer.
+            last_s: When its last call was due, or it was registered.
+        """
+        if timer.jitter or timer.interval_s < ALIGNMENT_S:
+            self._schedule(timer, timer.interval_s)
+            return
+        due_s = last_s + timer.interval_s
+        if due_s < self.now():  # Calls were missed.
+            due_s = self.now() + timer.interval_s
+        steps = round((due_s - self.phase_s) / ALIGNMENT_S)
+        self._push(timer, steps * ALIGNMENT_S + self.phase_s)
+
+    def _push(self, timer: Timer, due_s: float) -> None:
+        """Queues a call and wakes the loop if it is due first."""
         entry = (due_s, next(self._sequence), timer)
         heapq.heappush(self._due, entry)
         if self._due[0] is entry:
@@ -138,13 +170,13 @@
     def _call_due(self, now_s: float) -> None:
         """Calls the callbacks of the timers that are due."""
         while self._due and self._due[0][0] <= now_s:
-            _, _, timer = heapq.heappop(self._due)
+            due_s, _, timer = heapq.heappop(self._due)
             if not timer.active:
                 continue
             if timer.interval_s is None:
                 timer.active = False
             else:
-                self._schedule(timer, timer.interval_s)
+                self._schedule_repeated(timer, due_s)
             self._call(timer.callback)
 
     def _call(self, callback: Callable, *args) -> None:
--- a/trefoilgw/timers/tests/test_core.py
+++ b/trefoilgw/timers/tests/test_core.py
@@ -63,6 +63,31 @@
                 self.clock.now_s += 0.2
                 self.calls.get(timeout=TIMEOUT_S)
 
+    def test_repeated_timers_share_wake_ups(self):
+        """Each wake-up of an idle host costs more than the call itself."""
+        times = {0.05: [], 0.1: [], 0.25: []}
+        for interval_s, called in times.items():
+            self.clock.now_s += 0.013
+            self.service.every(
+                interval_s, lambda x=called: x.append(self.clock.now_s)
+            )
+        start_s = self.clock.now_s
+        for step in range(1, 2001):
+            self.clock.now_s = start_s + step / 1000
+            self.service._call_due(self.clock.now_s)
+        for interval_s, called in times.items():
+            with self.subTest(interval_s):
+                self.assertAlmostEqual(2.0 / interval_s, len(called), delta=1)
+                self.assertLessEqual(set(called), set(times[0.05]))
+
+    def test_missed_calls_are_not_made_up_for(self):
+        """After a pause, a burst of late calls would delay other work."""
+        called = []
+        self.service.every(0.1, lambda: called.append(self.clock.now_s))
+        self.clock.now_s += 30.0
+        self.service._call_due(self.clock.now_s)
+        self.assertEqual(1, len(called))
+
     def test_pause_is_reported_before_due_timers(self):
         """A resumed process must check its leases before any timer runs."""
         self.service.on_pause(lambda gap_s: self.calls.put(gap_s))
