--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -5,7 +5,6 @@
 places its tasks and collects their results, and `platform.callers` answers.
 """
 
-import gc
 import logging
 import os
 import time
@@ -45,9 +44,6 @@
 MAX_LISTEN_DELAY_S = 3.0
 # Jobs still open this long before SIGKILL is due are ended as unfinished.
 STOP_MARGIN_S = 0.5
-# Little garbage is cyclic, and a full collection would pause the process; the
-# third threshold makes full collections very rare.
-GC_THRESHOLDS = (20_000, 20, 1_000_000)
 
 log = logging.getLogger(__name__)
 
@@ -207,9 +203,6 @@
             scheduler_membership.PUBLICATION_INTERVAL_S, self.membership.update
         )
         eventlet.spawn_n(self._listen_when_serving)
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(*GC_THRESHOLDS)
 
     def _listen_when_serving(self) -> None:
         """Opens the callers' port once a job could run, or after a time limit.
