Split the capacity allocator by offers, reports and runs

Change: the choice of bids, the choice of schedulers to report to and the state of a run stand in modules of their own; what they do is unchanged.

--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -10,7 +10,6 @@
 urgency only within each scheduler.
 """
 
-import enum
 import math
 from collections.abc import Mapping
 
@@ -21,64 +20,12 @@
 from trefoilgw.room import freed_cpu
 from trefoilgw.room import headroom as room_headroom
 from trefoilgw.room import health
+from trefoilgw.room import offers
 from trefoilgw.room import owners as room_owners
+from trefoilgw.room import reporting
+from trefoilgw.room import runs as room_runs
 from trefoilgw.work import core as work
 
-# Mean interval between a target's capacity reports, over all schedulers.
-REPORT_SPACING_S = 0.05
-# While schedulers bid for capacity, it is offered to them at once, and each
-# gets reports at this interval at most.
-BIDDING_REPORT_INTERVAL_S = 0.2
-# Least interval between reports that go along with the ends of runs. Without
-# them a scheduler would reject jobs for lack of capacity that is free.
-END_REPORT_INTERVAL_S = 0.05
-# Time after which an unanswered offer expires; a round trip takes 2 ms.
-OFFER_TIMEOUT_S = 0.1
-
-
-class RunState(enum.Enum):
-    """State of an attempt that uses capacity."""
-
-    STARTING = "starting"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-@attrs.define(eq=False)
-class Run:
-    """One attempt that uses capacity.
-
-    Attributes:
-        owner: Incarnation of the scheduler that asked for it.
-        order: The request to start it.
-        demand: Capacity that it uses until it has certainly ended.
-        state: Whether it is starting, running or being stopped.
-        requested_s: Time of the request.
-        progress: Share of its work that is done, 0 to 1.
-        last_progress_s: Time of the last increase of `progress`.
-        reason: Why it is being stopped, for the scheduler and for logs; empty
-            if the scheduler asked for that or if it is not being stopped.
-    """
-
-    owner: str
-    order: messages.RunOrder
-    demand: work.Demand
-    state: RunState
-    requested_s: float
-    progress: float = 0.0
-    last_progress_s: float = 0.0
-    reason: str = ""
-
-    @property
-    def key(self) -> tuple[str, int]:
-        """Task and number of the attempt."""
-        return self.order.task, self.order.run
-
-    @property
-    def job(self) -> str:
-        """Key of its job, the first part of the task name."""
-        return self.order.task.partition(".")[0]
-
 
 @attrs.define(eq=False)
 class CapacityAllocator:
@@ -102,7 +49,7 @@
     reachable: bool = True
     runs_reconciled: bool = False
     shutting_down: bool = False
-    runs: dict[tuple[str, int], Run] = attrs.field(factory=dict)
+    runs: dict[tuple[str, int], room_runs.Run] = attrs.field(factory=dict)
     owners: dict[str, room_owners.Owner] = attrs.field(factory=dict)
     target_health: health.TargetHealth = attrs.field(
         factory=health.TargetHealth
@@ -193,8 +140,8 @@
     def run_started(self, task: str, run: int, now_s: float) -> None:
         """Marks a run as running after the target has confirmed its start."""
         known = self.runs.get((task, run))
-        if known is not None and known.state is RunState.STARTING:
-            known.state = RunState.RUNNING
+        if known is not None and known.state is room_runs.RunState.STARTING:
+            known.state = room_runs.RunState.RUNNING
             known.last_progress_s = now_s
 
     def update_progress(
@@ -211,7 +158,7 @@
         progressing = 0
         for key, share in progress.items():
             run = self.runs.get(key)
-            if run is None or run.state is not RunState.RUNNING:
+            if run is None or run.state is not room_runs.RunState.RUNNING:
                 continue
             if share > run.progress:
                 run.progress = share
@@ -243,7 +190,7 @@
                 ),
             )
             for run in self.runs.values()
-            if run.state is RunState.RUNNING
+            if run.state is room_runs.RunState.RUNNING
         ]
         self.target_health.update_speed([progress for _, progress in running])
         if self.target_health.suspect_reason is not health.SuspectReason.SLOW:
@@ -278,7 +225,7 @@
         self._end(known, ending, known.reason, now_s - known.requested_s)
 
     def _end(
-        self, run: Run, ending: work.Ending, reason: str, run_s: float
+        self, run: room_runs.Run, ending: work.Ending, reason: str, run_s: float
     ) -> None:
         """Frees the capacity of a run and reports its end to its scheduler."""
         del self.runs[run.key]
@@ -392,7 +339,9 @@
             )
             return
         demand = order.room.demand
-        run = Run(owner.name, order, demand, RunState.STARTING, now_s)
+        run = room_runs.Run(
+            owner.name, order, demand, room_runs.RunState.STARTING, now_s
+        )
         self.runs[run.key] = run
         self.pending_actions.append(
             actions.Start(order.task, order.run, payload)
@@ -483,10 +432,10 @@
         if not owner.connected and not owned:
             del self.owners[owner.name]
 
-    def _stop(self, run: Run) -> None:
+    def _stop(self, run: room_runs.Run) -> None:
         """Queues the stop of a run, unless it is being stopped already."""
-        if run.state is not RunState.STOPPING:
-            run.state = RunState.STOPPING
+        if run.state is not room_runs.RunState.STOPPING:
+            run.state = room_runs.RunState.STOPPING
             self.pending_actions.append(actions.Stop(*run.key))
 
     # Capacity.
@@ -499,57 +448,32 @@
         """
         if not self.usable:
             return
-        bids = [
-            (x, bid)
-            for x in self.owners.values()
-            if not x.retiring
-            for bid in x.bids
-        ]
-        if not bids:
-            return
-        bids.sort(key=lambda x: x[1].latest_start_s)
-        free = self.free()
-        for owner, bid in bids:
-            remaining = bid.total_demand.minus(owner.reserved_for(bid.urgency))
-            if self.target_health.suspect:
-                if self.runs or owner.reservations:
-                    return
-                remaining = bid.next_demand
-            if remaining.cpu_millicores <= 0:
-                continue
-            if not bid.next_demand.fits_in(free):
-                # Freed capacity must accumulate for the most urgent task.
-                return
-            reserve = work.Demand(
-                self.headroom.required_millicores(self._cpu_use(), bid.urgency)
-            )
-            usable = free.minus(reserve)
-            if not bid.next_demand.fits_in(usable):
-                continue
-            capacity = work.Demand(
-                min(remaining.cpu_millicores, usable.cpu_millicores),
-                min(max(remaining.memory_mb, 0), usable.memory_mb),
-                min(max(remaining.accelerators, 0), usable.accelerators),
-            )
-            self._offer(owner, bid.urgency, capacity, now_s)
-            free = free.minus(capacity)
+        for grant in offers.grants(
+            self.owners.values(),
+            self.free(),
+            lambda urgency: self.headroom.required_millicores(
+                self._cpu_use(), urgency
+            ),
+            self.target_health.suspect,
+            bool(self.runs),
+        ):
+            self._offer(grant, now_s)
 
-    def _offer(
-        self,
-        owner: room_owners.Owner,
-        urgency: int,
-        capacity: work.Demand,
-        now_s: float,
-    ) -> None:
+    def _offer(self, grant: offers.Grant, now_s: float) -> None:
         """Reserves capacity and sends the offer to the scheduler."""
         self.last_offer += 1
-        owner.reservations[self.last_offer] = room_owners.Reservation(
-            self.last_offer, urgency, capacity, now_s + OFFER_TIMEOUT_S
+        grant.owner.reservations[self.last_offer] = room_owners.Reservation(
+            self.last_offer,
+            grant.urgency,
+            grant.capacity,
+            now_s + offers.OFFER_TIMEOUT_S,
         )
         self._send(
-            owner.name,
+            grant.owner.name,
             messages.Offer(
-                self.last_offer, urgency, messages.Room.of(capacity)
+                self.last_offer,
+                grant.urgency,
+                messages.Room.of(grant.capacity),
             ),
         )
 
@@ -567,19 +491,10 @@
         there are, unless whether it may use the target has changed. They go
         along with the ends of its runs, in the same write.
         """
-        connected = [x for x in self.owners.values() if x.connected]
-        interval_s = REPORT_SPACING_S * len(connected)
-        if any(x.bids for x in connected):
-            interval_s = max(interval_s, BIDDING_REPORT_INTERVAL_S)
         usable, suspect = self.usable, self.target_health.suspect
+        connected = [x for x in self.owners.values() if x.connected]
         free = self.free()
-        due = [
-            x
-            for x in connected
-            if now_s - x.reported_s >= interval_s
-            or x.is_misled(usable, suspect, free)
-            or (x.run_ended and now_s - x.reported_s >= END_REPORT_INTERVAL_S)
-        ]
+        due = reporting.due_owners(connected, usable, suspect, free, now_s)
         if not due:
             return
         known = self.target
@@ -595,7 +510,7 @@
                 capacity,
                 free_room,
                 self.freed_cpu_rate.quantized(),
-                self._competing_cpu(owner.name),
+                reporting.competing_cpu(self.owners.values(), owner.name),
                 len(connected),
             )
             if report != owner.last_report:
@@ -603,25 +518,6 @@
                 owner.reported_s = now_s
                 self._send(owner.name, report)
 
-    def _competing_cpu(self, name: str) -> tuple[int, ...]:
-        """Returns the CPU that the other schedulers wait for.
-
-        Args:
-            name: Incarnation of the scheduler that is left out.
-
-        Returns:
-            Millicores by urgency class, up to the last class with any.
-        """
-        totals: list[int] = []
-        for owner in self.owners.values():
-            if owner.name == name or owner.retiring:
-                continue
-            for bid in owner.bids:
-                missing = bid.urgency + 1 - len(totals)
-                totals.extend([0] * missing)
-                totals[bid.urgency] += bid.total_demand.cpu_millicores
-        return tuple(totals)
-
     def _send(self, owner: str, message: object) -> None:
         """Queues a message to the scheduler `owner`."""
         self.pending_actions.append(actions.SendMessage(owner, message))
--- a/trefoilgw/room/tests/test_core.py
+++ b/trefoilgw/room/tests/test_core.py
@@ -5,8 +5,8 @@
 from unittest import mock
 
 from trefoilgw.messages import runs as messages
-from trefoilgw.room import core as room
 from trefoilgw.room import owners
+from trefoilgw.room import reporting
 from trefoilgw.room.tests import fixtures
 from trefoilgw.room.tests.fixtures import A
 from trefoilgw.room.tests.fixtures import B
@@ -54,7 +54,7 @@
         self.assertEqual({}, self.reports(allocator, 0.21))
         allocator.run_ended(tasks[1], 1, work.Ending.DONE, 0.245)
         self.assertEqual({}, self.reports(allocator, 0.245))
-        with mock.patch.object(room, "REPORT_SPACING_S", 1.0):
+        with mock.patch.object(reporting, "REPORT_SPACING_S", 1.0):
             reports = self.reports(allocator, 0.26)
         self.assertEqual([A], list(reports))
         self.assertEqual(7000, reports[A].free.cpu_millicores)
@@ -354,8 +354,8 @@
             allocator.run_ended(task, 1, work.Ending.DONE, now_s)
             sent.update(x for x, _ in self.reports(allocator, now_s))
         own = sent.pop(names[0])
-        self.assertLessEqual(own, 10.0 / room.END_REPORT_INTERVAL_S + 1)
-        limit = 10.0 / (room.REPORT_SPACING_S * len(names)) + 1
+        self.assertLessEqual(own, 10.0 / reporting.END_REPORT_INTERVAL_S + 1)
+        limit = 10.0 / (reporting.REPORT_SPACING_S * len(names)) + 1
         for count in sent.values():
             self.assertLessEqual(count, limit)
 
