Let an answer to a ping renew no authority right after a pause

Cause: a scheduler that resumes answers the pings that arrived meanwhile. The answer to a fresh one permitted it to act at once, before it had noticed that callers had closed their connections and sent their jobs to others.

Change: after a pause of over 1 s, answers and orders claim only the time before it, until the second tick has passed. Shorter delays of a slow host change nothing.

--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -239,14 +239,15 @@
 
 @core.message(59)
 class RunnerPong:
-    """Renews the authority, counted from the time in the ping.
+    """Renews the authority.
 
     Attributes:
-        sent_s: Copied from the ping.
+        alive_s: When the ping was sent, from which the authority counts;
+            earlier if the scheduler has been paused.
         runners: Number of runners connected to the scheduler, 0 if unknown.
     """
 
-    sent_s: float
+    alive_s: float
     runners: int = 0
 
 
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -261,10 +261,10 @@
         """Handles one message of a scheduler."""
         now_s = self.now()
         match message:
-            case runs.RunnerPong(sent_s=sent_s, runners=runners):
+            case runs.RunnerPong(alive_s=alive_s, runners=runners):
                 link.runners = runners
                 link.unanswered_s = None
-                self.allocator.renew_authority(link.owner, sent_s)
+                self.allocator.renew_authority(link.owner, alive_s)
                 return
             case runs.StartRuns():
                 self.allocator.start_runs(link.owner, message, now_s)
--- a/trefoilgw/scheduler/clients.py
+++ b/trefoilgw/scheduler/clients.py
@@ -181,8 +181,8 @@
         self.ordered_s.pop(name, None)
         match message:
             case runs.RunnerPing(sent_s=sent_s):
-                self.scheduler.runner_pinged(name, sent_s, now_s)
-                stream.send(runs.RunnerPong(sent_s, len(self.runners)))
+                alive_s = self.scheduler.runner_pinged(name, sent_s, now_s)
+                stream.send(runs.RunnerPong(alive_s, len(self.runners)))
                 return
             case runs.CapacityReport():
                 self.scheduler.capacity_reported(name, message, now_s)
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -42,6 +42,9 @@
 # work, and the time that the scheduler waits for an offer before it retries.
 HEADROOM_REASON = "headroom"
 HEADROOM_RETRY_S = 0.1
+# A pause of the process that is longer may have made callers send their jobs to
+# other schedulers.
+MAX_PAUSE_S = 1.0
 # Reasons for which a runner stops a run so that another runner can repeat it.
 RESCHEDULING_REASONS = frozenset({"stalled", "slow"})
 
@@ -67,8 +70,8 @@
         bid_urgency: Most urgent class of the last bids, None while nothing
             waits.
         bids_updated_s: Time of the last update of the bids.
-        alive_s: Time of the last tick but one. After a pause of the process it
-            is old until all that happened meanwhile has been handled.
+        handled_s: Time of the last tick but one, before which everything that
+            had happened has been handled.
         pending_actions: Actions not yet taken by the program.
         rng: Source of random choices.
     """
@@ -86,7 +89,7 @@
     forecaster: forecasts.Forecaster = attrs.field(init=False)
     bid_urgency: int | None = None
     bids_updated_s: float = 0.0
-    alive_s: float = 0.0
+    handled_s: float = 0.0
     pending_actions: list = attrs.field(factory=list)
     rng: random.Random = attrs.field(factory=random.Random)
     _order: int = 0
@@ -273,9 +276,30 @@
             self._send_message(name, messages.StopRuns(unknown))
         self._place(now_s)
 
-    def runner_pinged(self, name: str, sent_s: float, now_s: float) -> None:
-        """Notes that a ping of a runner, sent at `sent_s`, is answered."""
+    def runner_pinged(self, name: str, sent_s: float, now_s: float) -> float:
+        """Notes that a ping of a runner is answered.
+
+        Args:
+            name: Name of the runner.
+            sent_s: When the ping was sent, on the runner's clock.
+            now_s: Current time.
+
+        Returns:
+            Time on the runner's clock from which the answer renews the
+            authority.
+        """
         self.runner_views[name].pinged(sent_s, now_s)
+        return max(0.0, sent_s - (now_s - self._alive_until_s(now_s)))
+
+    def _alive_until_s(self, now_s: float) -> float:
+        """Returns until when this process has certainly not been paused.
+
+        After a pause this is before it, until all that happened meanwhile has
+        been handled.
+        """
+        if now_s - self.handled_s <= MAX_PAUSE_S:
+            return now_s
+        return self.handled_s
 
     def has_tasks_at(self, name: str) -> bool:
         """Returns whether the latest attempt at some task is at a runner."""
@@ -445,7 +469,7 @@
                     task
                 )
         for name, batch in batches.items():
-            self._send_batch(self.runner_views[name], batch, 0)
+            self._send_batch(self.runner_views[name], batch, 0, now_s)
         self._send_bids(now_s)
 
     def _mark_sent(
@@ -472,6 +496,7 @@
         view: runners.RunnerView,
         batch: dict[jobs.Job, list[jobs.Task]],
         offer: int,
+        now_s: float,
     ) -> None:
         """Sends tasks to a runner in one message.
 
@@ -479,6 +504,7 @@
             view: The runner.
             batch: Tasks by job; empty if an offer is declined.
             offer: Number of the offer that this answers, 0 if none.
+            now_s: Current time.
         """
         view.starts_sent += 1
         groups = tuple(
@@ -497,7 +523,7 @@
             )
             for job, tasks in batch.items()
         )
-        alive_s = view.renew_by_order(self.alive_s)
+        alive_s = view.renew_by_order(self._alive_until_s(now_s))
         order = messages.StartRuns(offer, groups, alive_s)
         self._send_message(view.name, order)
 
@@ -527,7 +553,7 @@
                 batch.setdefault(job, []).append(task)
             if remaining.cpu_millicores <= 0:
                 break
-        self._send_batch(view, batch, offer.number)
+        self._send_batch(view, batch, offer.number, now_s)
         if not batch:
             view.drop_bids(offer.urgency)
         self._send_bids(now_s)
@@ -565,7 +591,7 @@
         self._expire_lost_runners(now_s)
         self._reject_overdue(now_s)
         self._place(now_s)
-        self.alive_s = self._ticked_s
+        self.handled_s = self._ticked_s
         self._ticked_s = now_s
 
     def _expire_lost_runners(self, now_s: float) -> None:
