--- a/trefoilgw/entry/main.py
+++ b/trefoilgw/entry/main.py
@@ -12,12 +12,8 @@
 import eventlet  # noqa: E402
 from eventlet import event  # noqa: E402
 
-# Hardly any garbage is cyclic, and a full collection visits every job in
-# memory: with 60,000 jobs it took 0.18 s, during which nothing is answered.
-# So full collections run at a fixed interval and are not triggered by the
-# number of new objects.
+# Full collections run at this interval and not by the number of new objects.
 FULL_COLLECTION_INTERVAL_S = 900.0
-GC_THRESHOLDS = (20_000, 20, 1_000_000)
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -32,6 +28,7 @@
     from trefoilgw.entry import core
     from trefoilgw.findings import core as findings
     from trefoilgw.logs import core as logs
+    from trefoilgw.processes import garbage
     from trefoilgw.settings import core as settings_core
 
     parser = argparse.ArgumentParser(prog="trefoilgw-entry")
@@ -52,9 +49,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: stop.ready() or stop.send())
     entry.timers.every(FULL_COLLECTION_INTERVAL_S, gc.collect)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
+    garbage.limit_collections()
     ready = {"ready": True, **entry.addresses}
     print(json.dumps({**ready, "incarnation": entry.incarnation}), flush=True)
     stop.wait()
--- a/trefoilgw/processes/core.py
+++ b/trefoilgw/processes/core.py
@@ -5,7 +5,6 @@
 """
 
 import argparse
-import gc
 import logging
 import signal
 import sys
@@ -19,6 +18,7 @@
 from trefoilgw.metrics import core as metrics
 from trefoilgw.metrics import serving
 from trefoilgw.platform import hosting as platform_hosting
+from trefoilgw.processes import garbage
 from trefoilgw.timers import core as timers
 from trefoilgw.work import hosting
 
@@ -27,9 +27,6 @@
 # Log lines are written in batches, since each wake-up and each write costs CPU
 # time. A process that is killed loses the lines of up to this time.
 LOG_FLUSH_INTERVAL_S = 0.2
-# Little garbage is cyclic, and a full collection would pause the process; the
-# third threshold makes full collections very rare.
-GC_THRESHOLDS = (20_000, 20, 1_000_000)
 
 log = logging.getLogger(__name__)
 
@@ -101,9 +98,7 @@
     settings_watch = platform_hosting.SettingsWatch(settings, program.reload)
     signal.signal(signal.SIGHUP, lambda *_: settings_watch.check())
     program.start()
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(*GC_THRESHOLDS)
+    garbage.limit_collections()
     if options.metrics_port:
         address = f"{settings.address}:{options.metrics_port}"
         server.HttpServer(serving.Application(program.registry)).listen(address)
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -446,7 +446,7 @@
         A suspect target takes one task at a time: an offer for the next task
         is made only while it has no runs and the bidder has no open offer.
         """
-        if not self.usable:
+        if not self.usable or not any(x.bids for x in self.owners.values()):
             return
         for grant in offers.grants(
             self.owners.values(),
