--- a/trefoilgw/room/owners.py
+++ b/trefoilgw/room/owners.py
@@ -7,8 +7,9 @@
 from trefoilgw.work import core as work
 
 # A scheduler's runs are stopped this long after it last renewed its authority,
-# by the answer to a ping or by an order. Must stay well below the time after which a caller sends its job
-# again, which may then run through another scheduler.
+# by the answer to a ping or by an order. Must stay well below the time after
+# which a caller sends its job again, which may then run through another
+# scheduler.
 AUTHORITY_S = 0.9
 # Time in which the same two processes may reopen a broken stream and keep the
 # runs.
