--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -25,8 +25,10 @@
 DEPENDENCIES = ROOT / "target" / "deps"
 HOST_NAME = "jobs.example"
 SERVICE = "proof"
-START_TIMEOUT_S = 20.0
+START_TIMEOUT_S = 15.0
 TARGET_CORES = 64
+# A case may run for 120 s, of which ending the processes takes a few.
+TIME_LIMIT_S = 110
 # Bounds of the smallest deployments.
 RESEND_S = 1.3
 CONTACT_S = 3.0
@@ -395,6 +397,8 @@
     """
     # The children are ended also if this process is asked to stop.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(EXIT_NOT_RUN))
+    signal.signal(signal.SIGALRM, lambda *_: sys.exit(EXIT_NOT_RUN))
+    signal.alarm(TIME_LIMIT_S)
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"disruption: {'yes' if trouble else 'no'}")
