Take no jobs of callers that have left during a pause

Callers saw tasks run twice at a time after a scheduler had stood still: on waking it read the requests that waited to be accepted and admitted their jobs, although the callers had left and their jobs ran through other schedulers.

Cause: a closed connection was noticed only by a watch that the event loop serves in a later turn.

Change: the kernel is asked whether the connection is closed before a job is admitted, and on a pause for all callers that wait, before any timer runs.

--- a/tools/tests/test_platform_faults.py
+++ b/tools/tests/test_platform_faults.py
@@ -1,5 +1,6 @@
 """End-to-end fault tests on the platform stand-ins, with real processes."""
 
+import contextlib
 import pathlib
 import tempfile
 import threading
@@ -12,6 +13,8 @@
 
 # Delay after which a caller without an answer submits its job again.
 RESEND_DELAY_S = 1.3
+# So many that reading their requests takes longer than a scheduler's tick.
+LEAVING_CALLERS = 200
 
 
 class PlatformTestCase(unittest.TestCase):
@@ -165,6 +168,37 @@
         deployment.wait_serving()
         self.assert_no_overlap()
 
+    def test_woken_scheduler_takes_no_jobs_of_callers_that_left(self):
+        """Such callers have sent their jobs to another scheduler.
+
+        Reading many waiting requests takes longer than a tick, so that their
+        tasks were started before the closed connections were noticed.
+        """
+        deployment = self.deployment
+        deployment.process("scheduler-0").freeze()
+        keys = [deployments.new_key() for _ in range(LEAVING_CALLERS)]
+        callers = [self.leave_early(0, key) for key in keys]
+        for caller in callers:
+            caller.join()
+        time.sleep(RESEND_DELAY_S)
+        deployment.process("scheduler-0").thaw()
+        time.sleep(1.0)
+        left = {x["task"].partition(".")[0] for x in deployment.runs()}
+        self.assertEqual(set(), left & set(keys))
+
+    def leave_early(self, number, key):
+        """Submits a job in a thread and leaves before there is an answer."""
+
+        def run():
+            with contextlib.suppress(urllib3.exceptions.HTTPError):
+                path = f"/proof/{key}"
+                body = deployments.job_body(2, 0.3, 100)
+                self.deployment.call(number, "POST", path, body, 0.5)
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        return thread
+
     def test_killed_runner(self):
         """Its runs expire and must be repeated elsewhere without overlap."""
         deployment, key = self.deployment, deployments.new_key()
--- a/trefoilgw/callers/disconnects.py
+++ b/trefoilgw/callers/disconnects.py
@@ -1,5 +1,6 @@
 """Detects that a caller closes its connection during a request."""
 
+import contextlib
 import socket
 from collections.abc import Callable
 
@@ -19,6 +20,19 @@
     sock: object
     _thread: eventlet.greenthread.GreenThread | None = None
 
+    def closed(self) -> bool:
+        """Returns whether the caller has closed the connection by now.
+
+        Unlike the callback, it needs no turn of the event loop. After a pause
+        of the process, a connection may have been closed long ago.
+        """
+        try:
+            return not self.sock.fd.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def start(self, callback: Callable[[], None]) -> None:
         """Calls `callback` once if the caller closes the connection."""
         self._thread = eventlet.spawn(self._wait_for_close, callback)
@@ -31,13 +45,7 @@
 
     def _wait_for_close(self, callback: Callable[[], None]) -> None:
         """Waits until the connection is readable, and checks for its end."""
-        raw_sock = self.sock.fd
-        try:
-            hubs.trampoline(raw_sock, read=True)
-            closed = not raw_sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            closed = False
-        except OSError:
-            closed = True
-        if closed:
+        with contextlib.suppress(OSError):
+            hubs.trampoline(self.sock.fd, read=True)
+        if self.closed():
             callback()
--- a/trefoilgw/callers/protocol.py
+++ b/trefoilgw/callers/protocol.py
@@ -156,7 +156,7 @@
 
         try:
             environ = self._environ(body)
-            environ["trefoilgw.watch"] = watch.start
+            environ["trefoilgw.disconnects"] = watch
             parts = self.server.app(environ, start_response)
             answer = b"".join(parts)
         except Exception:
--- a/trefoilgw/platform/callers.py
+++ b/trefoilgw/platform/callers.py
@@ -26,9 +26,11 @@
     Attributes:
         watch: Registers a function that is called once if the caller closes
             the connection.
+        closed: Returns whether the caller has closed it by now.
     """
 
     watch: Callable[[Callable[[], None]], None]
+    closed: Callable[[], bool]
 
 
 @attrs.define(eq=False)
@@ -69,7 +71,8 @@
             )
         match parse_request(environ, configuration):
             case requests.Submit(job=job):
-                connection = Connection(environ["trefoilgw.watch"])
+                watch = environ["trefoilgw.disconnects"]
+                connection = Connection(watch.start, watch.closed)
                 outcome = self.submit(job, connection)
                 return _answer_submission(start_response, outcome)
             case requests.ReadState(key=key):
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -48,6 +48,19 @@
 log = logging.getLogger(__name__)
 
 
+@attrs.frozen(eq=False)
+class Waiter:
+    """A caller that waits for the outcome of a job.
+
+    Attributes:
+        connection: The caller's connection.
+        outcome: Event that gets the outcome, None once the caller has gone.
+    """
+
+    connection: platform_callers.Connection
+    outcome: event.Event = attrs.field(factory=event.Event)
+
+
 @attrs.define(eq=False)
 class Program:
     """The scheduler process and its components.
@@ -56,8 +69,7 @@
         settings: Settings of the host.
         incarnation: 16 hex digits, new at every process start.
         scheduler: Queues jobs and assigns their tasks to runners.
-        waiters: Events on which callers wait for the outcome of a job, by the
-            job's key.
+        waiters: Callers that wait for the outcome of a job, by the job's key.
         shutting_down: Whether an orderly stop has begun, after SIGTERM or
             SIGINT.
         counts: Metrics of jobs and runs.
@@ -78,7 +90,7 @@
     clients: scheduler_clients.Clients = attrs.field(init=False)
     callers_server: server.HttpServer = attrs.field(init=False)
     readiness_server: server.HttpServer = attrs.field(init=False)
-    waiters: dict[str, list[event.Event]] = attrs.field(factory=dict)
+    waiters: dict[str, list[Waiter]] = attrs.field(factory=dict)
     shutting_down: bool = False
     counts: scheduler_metrics.SchedulerMetrics = attrs.field(
         factory=scheduler_metrics.SchedulerMetrics
@@ -197,6 +209,7 @@
             self.roster.run,
         ):
             eventlet.spawn_n(loop)
+        self.timers.on_pause(self.drop_closed_callers)
         self.timers.every(TICK_S, self._tick)
         self.timers.every(SILENCE_CHECK_INTERVAL_S, self.clients.close_silent)
         self.timers.every(
@@ -257,7 +270,16 @@
     def submit(
         self, spec: work.JobSpec, connection: platform_callers.Connection
     ) -> actions.Outcome | None:
-        """Runs a job; returns its outcome, None if the caller disconnected."""
+        """Runs a job; returns its outcome, None if the caller disconnected.
+
+        A request may have waited to be read while this process was paused. If
+        its caller has left since, the job may be running through another
+        scheduler.
+        """
+        if connection.closed():
+            self.counts.job_rejected(spec.queue.name, "caller_gone")
+            log.info("caller gone", extra={"job": spec.key, "admitted": False})
+            return None
         now_s = clock.boottime()
         result = self.scheduler.submit(spec, int(time.time() * 1000), now_s)
         version = self.configuration_watcher.current.version
@@ -267,22 +289,45 @@
             self.counts.job_rejected(spec.queue.name, result.reason)
             return result
         decision_log.log_job_admitted(result, waiting_count, version, now_s)
-        waiter = event.Event()
+        waiter = Waiter(connection)
         self.waiters.setdefault(spec.key, []).append(waiter)
         connection.watch(lambda: self._caller_disconnected(spec.key, waiter))
         self.flush()
-        return waiter.wait()
+        return waiter.outcome.wait()
+
+    def drop_closed_callers(self, pause_s: float) -> None:
+        """Cancels the jobs of callers that left during a pause.
+
+        The event loop reports closed connections only after it has run
+        everything that became due in the meantime, and that may take longer
+        than until the tick that lets runners carry out orders again.
+
+        Args:
+            pause_s: Length of the pause of this process.
+        """
+        gone = [
+            (key, waiter)
+            for key, waiters in self.waiters.items()
+            for waiter in waiters
+            if waiter.connection.closed()
+        ]
+        log.warning(
+            "paused",
+            extra={"pause_s": round(pause_s, 3), "callers_gone": len(gone)},
+        )
+        for key, waiter in gone:
+            self._caller_disconnected(key, waiter)
 
-    def _caller_disconnected(self, key: str, waiter: event.Event) -> None:
+    def _caller_disconnected(self, key: str, waiter: Waiter) -> None:
         """Removes a waiter, and cancels the job if it was the last one."""
         waiting = self.waiters.get(key, [])
         if waiter not in waiting:
             return
         waiting.remove(waiter)
-        waiter.send(None)
+        waiter.outcome.send(None)
         if not waiting:
             del self.waiters[key]
-            log.info("caller gone", extra={"job": key})
+            log.info("caller gone", extra={"job": key, "admitted": True})
             self.scheduler.cancel(key)
             self.flush()
 
@@ -298,7 +343,7 @@
     def _answer_waiters(self, key: str, outcome: actions.Outcome) -> None:
         """Passes an outcome to all callers that wait for a job."""
         for waiter in self.waiters.pop(key, []):
-            waiter.send(outcome)
+            waiter.outcome.send(outcome)
 
     def _count_waiting(self, queue: str) -> int:
         """Returns how many jobs of a queue have not started."""
