--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -17,7 +17,13 @@
 from tools import processes
 
 # Name, priority, most attempts and stretch of each route.
-QUEUES = (("preview", 0, 3, 1.6), ("proof", 2, 3, 3.0))
+QUEUES = (
+    ("preview", 0, 3, 1.6),
+    ("proof", 2, 3, 3.0),
+    ("check", 1, 3, 2.0),
+    # Its run times tell nothing of those of the other queues' jobs.
+    ("warmup", 3, 3, 3.0),
+)
 HOST_NAME = "jobs.example"
 READY_TIMEOUT_S = 15.0
 LEASE_LIMIT_MS = 1000
@@ -61,6 +67,10 @@
         runners: Number of runners, each with a target.
         reservations: Sockets that keep the ports from other deployments.
         store: Address of the store; empty until `start` was called.
+        target_cores: Cores of each target.
+        relayed: Whether runners call their targets through relays, which
+            `cut_target` can cut.
+        relay: Control address of the relays; empty without any.
     """
 
     launcher: processes.Launcher
@@ -70,6 +80,9 @@
         factory=lambda: reserve_ports(6)
     )
     store: str = ""
+    target_cores: int = 4
+    relayed: bool = False
+    relay: str = ""
 
     @property
     def ports(self) -> list[int]:
@@ -91,6 +104,8 @@
         store = self.launcher.start("store", "tools.standins.platform_store")
         self.store = store.wait_ready()["http"]
         self.configure(1)
+        if self.relayed:
+            self.relay = self.start_relays()
         for number in range(self.schedulers):
             self.start_scheduler(number)
         for number in range(self.runners):
@@ -122,7 +137,9 @@
         listen = {"control": f"{ip}:{reports}"}
         name = f"runner-{number}"
         settings = self._make_settings(name, ip, ["side"], listen)
-        settings["app"] = f"{ip}:{app}"
+        settings["app"] = (
+            self.relay_address(number) if self.relay else f"{ip}:{app}"
+        )
         return self._launch(name, "trefoilgw.runner.main", settings)
 
     def start_target(self, number: int) -> processes.Process:
@@ -136,10 +153,42 @@
             f"{ip}:{app}",
             "--reports",
             f"{ip}:{reports}",
+            "--cores",
+            str(self.target_cores),
+            "--record",
+            str(self.record_path(number)),
         )
         process.wait_ready()
         return process
 
+    def record_path(self, number: int) -> pathlib.Path:
+        """Returns the file with the runs of a target, over its restarts."""
+        return self.launcher.directory / f"target-{number}.runs"
+
+    def relay_address(self, number: int) -> str:
+        """Returns the address at which a runner reaches its target."""
+        return f"127.0.3.{number + 1}:{self.ports[4]}"
+
+    def start_relays(self) -> str:
+        """Starts the relays to the targets; returns their control address."""
+        pairs = [
+            f"{self.relay_address(x)}={self.runner_ip(x)}:{self.ports[4]}"
+            for x in range(self.runners)
+        ]
+        process = self.launcher.start(
+            "relay",
+            "tools.standins.relay",
+            "--listen",
+            f"127.0.3.254:{self.ports[5]}",
+            *pairs,
+        )
+        return process.wait_ready()["http"]
+
+    def cut_target(self, number: int, how: str) -> None:
+        """Cuts a relayed target from its runner; `open` ends the cut."""
+        body = {"listen": self.relay_address(number), "how": how}
+        self.call_control(self.relay, "cut", body)
+
     def _make_settings(
         self, name: str, ip: str, serves: list[str], listen: dict
     ) -> dict:
@@ -324,7 +373,9 @@
             for number in list(not_serving):
                 wide_job = job_body(4 * self.runners, 0.05)
                 try:
-                    status, _ = self.submit(number, new_key(), wide_job)
+                    status, _ = self.submit(
+                        number, new_key(), wide_job, "warmup"
+                    )
                 except urllib3.exceptions.HTTPError:
                     status = 0
                 if status == 200:
@@ -332,18 +383,23 @@
             time.sleep(POLL_INTERVAL_S)
 
 
-def overlapping_tasks(runs: list[dict]) -> list[str]:
-    """Returns the tasks with two runs that overlapped in time."""
+def overlapping_runs(runs: list[dict]) -> list[tuple[dict, dict]]:
+    """Returns the pairs of runs of one task that overlapped in time."""
     found = []
     ordered = sorted(runs, key=lambda x: (x["task"], x["started_s"]))
     for run, next_run in zip(ordered, ordered[1:], strict=False):
         if run["task"] != next_run["task"]:
             continue
         if run["ended_s"] is None or run["ended_s"] > next_run["started_s"]:
-            found.append(run["task"])
+            found.append((run, next_run))
     return found
 
 
+def overlapping_tasks(runs: list[dict]) -> list[str]:
+    """Returns the tasks with two runs that overlapped in time."""
+    return [run["task"] for run, _ in overlapping_runs(runs)]
+
+
 def make_deployment(directory: pathlib.Path, **sizes) -> Deployment:
     """Returns a deployment that is not started yet.
 
--- a/tools/standins/platform_target.py
+++ b/tools/standins/platform_target.py
@@ -11,6 +11,7 @@
 
 import argparse
 import json
+import pathlib
 import time
 import urllib.request
 
@@ -93,6 +94,8 @@
         highest_runs: Highest attempt number seen, by task.
         changed: Event that wakes waiting calls.
         faults: Faults in force.
+        record: File to which starts and ends are written as JSON lines, which
+            outlives the process; None for none.
     """
 
     instance: str
@@ -106,6 +109,7 @@
     highest_runs: dict[str, int] = attrs.field(factory=dict)
     changed: event.Event = attrs.field(factory=event.Event)
     faults: Faults = attrs.field(factory=Faults)
+    record: pathlib.Path | None = None
 
     def clock_ms(self) -> int:
         """Returns the target's monotonic clock in milliseconds."""
@@ -145,6 +149,7 @@
         started = Run(task, run, spec["cpu"], spec["run_s"], time.monotonic())
         self.running[task] = started
         self.history.append(started)
+        self._write_record(started)
         return 200, response
 
     def stop(self, body: dict) -> tuple[int, dict]:
@@ -185,11 +190,18 @@
         run.how = how
         run.ended_s = time.monotonic()
         del self.running[run.task]
+        self._write_record(run)
         self.end_count += 1
         self.unconfirmed_ends.append((self.end_count, run))
         previous, self.changed = self.changed, event.Event()
         previous.send()
 
+    def _write_record(self, run: Run) -> None:
+        """Writes the state of a run to the record."""
+        if self.record is not None:
+            with self.record.open("a") as file:
+                file.write(json.dumps(attrs.asdict(run)) + "\n")
+
     def advance_runs(self) -> None:
         """Advances all runs until killed; spawn it as a greenthread.
 
@@ -291,8 +303,12 @@
     parser.add_argument("--reports", required=True)
     parser.add_argument("--service", default="proof")
     parser.add_argument("--cores", type=int, default=4)
+    parser.add_argument(
+        "--record", type=pathlib.Path, help="file for starts and ends of runs"
+    )
     options = parser.parse_args()
     target = Target(f"i-{options.listen}", options.cores * 1000)
+    target.record = options.record
     sock, address = listening.listen(options.listen)
     eventlet.spawn_n(target.advance_runs)
     eventlet.spawn_n(send_reports, target, options.reports, options.service)
