Keep the runs of a target that refuses connections until its leases expire

Callers' tasks ran twice at a time: a runner reported the runs of its target as lost, and schedulers began them again elsewhere, while they worked on.

Cause: a refused connection, or one that is reset while it opens, counted as proof that the target's process is dead. A target that is cut off refuses too.

Change: it only makes the target unusable. The runs are given up once all leases have certainly expired or another instance answers, and an unreachable target is asked for no longer lease. The log tells the rest of the lease.

--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -121,15 +121,21 @@
         self._end_all_as_lost(reason)
         self.target = None
 
-    def target_unreachable(self, reason: str) -> None:
-        """Marks the target as unreachable and reports its runs as lost.
+    def target_unreachable(self) -> None:
+        """Marks the target as unreachable, so that nothing is started.
 
-        Call this only once the leases of all its runs have certainly expired
-        or its process is known to be gone.
+        Its runs may go on: a connection is also refused or reset on the way to
+        a target that works.
         """
-        self._end_all_as_lost(reason)
         self.reachable = False
 
+    def leases_expired(self, reason: str) -> None:
+        """Reports all runs as lost.
+
+        Call this only once the leases of all runs have certainly expired.
+        """
+        self._end_all_as_lost(reason)
+
     def _end_all_as_lost(self, reason: str) -> None:
         """Ends all runs as lost, for the given reason."""
         for run in list(self.runs.values()):
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -3,7 +3,9 @@
 The target may carry out a start request later although it was not answered.
 The driver therefore stops such a run. It reports it as not run only once the
 target has confirmed the stop, after which it refuses the start, or once the
-lease given in the start request has certainly expired.
+lease given in the start request has certainly expired. That a connection is
+refused or reset says nothing about the runs: they are given up only once their
+leases have expired, or another instance of the target answers.
 """
 
 import logging
@@ -246,7 +248,8 @@
         if self.clock_offset_s is not None:
             idle = not self.allocator.runs
             wait_s = IDLE_HOLD_WAIT_S if idle else HOLD_WAIT_S
-            if sent_s - self.last_answer_s < EXTEND_TIMEOUT_S:
+            recent = sent_s - self.last_answer_s < EXTEND_TIMEOUT_S
+            if recent and self.allocator.reachable:
                 lease_end_s = self._lease_end_s()
         answer = self.client.hold(
             target.instance, lease_end_s, self.last_confirmed_end, wait_s
@@ -260,23 +263,40 @@
                 return self._reconcile(target, answer, sent_s)
             case orders.OtherInstance():
                 self._discard_target("another instance answers")
-            case orders.NoAnswer(reached=False, detail=detail):
-                # No process listens on this host, so no run is active.
-                self._mark_unreachable(detail)
-            case orders.NoAnswer(detail=detail):
-                self.last_unanswered_s = self.now()
-                if self.last_unanswered_s > self.lease_until_s:
+            case orders.NoAnswer(reached=reached, detail=detail):
+                if reached:
+                    self.last_unanswered_s = self.now()
+                else:
                     self._mark_unreachable(detail)
+                self._check_leases(detail)
                 # A target that resets each connection fails at once. Without a
                 # pause the next connection would follow immediately.
-                return self.now() - sent_s >= RETRY_INTERVAL_S
+                return reached and self.now() - sent_s >= RETRY_INTERVAL_S
         return False
 
     def _mark_unreachable(self, detail: str) -> None:
-        """Marks the target as unreachable; its runs have certainly ended."""
-        if self.allocator.reachable:
-            log.warning("target lost", extra={"detail": detail})
-        self.allocator.target_unreachable("target_lost")
+        """Marks the target as unreachable; its runs may go on."""
+        if not self.allocator.reachable:
+            return
+        log.warning(
+            "target lost",
+            extra={
+                "detail": detail,
+                "runs": len(self.allocator.runs),
+                "lease_s": round(self.lease_until_s - self.now(), 3),
+            },
+        )
+        self.allocator.target_unreachable()
+
+    def _check_leases(self, detail: str) -> None:
+        """Gives up all runs of an unreachable target whose leases are over."""
+        if self.now() <= self.lease_until_s:
+            return
+        self._mark_unreachable(detail)
+        if self.allocator.runs:
+            runs = len(self.allocator.runs)
+            log.warning("leases expired", extra={"runs": runs})
+            self.allocator.leases_expired("target_lost")
 
     def _discard_target(self, reason: str) -> None:
         """Removes a target that is gone or has restarted."""
