Let the target's own interface decide whether it has restarted or left

Callers' tasks ran twice at a time: runs were reported as lost and began again elsewhere while they worked on at a sound target.

Cause: a report with a later start time, or a deregistration, ended all runs of the target at once. Such a report may come from another writer, and such a deregistration from an earlier life of the target.

Change: a report of another life names a successor, which takes over once the interface of the known target shows that it is gone. A deregistration ends the acceptance of work; the runs end when the target refuses connections after it.

--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -15,6 +15,7 @@
 import urllib3
 
 from tools import processes
+from tools.standins import platform_target
 
 # Name, priority, most attempts and stretch of each route.
 QUEUES = (
@@ -246,6 +247,31 @@
         """Returns a process by its name."""
         return self.launcher.processes[name]
 
+    def report(self, number: int, instance: str, changes: dict) -> None:
+        """Sends a report to a runner in the place of its target.
+
+        Args:
+            number: Number of the runner.
+            instance: Instance that the report names.
+            changes: Fields that the report has beside the usual ones.
+        """
+        report = {
+            "service": "proof",
+            "address": f"{self.runner_ip(number)}:{self.ports[4]}",
+            "state": "ready",
+            "capacity": {"cpu": 8000, "memMb": 8192},
+            **changes,
+        }
+        self.post_report(number, instance, json.dumps(report).encode())
+
+    def post_report(self, number: int, instance: str, body: bytes) -> int:
+        """Sends a report with any body; returns the status of the answer."""
+        address = f"{self.runner_ip(number)}:{self.ports[3]}"
+        url = f"http://{address}{platform_target.REPORT_PATH}{instance}"
+        return urllib3.request(
+            "POST", url, body=body, timeout=1.0, retries=False
+        ).status
+
     # Actions of the operator.
 
     def configure(self, version: int, **changes) -> None:
--- a/tools/fault_soak.py
+++ b/tools/fault_soak.py
@@ -35,6 +35,20 @@
 CHECK_INTERVAL_S = 1.0
 MISSED_CHECKS = 2
 DRAIN_S = 4.0
+# Fields of reports that come from another writer.
+ODD_REPORTS = (
+    {"service": "unnamed"},
+    {"seq": 10**30},
+    {"capacity": {"cpu": 2**53, "memMb": 2**53}},
+    {"state": "odd"},
+    {"service": 7},
+)
+UNREADABLE_REPORTS = (
+    b"[" * 100_000,
+    b'{"seq": 1e999}',
+    b"\xed\xa0\x80",
+    b"",
+)
 # Time at the start without faults.
 CALM_S = 1.0
 
@@ -354,37 +368,12 @@
 
     def _report_oddly(self, number: int) -> None:
         """Sends reports of another writer to a runner."""
-        deployment = self.deployment
-        address = f"{deployment.runner_ip(number)}:{deployment.ports[3]}"
         now_ms = int(time.time() * 1000)
-        report = {
-            "service": "proof",
-            "address": "10.0.0.1:99999",
-            "state": "ready",
-            "capacity": {"cpu": 8000, "memMb": 8192},
-            "seq": 1,
-            "born": now_ms,
-        }
-        odd = [
-            {**report, "service": "unnamed"},
-            {**report, "seq": 10**30},
-            {**report, "capacity": {"cpu": 2**53, "memMb": 2**53}},
-            {**report, "state": "odd"},
-            {"service": 7},
-        ]
-        bodies = [json.dumps(x) for x in odd]
-        bodies += ["[" * 100_000, '{"seq": 1e999}', "\ud800"]
-        for body in bodies:
-            try:
-                urllib3.request(
-                    "POST",
-                    f"http://{address}/Instances.Heartbeat/i-odd",
-                    body=body.encode("utf-8", "surrogatepass"),
-                    timeout=1.0,
-                    retries=False,
-                )
-            except urllib3.exceptions.HTTPError as error:
-                print(f"odd report not answered: {error}", flush=True)
+        for changes in ODD_REPORTS:
+            known = {"seq": 1, "born": now_ms}
+            self.deployment.report(number, "i-odd", known | changes)
+        for body in UNREADABLE_REPORTS:
+            self.deployment.post_report(number, "i-odd", body)
 
     # Findings.
 
--- a/tools/tests/test_platform_faults.py
+++ b/tools/tests/test_platform_faults.py
@@ -284,6 +284,21 @@
             states.append(body.get("state"))
         self.assertEqual(["completed"] * 10, states)
 
+    def test_reports_of_another_writer_end_no_run(self):
+        """They name a target that started later, at the same runner."""
+        deployment, key = self.deployment, deployments.new_key()
+        thread = self.submit_in_thread(0, key, deployments.job_body(9, 0.9))
+        self.wait_for_runs(key, 9)
+        now_ms = int(time.time() * 1000)
+        for instance in ("i-odd", "i-other"):
+            deployment.report(0, instance, {"seq": 1, "born": now_ms})
+            time.sleep(0.1)
+        deployment.report(0, "i-odd", {"seq": 2, "born": 0})
+        thread.join()
+        self.assertEqual(200, self.answers[key][0])
+        self.assert_no_overlap()
+        self.assertEqual({"done"}, {x["how"] for x in self.runs_of(key)})
+
     def test_draining_target_gets_nothing_new(self):
         """A run started at a draining target would end with the target."""
         deployment = self.deployment
--- a/trefoilgw/platform/reports.py
+++ b/trefoilgw/platform/reports.py
@@ -47,17 +47,30 @@
     )
 
 
+def decode_leave(data: bytes) -> int:
+    """Decodes the body of a deregistration, which may be empty.
+
+    Returns:
+        Start of the target in Unix milliseconds, 0 if it does not say.
+
+    Raises:
+        fields.FieldError: The body is malformed.
+    """
+    return fields.Fields(fields.parse(data or b"{}")).integer("born", 0)
+
+
 @attrs.define(eq=False)
 class ReportsApplication:
     """WSGI application that receives a target's reports.
 
     Attributes:
         on_report: Called with the `work.Target` of each valid report.
-        on_leave: Called with the instance when it deregisters.
+        on_leave: Called with the instance and its start in milliseconds, 0 if
+            it does not say, when it deregisters.
     """
 
     on_report: Callable[[work.Target], None]
-    on_leave: Callable[[str], None]
+    on_leave: Callable[[str, int], None]
 
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
         """Answers one report."""
@@ -77,16 +90,17 @@
         path = environ["PATH_INFO"]
         if environ["REQUEST_METHOD"] != "POST":
             return "405 Method Not Allowed"
-        if path.startswith(_LEAVE_PATH):
-            self.on_leave(path.removeprefix(_LEAVE_PATH))
-            return "200 OK"
-        if not path.startswith(_REPORT_PATH):
-            return "404 Not Found"
+        data = environ["wsgi.input"].read()
         try:
-            instance = path.removeprefix(_REPORT_PATH)
-            target = decode(instance, environ["wsgi.input"].read())
+            if path.startswith(_LEAVE_PATH):
+                instance = path.removeprefix(_LEAVE_PATH)
+                self.on_leave(instance, decode_leave(data))
+            elif path.startswith(_REPORT_PATH):
+                instance = path.removeprefix(_REPORT_PATH)
+                self.on_report(decode(instance, data))
+            else:
+                return "404 Not Found"
         except fields.FieldError as error:
             log.warning("report unreadable", extra={"error": str(error)})
             return "400 Bad Request"
-        self.on_report(target)
         return "200 OK"
--- a/trefoilgw/platform/tests/test_decoding.py
+++ b/trefoilgw/platform/tests/test_decoding.py
@@ -209,6 +209,13 @@
             ):
                 reports.decode("i-7", encode_json(REPORT, **changes))
 
+    def test_deregistration_names_the_life_that_ends(self):
+        """A late one of an earlier life must not end the runs of this one."""
+        self.assertEqual(7, reports.decode_leave(b'{"born": 7, "other": 1}'))
+        self.assertEqual(0, reports.decode_leave(b""))
+        with self.assertRaises(fields.FieldError):
+            reports.decode_leave(b'{"born": -1}')
+
 
 class SettingsTest(unittest.TestCase):
     def test_decodes_settings(self):
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -33,6 +33,9 @@
 
     Attributes:
         target: The target as last reported, None if none is registered.
+        successor: Target that was reported while another one is known. It
+            takes its place once that one is gone.
+        leaving: Whether the target has said that it ends.
         reachable: Whether the target answers requests.
         runs_reconciled: Whether all runs that the target lists are in `runs`.
         shutting_down: True once the runner shuts down.
@@ -46,6 +49,8 @@
     """
 
     target: work.Target | None = None
+    successor: work.Target | None = None
+    leaving: bool = False
     reachable: bool = True
     runs_reconciled: bool = False
     shutting_down: bool = False
@@ -70,6 +75,7 @@
             self.target is not None
             and self.reachable
             and self.runs_reconciled
+            and not self.leaving
             and not self.target.draining
             and not self.shutting_down
         )
@@ -92,34 +98,52 @@
     # The target.
 
     def target_reported(self, target: work.Target) -> bool:
-        """Updates the target from its own report.
+        """Updates the target from a report.
 
-        Late reports are ignored. If the target has restarted, all runs on it
-        are reported as lost and its health is reset.
+        Late reports are ignored. A report of another life does not end the
+        known one: it may come from another writer. It only names the successor
+        for the time when the target's own interface shows that it is gone.
 
         Returns:
-            True if the target is new or has restarted.
+            True if there was no target, and this one is registered.
         """
         known = self.target
-        if known is not None:
-            if target.started_ms < known.started_ms:
-                return False
-            same = known.started_ms == target.started_ms
-            if same and known.instance == target.instance:
-                if target.sequence > known.sequence:
-                    self.target = target
-                return False
-        self._end_all_as_lost("the target started anew")
+        if known is None:
+            self._register(target)
+            return True
+        if known.is_same_life(target):
+            if target.sequence > known.sequence:
+                self.target = target
+                self.leaving = False
+        elif target.started_ms >= known.started_ms:
+            self.successor = target
+        return False
+
+    def _register(self, target: work.Target) -> None:
+        """Registers a target of which nothing is known yet."""
         self.target = target
+        self.successor = None
+        self.leaving = False
         self.reachable = True
         self.runs_reconciled = False
         self.target_health = health.TargetHealth()
-        return True
 
-    def target_left(self, reason: str) -> None:
-        """Removes the target and reports its runs as lost."""
+    def target_leaves(self) -> None:
+        """Notes that the target ends; its runs may go on until it has."""
+        self.leaving = True
+
+    def target_gone(self, reason: str) -> bool:
+        """Removes a target that is gone and reports its runs as lost.
+
+        Returns:
+            True if its successor is registered in its place.
+        """
         self._end_all_as_lost(reason)
-        self.target = None
+        self.target, successor = None, self.successor
+        if successor is None:
+            return False
+        self._register(successor)
+        return True
 
     def target_unreachable(self) -> None:
         """Marks the target as unreachable, so that nothing is started.
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -266,6 +266,9 @@
             case orders.NoAnswer(reached=reached, detail=detail):
                 if reached:
                     self.last_unanswered_s = self.now()
+                elif self.allocator.leaving:
+                    self._discard_target("it has left")
+                    return False
                 else:
                     self._mark_unreachable(detail)
                 self._check_leases(detail)
@@ -300,8 +303,22 @@
 
     def _discard_target(self, reason: str) -> None:
         """Removes a target that is gone or has restarted."""
-        log.warning("target gone", extra={"detail": reason})
-        self.allocator.target_left("target_gone")
+        log.warning(
+            "target gone",
+            extra={"detail": reason, "runs": len(self.allocator.runs)},
+        )
+        if self.allocator.target_gone("target_gone"):
+            self.target_registered()
+        else:
+            self.reset_target_state()
+
+    def target_registered(self) -> None:
+        """Handles the registration of a target with the allocator."""
+        target = self.allocator.target
+        log.info(
+            "target joined",
+            extra={"instance": target.instance, "born": target.started_ms},
+        )
         self.reset_target_state()
 
     def _reconcile(
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -193,23 +193,37 @@
 
     def _target_reported(self, target: work.Target) -> None:
         """Handles a report of the target about itself."""
-        before = self.allocator.target
+        before, successor = self.allocator.target, self.allocator.successor
         if self.allocator.target_reported(target):
-            log.info(
-                "target joined",
-                extra={"instance": target.instance, "born": target.started_ms},
-            )
-            self.driver.reset_target_state()
-        elif before is not None and before.draining != target.draining:
+            self.driver.target_registered()
+        elif not before.is_same_life(target):
+            if successor is None or not successor.is_same_life(target):
+                log.warning(
+                    "other target reported",
+                    extra={
+                        "instance": target.instance,
+                        "born": target.started_ms,
+                    },
+                )
+        elif not before.draining and self.allocator.target.draining:
             log.info("target drains", extra={"instance": target.instance})
         self.flush()
 
-    def _target_left(self, instance: str) -> None:
-        """Handles the deregistration of the target."""
+    def _target_left(self, instance: str, started_ms: int) -> None:
+        """Handles the deregistration of the target.
+
+        Args:
+            instance: The instance that leaves.
+            started_ms: When it started, 0 if it does not say.
+        """
         known = self.allocator.target
-        if known is not None and known.instance == instance:
+        if (
+            known is not None
+            and known.instance == instance
+            and started_ms in (0, known.started_ms)
+        ):
             log.info("target left", extra={"instance": instance})
-            self.allocator.target_left("target_left")
+            self.allocator.target_leaves()
             self.flush()
 
 
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -257,6 +257,33 @@
         self.assertEqual("lost", self.endings()[0][2])
         self.assertIsNone(self.allocator.target)
 
+    def test_answer_of_another_instance_ends_all_runs_as_lost(self):
+        """The successor that was reported before takes over at once."""
+        self.start_one()
+        self.allocator.target_reported(fixtures.make_target(started_ms=2))
+        self.client.holds = [listing(running=["j.0.0.0"])]
+        self.extend_lease()
+        self.assertEqual([], self.endings())
+        self.client.holds = [orders.OtherInstance(), listing(started_ms=2)]
+        self.extend_lease()
+        self.assertEqual("lost", self.endings()[0][2])
+        self.extend_lease()
+        self.assertTrue(self.allocator.usable)
+
+    def test_target_that_left_is_gone_once_it_refuses(self):
+        """Its runs end with it, and need not wait for their leases."""
+        self.start_one()
+        self.allocator.target_leaves()
+        self.client.holds = [
+            listing(running=["j.0.0.0"]),
+            orders.NoAnswer(False, "refused"),
+        ]
+        self.extend_lease()
+        self.assertEqual([], self.endings())
+        self.extend_lease()
+        self.assertEqual("lost", self.endings()[0][2])
+        self.assertIsNone(self.allocator.target)
+
     def test_stalled_runs_are_queued_for_a_stop(self):
         """The program carries out the stops that the allocator queues."""
         self.start_one()
--- a/trefoilgw/work/core.py
+++ b/trefoilgw/work/core.py
@@ -187,3 +187,14 @@
     capacity: Demand
     draining: bool
     sequence: int
+
+    def is_same_life(self, other: "Target") -> bool:
+        """Returns whether two reports come from the same process.
+
+        A process may start again as the same instance. A report without a
+        start time, which is 0, is told by its instance alone.
+        """
+        return self.instance == other.instance and (
+            self.started_ms == other.started_ms
+            or 0 in (self.started_ms, other.started_ms)
+        )
