Start no run that has been given up before its start was sent

Callers' tasks ran twice at a time after a runner's host had stood still for 1.2 s: the same attempt that had been reported as lost was started right after.

Cause: on waking, the runner accepts the orders that came meanwhile and spawns their starts. Then its call to the target has timed out and the leases are over, so that all runs are given up, also those whose start is not sent yet; the spawned start sends it all the same.

Change: a start is sent only while its attempt still counts. All that was sent before is covered by the lease that is waited for.

Measured: the new test fails without the change.

--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -102,8 +102,14 @@
     def start(self, task: str, run: int, payload: str) -> None:
         """Starts an attempt and reports the outcome to the allocator.
 
+        An attempt that has ended since it was accepted is not started: it may
+        have been given up with all others while this process was paused.
+
         Blocks, so spawn it as a greenthread.
         """
+        if (task, run) not in self.allocator.runs:
+            log.info("start dropped", extra={"task": task, "run": run})
+            return
         target = self.allocator.target
         if target is None or self.clock_offset_s is None:
             self.allocator.run_refused(task, run, "target_unknown")
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -25,6 +25,7 @@
     stops: list = attrs.field(factory=lambda: [ACCEPTED])
     holds: list = attrs.field(factory=lambda: [NO_ANSWER])
     leases: list = attrs.field(factory=list)
+    started: list = attrs.field(factory=list)
     stopped: list = attrs.field(factory=list)
 
     def _next(self, answers):
@@ -34,6 +35,7 @@
         return answer
 
     def start(self, instance, task, run, payload, lease_end_s):
+        self.started.append(task)
         return self._next(self.starts)
 
     def stop(self, instance, task, run):
@@ -143,6 +145,19 @@
         self.assertEqual([True, True], [x.wait() for x in results])
         self.assertEqual(2, len(self.client.stopped))
 
+    def test_run_that_was_given_up_is_not_started(self):
+        """It began again elsewhere, 1 to 9 ms before.
+
+        A runner that wakes reads the orders that came meanwhile, and then
+        finds that the leases have expired, before it starts the first of them.
+        """
+        self.request_start("j.0.0.0")
+        self.now_s += 1.2
+        self.extend_lease()
+        self.assertEqual("lost", self.endings()[0][2])
+        self.driver.start("j.0.0.0", 1, "p")
+        self.assertEqual([], self.client.started)
+
     def test_refused_start_has_not_run(self):
         """The target has not started it, so another target may."""
         self.request_start("j.0.0.0")
