Choose streams also while no scheduler is known

The operators' runners logged failed timer callbacks.

Cause: the estimate of how many runners share a scheduler divided by zero while a seed had answered a ping and no scheduler was known, as at the start of all processes at once or when the store's list is empty. Until then a runner dialed no further seed.

Change: without known schedulers the default number of streams is chosen.

Both new tests failed without the change.

--- a/trefoilgw/runner/tests/test_links.py
+++ b/trefoilgw/runner/tests/test_links.py
@@ -69,6 +69,18 @@
         self.links.select()
         self.assertEqual({"seed:1"}, set(self.links.links))
 
+    def test_stream_is_kept_before_any_scheduler_is_known(self):
+        """The selection failed while the store listed no scheduler.
+
+        A seed answers pings before it has told which schedulers there are.
+        """
+        self.links.select()
+        self.open("seed:1")
+        self.links.links["seed:1"].runners = 11
+        self.pass_time(links.RETIREMENT_S)
+        self.pass_time(links.RETIREMENT_S)
+        self.assertIsNone(self.links.links["seed:1"].stream.closed)
+
     def test_surplus_seed_is_left_without_losing_orders(self):
         """All runners start at the same seeds, which can't serve them all."""
         self.links.select()
--- a/trefoilgw/subsets/core.py
+++ b/trefoilgw/subsets/core.py
@@ -123,7 +123,7 @@
         mean_choosers: Mean number of choosers that are connected to the
             members at the other end of these streams.
     """
-    if not stream_count or mean_choosers <= 0.0:
+    if not member_count or not stream_count or mean_choosers <= 0.0:
         return SCHEDULERS_PER_RUNNER
     choosers = mean_choosers * member_count / stream_count
     needed = math.ceil(MIN_RUNNERS_PER_SCHEDULER * member_count / choosers)
--- a/trefoilgw/subsets/tests/test_core.py
+++ b/trefoilgw/subsets/tests/test_core.py
@@ -121,6 +121,12 @@
             subsets.SCHEDULERS_PER_RUNNER, subsets.stream_count(35, 0, 0.0)
         )
 
+    def test_streams_to_members_that_are_not_known(self):
+        """A division by zero ended each selection of a runner's streams."""
+        self.assertEqual(
+            subsets.SCHEDULERS_PER_RUNNER, subsets.stream_count(0, 1, 11.0)
+        )
+
 
 class SelectPeersTest(unittest.TestCase):
     @settings(max_examples=60, deadline=None)
