Leave out odd entries of the lists that processes read

Other operators reported that one odd entry of another writer kept machines from following a list, or ended them.

Cause here: an entry of very deep nesting in the list of schedulers ended each reading, half of a surrogate pair could not be passed on, a host name was looked up while the whole process waited, and one unreadable item made the answer to a list or a watch unreadable as a whole.

Change: entries of the list are decoded with the checks for foreign bodies, an unreadable item is left out with a log line, and only IP addresses count as addresses. The roster of the standalone entries and the command line get the same checks.

Measured: on real processes with five odd entries the schedulers logged failed readings before and none after.

--- a/tools/standins/platform_store.py
+++ b/tools/standins/platform_store.py
@@ -4,7 +4,8 @@
 and is not part of the product. A control interface, which the faults don't
 affect, sets the faults and makes the operator's writes:
 
-- ``POST /control/put``: writes `value` to `key` as the operator.
+- ``POST /control/put``: writes `value`, or the bytes whose base64 text is
+  `data`, to `key` as the operator.
 - ``POST /control/faults``: fields of `Faults`; omitted fields are reset.
 - ``GET /control/calls``: calls so far by path.
 """
@@ -292,8 +293,11 @@
         match path:
             case "/control/put":
                 store.revision += 1
-                value = json.dumps(body["value"]).encode()
-                store.write(body["key"], base64.b64encode(value).decode())
+                data = body.get("data")
+                if data is None:
+                    value = json.dumps(body["value"]).encode()
+                    data = base64.b64encode(value).decode()
+                store.write(body["key"], data)
                 return 200, {"revision": store.revision}
             case "/control/faults":
                 store.faults = Faults(**body)
--- a/tools/tests/test_platform_faults.py
+++ b/tools/tests/test_platform_faults.py
@@ -1,5 +1,6 @@
 """End-to-end fault tests on the platform stand-ins, with real processes."""
 
+import base64
 import contextlib
 import pathlib
 import tempfile
@@ -150,6 +151,40 @@
         self.deployment.wait_serving(5.0)
 
 
+class OddEntryTest(PlatformTestCase):
+    def test_odd_entries_in_the_list_of_schedulers(self):
+        """One of them ended each reading, so that nobody found the others."""
+        deployment = self.deployment
+        entries = {
+            "nested": b"[" * 100_000,
+            "number": b'{"address": ' + b"9" * 5000 + b"}",
+            "port": b'{"address": "127.0.1.9:99999", "domain": "d", '
+            b'"incarnation": "x"}',
+            "half": b'{"address": "\\ud800:1", "domain": "d", '
+            b'"incarnation": "x"}',
+            "bytes": b"\xff\xfe",
+        }
+        for name, data in entries.items():
+            body = {
+                "key": f"trefoilgw/schedulers/{name}",
+                "data": base64.b64encode(data).decode(),
+            }
+            deployment.call_control(deployment.store, "put", body)
+        deployment.process("scheduler-1").kill()
+        deployment.process("scheduler-1").wait(5.0)
+        deployment.start_scheduler(1)
+        deployment.wait_serving(8.0)
+        for name in ("scheduler-0", "scheduler-1", "runner-0"):
+            self.assertTrue(deployment.process(name).running())
+            lines = deployment.log_lines(name)
+            for event in (
+                "timer callback failed",
+                "roster update failed",
+                "message handler failed",
+            ):
+                self.assertFalse(any(event in x for x in lines), (name, event))
+
+
 class LostProcessTest(PlatformTestCase):
     def test_killed_scheduler(self):
         """Callers submit again; the first runs must have ended by then."""
--- a/trefoilgw/cli/fleet.py
+++ b/trefoilgw/cli/fleet.py
@@ -247,7 +247,12 @@
             values = json.loads(data)
             if not isinstance(values, dict):
                 raise ValueError("the answer is not an object")
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+        except (
+            urllib3.exceptions.HTTPError,
+            OSError,
+            ValueError,
+            RecursionError,
+        ) as error:
             return attrs.evolve(reply, error=f"{type(error).__name__}: {error}")
         return attrs.evolve(reply, status=answer.status, values=values)
 
--- a/trefoilgw/platform/fields.py
+++ b/trefoilgw/platform/fields.py
@@ -108,10 +108,12 @@
 
     def objects(self, name: str) -> list["Fields"]:
         """Returns an array of nested objects, empty if it is absent."""
-        found = []
-        for index, value in enumerate(self.array(name)):
-            location = f"{self.location}{name}[{index}]"
-            if not isinstance(value, dict):
-                raise FieldError(f"{location} is not an object")
-            found.append(Fields(value, f"{location}."))
-        return found
+        return [self.item(name, x) for x in range(len(self.array(name)))]
+
+    def item(self, name: str, index: int) -> "Fields":
+        """Returns one object of an array."""
+        value = self.array(name)[index]
+        location = f"{self.location}{name}[{index}]"
+        if not isinstance(value, dict):
+            raise FieldError(f"{location} is not an object")
+        return Fields(value, f"{location}.")
--- a/trefoilgw/platform/store.py
+++ b/trefoilgw/platform/store.py
@@ -6,8 +6,8 @@
 """
 
 import base64
-import binascii
 import json
+import logging
 import urllib.parse
 from collections.abc import Callable
 from collections.abc import Sequence
@@ -27,6 +27,8 @@
 
 _HEADERS = {"Content-Type": "application/json"}
 
+log = logging.getLogger(__name__)
+
 
 @attrs.frozen
 class Changes:
@@ -88,7 +90,7 @@
 
         def convert(status: int, body: fields.Fields) -> values.Page:
             return values.Page(
-                tuple(_decode_value(x) for x in body.objects("items")),
+                _decode_readable(body, "items", _decode_value),
                 body.integer("storeRevision", 0),
                 body.boolean("hasMore"),
             )
@@ -115,14 +117,10 @@
         def convert(status: int, body: fields.Fields):
             if status == 410:
                 return HistoryGone()
-            events = body.objects("events")
+            events = _decode_readable(body, "events", _decode_event)
             return Changes(
-                tuple(
-                    _decode_value(x)
-                    for x in events
-                    if not x.boolean("tombstone")
-                ),
-                tuple(x.text("key") for x in events if x.boolean("tombstone")),
+                tuple(x for x in events if isinstance(x, values.KeyValue)),
+                tuple(x for x in events if isinstance(x, str)),
                 body.integer("storeRevision"),
             )
 
@@ -288,11 +286,34 @@
             return str(error)
 
 
+def _decode_readable(
+    body: fields.Fields, name: str, decode: Callable[[fields.Fields], object]
+) -> tuple:
+    """Decodes the items of a list, and leaves out the unreadable ones.
+
+    One odd item must not hide the others.
+    """
+    found = []
+    for index in range(len(body.array(name))):
+        try:
+            found.append(decode(body.item(name, index)))
+        except fields.FieldError as error:
+            log.warning("stored item unreadable", extra={"error": str(error)})
+    return tuple(found)
+
+
+def _decode_event(event: fields.Fields) -> values.KeyValue | str:
+    """Decodes a change: the written value, or the key that was deleted."""
+    if event.boolean("tombstone"):
+        return event.text("key")
+    return _decode_value(event)
+
+
 def _decode_value(item: fields.Fields) -> values.KeyValue:
     """Decodes an item of the store's answer."""
     try:
         data = base64.b64decode(item.text("value", ""), validate=True)
-    except binascii.Error as error:
+    except ValueError as error:
         raise fields.FieldError(f"{item.location}value: {error}") from error
     return values.KeyValue(
         data,
--- a/trefoilgw/registry/rosters.py
+++ b/trefoilgw/registry/rosters.py
@@ -135,11 +135,13 @@
 
 
 def _require_text(value: object) -> str:
-    """Returns the value if it is a string.
+    """Returns the value if it is a string that messages can hold.
 
     Raises:
         TypeError: The value is not a string.
+        ValueError: It is not valid Unicode, such as half of a surrogate pair.
     """
     if not isinstance(value, str):
         raise TypeError(f"{value!r} is not text")
+    value.encode()
     return value
--- a/trefoilgw/registry/tests/test_rosters.py
+++ b/trefoilgw/registry/tests/test_rosters.py
@@ -74,6 +74,7 @@
             "epoch without members": good | {"epoch": 2},
             "entry without domain": good | {"entries": [{"incarnation": "a"}]},
             "member is a number": good | {"history": {"1": [3]}},
+            "half of a surrogate pair": good | {"history": {"1": ["\ud800"]}},
             "members are a number": good | {"history": {"1": 3}},
         }
         for case, value in invalid.items():
--- a/trefoilgw/scheduler/roster.py
+++ b/trefoilgw/scheduler/roster.py
@@ -14,10 +14,14 @@
 
 from trefoilgw.keyvalue import values
 from trefoilgw.messages import runs
+from trefoilgw.platform import fields
 from trefoilgw.platform import store as platform_store
+from trefoilgw.streams import core as streams
 
 KEY_PREFIX = "trefoilgw/schedulers/"
 SCHEMA_VERSION = 1
+# Records are passed on to all processes; no host or domain has a longer name.
+MAX_TEXT_CHARACTERS = 200
 LEASE_S = 9.0
 REFRESH_S = 3.0
 # Delay before the next attempt while the own key is not registered, and
@@ -154,19 +158,21 @@
 ) -> runs.SchedulerRecord | str:
     """Returns the record in a stored item, or the reason why there is none.
 
-    Fields that this release doesn't know are ignored.
+    Another writer may have left anything under the prefix. Fields that this
+    release doesn't know are ignored.
 
     Args:
         item: Item of the store.
         revision: Revision of the store at which it was read.
     """
     try:
-        document = json.loads(item.data)
-    except ValueError as error:
-        return f"not JSON: {error}"
-    if not isinstance(document, dict):
-        return "not an object"
-    texts = [document.get(x) for x in ("address", "domain", "incarnation")]
-    if not all(isinstance(x, str) for x in texts):
-        return "a field is missing or not a text"
-    return runs.SchedulerRecord(*texts, revision, True)
+        body = fields.Fields(fields.parse(item.data))
+        address, domain, incarnation = (
+            body.text(x) for x in ("address", "domain", "incarnation")
+        )
+        streams.parse_address(address)
+    except (fields.FieldError, ValueError) as error:
+        return str(error)
+    if max(len(domain), len(incarnation)) > MAX_TEXT_CHARACTERS:
+        return "a field is too long"
+    return runs.SchedulerRecord(address, domain, incarnation, revision, True)
--- a/trefoilgw/streams/core.py
+++ b/trefoilgw/streams/core.py
@@ -10,6 +10,7 @@
 import contextlib
 import errno
 import hmac
+import ipaddress
 import logging
 import os
 import socket as stdlib_socket
@@ -26,6 +27,7 @@
 from trefoilgw.messages import core as messages
 from trefoilgw.streams import proofs
 
+MAX_PORT = 65535
 HANDSHAKE_TIMEOUT_S = 3.0
 READ_BYTES = 64 * 1024
 # A peer that leaves this much unread is treated as dead; its stream is closed.
@@ -43,15 +45,18 @@
 
 
 def parse_address(address: str) -> tuple[str, int]:
-    """Returns the host and port of an ``ip:port`` address.
+    """Returns the IP address and port of an ``ip:port`` address.
+
+    A host name is refused: looking it up would block the whole process.
 
     Raises:
         ValueError: The text is not an address.
     """
-    host, separator, port = address.rpartition(":")
-    if not separator or not port.isdigit() or not 0 <= int(port) <= 65535:
+    host, _, port = address.rpartition(":")
+    valid_port = port.isascii() and port.isdigit() and len(port) <= 5
+    if not valid_port or int(port) > MAX_PORT:
         raise ValueError(f"not an ip:port address: {address!r}")
-    return host, int(port)
+    return str(ipaddress.IPv4Address(host)), int(port)
 
 
 @attrs.define(eq=False)
--- a/trefoilgw/streams/tests/test_core.py
+++ b/trefoilgw/streams/tests/test_core.py
@@ -264,10 +264,25 @@
 class AddressTest(unittest.TestCase):
     def test_bad_addresses(self):
         """An incomplete or out-of-range address must be rejected."""
-        for text in ("", "host", "1.2.3.4:", "1.2.3.4:x", "1.2.3.4:70000"):
+        for text in (
+            "",
+            "host",
+            "1.2.3.4:",
+            "1.2.3.4:x",
+            "1.2.3.4:70000",
+            "1.2.3.4:" + "9" * 5000,
+            "1.2.3.4:²",
+            "1.2.3:80",
+            "\ud800:80",
+        ):
             with self.subTest(text), self.assertRaises(ValueError):
                 streams.parse_address(text)
 
+    def test_host_name_is_no_address(self):
+        """A list of another writer may name one; its look-up would block."""
+        with self.assertRaises(ValueError):
+            streams.parse_address("host.example:80")
+
 
 if __name__ == "__main__":
     unittest.main()
