Keep the runs that a restarted target has already started

A target may start again as the same instance. Starts that were sent before its runner had learned of the restart are accepted by the new life; they were given up with those of the old one and began elsewhere while they worked on.

Change: the listing that shows the restart also names what the new life runs. These runs are kept, and starts on their way are awaited before the restart counts. A soak leaves out a fault whose process has just been ended by another.

--- a/tools/fault_soak.py
+++ b/tools/fault_soak.py
@@ -312,6 +312,9 @@
         )
         try:
             self._carry_out_at(name, step)
+        except urllib3.exceptions.HTTPError as error:
+            # Another fault has just ended the process.
+            print(f"{step.fault} {step.number} left out: {error}", flush=True)
         finally:
             self.busy.discard(name)
 
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -11,6 +11,7 @@
 """
 
 import math
+from collections.abc import Collection
 from collections.abc import Mapping
 
 import attrs
@@ -132,13 +133,19 @@
         """Notes that the target ends; its runs may go on until it has."""
         self.leaving = True
 
-    def target_gone(self, reason: str) -> bool:
+    def target_gone(
+        self, reason: str, kept: Collection[tuple[str, int]] = ()
+    ) -> bool:
         """Removes a target that is gone and reports its runs as lost.
 
+        Args:
+            reason: Why, for the schedulers.
+            kept: Runs that its next life has already started.
+
         Returns:
             True if its successor is registered in its place.
         """
-        self._end_all_as_lost(reason)
+        self._end_all_as_lost(reason, kept)
         self.target, successor = None, self.successor
         if successor is None:
             return False
@@ -160,10 +167,13 @@
         """
         self._end_all_as_lost(reason)
 
-    def _end_all_as_lost(self, reason: str) -> None:
-        """Ends all runs as lost, for the given reason."""
+    def _end_all_as_lost(
+        self, reason: str, kept: Collection[tuple[str, int]] = ()
+    ) -> None:
+        """Ends all runs but some as lost, for the given reason."""
         for run in list(self.runs.values()):
-            self._end(run, work.Ending.LOST, reason, 0.0)
+            if run.key not in kept:
+                self._end(run, work.Ending.LOST, reason, 0.0)
 
     # Runs on the target.
 
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -11,6 +11,7 @@
 import logging
 import math
 from collections.abc import Callable
+from collections.abc import Set
 
 import attrs
 import eventlet
@@ -71,6 +72,8 @@
             by run.
         pending_stops: Attempts that are being stopped, with an event for other
             callers that wait for the same stop.
+        starting: Attempts whose start is being sent, or stopped for want of an
+            answer.
         foreign_runs: Attempts that the target lists and this process has not
             started.
     """
@@ -89,6 +92,7 @@
     last_confirmed_end: int = 0
     confirmed_s: dict[RunKey, float] = attrs.field(factory=dict)
     pending_stops: dict[RunKey, event.Event] = attrs.field(factory=dict)
+    starting: set[RunKey] = attrs.field(factory=set)
     foreign_runs: set[RunKey] = attrs.field(factory=set)
 
     def reset_target_state(self) -> None:
@@ -110,10 +114,18 @@
         if (task, run) not in self.allocator.runs:
             log.info("start dropped", extra={"task": task, "run": run})
             return
+        self.starting.add((task, run))
+        try:
+            self._start(task, run, payload)
+        finally:
+            self.starting.discard((task, run))
+        self.on_change()
+
+    def _start(self, task: str, run: int, payload: str) -> None:
+        """Sends a start and reports the outcome to the allocator."""
         target = self.allocator.target
         if target is None or self.clock_offset_s is None:
             self.allocator.run_refused(task, run, "target_unknown")
-            self.on_change()
             return
         sent_s = self.now()
         try:
@@ -145,7 +157,6 @@
                 if self.stop(task, run):
                     self._wait_until_stopped(target, (task, run))
                     self.allocator.run_refused(task, run, "not_answered")
-        self.on_change()
 
     def stop(self, task: str, run: int) -> bool:
         """Stops an attempt and waits until the target has confirmed that.
@@ -307,16 +318,45 @@
             log.warning("leases expired", extra={"runs": runs})
             self.allocator.leases_expired("target_lost")
 
-    def _discard_target(self, reason: str) -> None:
-        """Removes a target that is gone or has restarted."""
+    def _target_restarted(
+        self, reply: orders.RunListing, sent_s: float
+    ) -> None:
+        """Gives up the runs of an earlier life of the same instance.
+
+        Starts that were sent since may have reached the new life. Their answers
+        are awaited first, and what it has started is kept.
+
+        Args:
+            reply: The listing of the new life.
+            sent_s: When it was requested.
+        """
+        if self.starting:
+            self._mark_unreachable("the target has restarted")
+            return
+        kept = reply.running.keys() | {
+            key for key, at_s in self.confirmed_s.items() if at_s > sent_s
+        }
+        self._discard_target("the target has restarted", kept)
+
+    def _discard_target(
+        self, reason: str, kept: Set[RunKey] = frozenset()
+    ) -> None:
+        """Removes a target that is gone or has restarted.
+
+        Args:
+            reason: Why, for the log.
+            kept: Runs that its next life has already started.
+        """
         log.warning(
             "target gone",
             extra={"detail": reason, "runs": len(self.allocator.runs)},
         )
-        if self.allocator.target_gone("target_gone"):
+        if self.allocator.target_gone("target_gone", kept):
             self.target_registered()
         else:
             self.reset_target_state()
+        for key in kept & self.allocator.runs.keys():
+            self.confirmed_s[key] = self.now()
 
     def target_registered(self) -> None:
         """Handles the registration of a target with the allocator."""
@@ -348,7 +388,7 @@
             and target.started_ms
             and reply.started_ms != target.started_ms
         ):
-            self._discard_target("the target has restarted")
+            self._target_restarted(reply, sent_s)
             return False
         if not self.allocator.reachable:
             log.info("target back", extra={"instance": target.instance})
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -272,6 +272,42 @@
         self.assertEqual("lost", self.endings()[0][2])
         self.assertIsNone(self.allocator.target)
 
+    def test_run_that_a_restarted_target_has_started_is_kept(self):
+        """It was given up, and began elsewhere, while it worked on.
+
+        The target may start again as the same instance, so that it accepts
+        starts before the runner has learned of the restart.
+        """
+        self.start_one("old.0.0.0")
+        self.start_one("new.0.0.0")
+        self.client.holds = [listing(running=["new.0.0.0"], started_ms=2)]
+        self.extend_lease()
+        self.assertEqual(
+            [(A, "old.0.0.0", "lost", "target_gone")], self.endings()
+        )
+        self.allocator.target_reported(fixtures.make_target(started_ms=2))
+        self.now_s += 0.1
+        self.extend_lease()
+        self.assertTrue(self.allocator.usable)
+        self.client.holds = [listing(started_ms=2)]
+        self.now_s += 0.1
+        self.extend_lease()
+        self.assertEqual("stopped", self.endings()[0][2])
+
+    def test_restart_counts_once_all_starts_are_answered(self):
+        """The new life may have taken a start that is not answered yet."""
+        self.request_start("j.0.0.0")
+        self.driver.starting.add(("j.0.0.0", 1))
+        self.client.holds = [listing(started_ms=2)]
+        self.extend_lease()
+        self.assertEqual([], self.endings())
+        self.assertFalse(self.allocator.usable)
+        self.driver.starting.clear()
+        self.now_s += 0.1
+        self.extend_lease()
+        self.assertEqual("lost", self.endings()[0][2])
+        self.assertIsNone(self.allocator.target)
+
     def test_answer_of_another_instance_ends_all_runs_as_lost(self):
         """The successor that was reported before takes over at once."""
         self.start_one()
