Log the tasks that a runner no longer has when it connects again

A task can be placed again for three reasons: its runner says that the run has ended, the runner is given up, or it connects again without the run. The last one left no line, so the operators' record could not tell them apart.

Deployments of the tools start large fleets in parallel and warm them up with fewer tasks.

--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -27,6 +27,9 @@
 )
 HOST_NAME = "jobs.example"
 READY_TIMEOUT_S = 15.0
+# Hosts of a deployment that is ready within that time.
+SMALL_HOSTS = 20
+MAX_WARMUP_TASKS = 60
 LEASE_LIMIT_MS = 1000
 POLL_INTERVAL_S = 0.02
 
@@ -110,9 +113,12 @@
         for number in range(self.schedulers):
             self.start_scheduler(number)
         for number in range(self.runners):
-            self.start_target(number)
+            self.launch_target(number)
             self.start_runner(number)
-        self.wait_serving()
+        for number in range(self.runners):
+            self.process(f"target-{number}").wait_ready()
+        hosts = self.schedulers + self.runners
+        self.wait_serving(READY_TIMEOUT_S * max(1.0, hosts / SMALL_HOSTS))
 
     def scheduler_ip(self, number: int) -> str:
         """Returns the IP address of a scheduler's host."""
@@ -145,9 +151,15 @@
 
     def start_target(self, number: int) -> processes.Process:
         """Starts a target, or restarts one that ended, and waits for it."""
+        process = self.launch_target(number)
+        process.wait_ready()
+        return process
+
+    def launch_target(self, number: int) -> processes.Process:
+        """Starts a target without waiting for it."""
         ip = self.runner_ip(number)
         reports, app = self.ports[3:5]
-        process = self.launcher.start(
+        return self.launcher.start(
             f"target-{number}",
             "tools.standins.platform_target",
             "--listen",
@@ -159,8 +171,6 @@
             "--record",
             str(self.record_path(number)),
         )
-        process.wait_ready()
-        return process
 
     def record_path(self, number: int) -> pathlib.Path:
         """Returns the file with the runs of a target, over its restarts."""
@@ -386,7 +396,8 @@
     def wait_serving(self, timeout_s: float = READY_TIMEOUT_S) -> None:
         """Waits until every scheduler has completed a job.
 
-        The job has four tasks per runner, so that it runs on every target.
+        The job of a small deployment has four tasks per runner, so that it runs
+        on every target.
 
         Raises:
             TimeoutError: A scheduler did not serve the job in time.
@@ -397,7 +408,8 @@
             if time.monotonic() > deadline_s:
                 raise TimeoutError(f"schedulers {not_serving} do not serve")
             for number in list(not_serving):
-                wide_job = job_body(4 * self.runners, 0.05)
+                tasks = min(4 * self.runners, MAX_WARMUP_TASKS)
+                wide_job = job_body(tasks, 0.05)
                 try:
                     status, _ = self.submit(
                         number, new_key(), wide_job, "warmup"
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -264,13 +264,24 @@
         """
         held = {(x.task, x.run) for x in message.runs}
         known = set()
+        missing = []
         incarnation = self.runner_views[name].incarnation
         self.lost_runners.pop((name, incarnation), None)
         for job, task in self._sent_to(name, incarnation):
             key = (task.spec.name, task.run)
             known.add(key)
             if key not in held:
+                missing.append(task.spec.name)
                 self._requeue(job, task)
+        if missing:
+            log.warning(
+                "runs missing",
+                extra={
+                    "runner": name,
+                    "incarnation": incarnation,
+                    "tasks": missing,
+                },
+            )
         unknown = tuple(messages.RunRef(*x) for x in sorted(held - known))
         if unknown:
             self._send_message(name, messages.StopRuns(unknown))
--- a/trefoilgw/scheduling/tests/test_core.py
+++ b/trefoilgw/scheduling/tests/test_core.py
@@ -389,7 +389,9 @@
         """A start message lost with the stream never starts a run."""
         scheduler = self.scheduler_without_runner()
         scheduler.runner_connected(self.name, "i1", "d1", 1.1)
-        scheduler.reconcile_runs(self.name, messages.ActiveRuns(()), 1.1)
+        with self.assertLogs(scheduling.log) as logged:
+            scheduler.reconcile_runs(self.name, messages.ActiveRuns(()), 1.1)
+        self.assertEqual(["j.0.0.0"], logged.records[0].tasks)
         self.assertEqual(1, len(fixtures.sent(scheduler.take_actions())))
 
     def test_new_incarnation_does_not_confirm_the_end_of_old_runs(self):
