Take a report without a start time for no report of a known life

Cause: since reports of another life no longer replace the target, one that names the right instance and no start time counted as its own, and changed its service and capacity. Before, it was ignored as older.

Change: only a target that has itself reported no start time is told by its instance alone. The new test fails without the change. Found by reading.

--- a/trefoilgw/room/tests/test_core.py
+++ b/trefoilgw/room/tests/test_core.py
@@ -184,6 +184,16 @@
                 self.assertEqual([], allocator.take_actions())
                 self.assertTrue(allocator.usable)
 
+    def test_report_without_a_start_time_changes_nothing(self):
+        """Another writer may name the right instance with another service."""
+        allocator = fixtures.make_allocator(A)
+        odd = attrs.evolve(
+            fixtures.make_target(started_ms=0, sequence=99), service="odd"
+        )
+        self.assertFalse(allocator.target_reported(odd))
+        self.assertEqual("proof", allocator.target.service)
+        self.assertIsNone(allocator.successor)
+
     def test_target_that_is_gone_loses_its_runs_to_its_successor(self):
         """After a crash and restart a target has none of its earlier runs."""
         allocator = fixtures.make_allocator(A)
--- a/trefoilgw/work/core.py
+++ b/trefoilgw/work/core.py
@@ -188,13 +188,13 @@
     draining: bool
     sequence: int
 
-    def is_same_life(self, other: "Target") -> bool:
-        """Returns whether two reports come from the same process.
+    def is_same_life(self, report: "Target") -> bool:
+        """Returns whether a later report comes from the same process.
 
-        A process may start again as the same instance. A report without a
-        start time, which is 0, is told by its instance alone.
+        A process may start again as the same instance. Without a start time,
+        which is 0 then, the instance alone tells it.
         """
-        return self.instance == other.instance and (
-            self.started_ms == other.started_ms
-            or 0 in (self.started_ms, other.started_ms)
+        return self.instance == report.instance and self.started_ms in (
+            0,
+            report.started_ms,
         )
