--- a/tools/tests/test_fault_soak.py
+++ b/tools/tests/test_fault_soak.py
@@ -97,6 +97,32 @@
         return None
 
 
+class SoakTest(unittest.TestCase):
+    def play(self, seed):
+        """Plays a short soak; returns it and its runs."""
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        plan = fault_soak.Plan(
+            seed, seconds=20.0, schedulers=2, runners=4, load=0.35, max_s=2.5
+        )
+        soak = fault_soak.make_soak(plan, pathlib.Path(directory.name))
+        self.addCleanup(soak.deployment.close)
+        soak.play()
+        return soak, soak.runs()
+
+    def test_no_task_has_two_runs_at_a_time(self):
+        """Faults of all kinds overlap, under load, with real processes."""
+        for seed in (1, 2):
+            with self.subTest(seed=seed):
+                soak, runs = self.play(seed)
+                pairs = [
+                    (x["task"], soak.describe(x), soak.describe(y))
+                    for x, y in deployments.overlapping_runs(runs)
+                ]
+                self.assertEqual([], pairs)
+                self.assertGreater(soak.answers.get(200, 0), 0)
+
+
 class AllKindsTest(unittest.TestCase):
     def test_default_plan_has_the_load_of_a_small_deployment(self):
         """The pace decides whether a fault meets a task at all."""
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -19,6 +19,7 @@
 
 from trefoilgw.platform import targets
 from trefoilgw.room import core as room
+from trefoilgw.runner import leases
 from trefoilgw.work import core as work
 from trefoilgw.work import orders
 
@@ -34,11 +35,6 @@
 # expires and the runs can be placed elsewhere.
 EXTEND_TIMEOUT_S = 0.5
 RETRY_INTERVAL_S = 0.05
-# Largest share by which the clock of a target may run slow.
-MAX_CLOCK_DRIFT = 0.02
-# Time after the end of a lease in which a delayed request may still take
-# effect.
-LAPSE_MARGIN_S = 0.05
 
 log = logging.getLogger(__name__)
 
@@ -52,17 +48,13 @@
     Attributes:
         client: Client of the target.
         allocator: Allocates its capacity.
-        lease_s: Length of the runs' lease in seconds.
+        lease: The lease of the runs.
         run_stop_s: Longest time in seconds that the target takes to stop a
             run.
         now: Clock in seconds.
         on_change: Called after each change of the allocator.
         on_started: Called with the task, the number of the run and the seconds
             that the start took, once it is confirmed.
-        clock_offset_s: Time by which the target's clock is ahead of `now`, None
-            if unknown.
-        lease_until_s: Time at which all leases on the target have certainly
-            expired.
         last_answer_s: Time of the last answer to `hold`, or of the last reset.
         last_unanswered_s: Time at which a `hold` last got no valid answer
             although the target was reached.
@@ -80,13 +72,11 @@
 
     client: targets.TargetClient
     allocator: room.CapacityAllocator
-    lease_s: float
+    lease: leases.TargetLease
     run_stop_s: float
     now: Callable[[], float]
     on_change: Callable[[], None]
     on_started: Callable[[str, int, float], None] = lambda task, run, s: None
-    clock_offset_s: float | None = None
-    lease_until_s: float = 0.0
     last_answer_s: float = -math.inf
     last_unanswered_s: float = -math.inf
     last_confirmed_end: int = 0
@@ -98,7 +88,7 @@
     def reset_target_state(self) -> None:
         """Resets the state that belongs to an earlier target instance."""
         self.last_answer_s = self.now()
-        self.clock_offset_s = None
+        self.lease.forget_clock()
         self.last_confirmed_end = 0
         self.confirmed_s.clear()
         self.foreign_runs.clear()
@@ -124,13 +114,13 @@
     def _start(self, task: str, run: int, payload: str) -> None:
         """Sends a start and reports the outcome to the allocator."""
         target = self.allocator.target
-        if target is None or self.clock_offset_s is None:
+        if target is None or not self.lease.clock_known:
             self.allocator.run_refused(task, run, "target_unknown")
             return
         sent_s = self.now()
         try:
             answer = self.client.start(
-                target.instance, task, run, payload, self._lease_end_s()
+                target.instance, task, run, payload, self.lease.extend()
             )
         except Exception as error:
             # The order may have been sent, so it is handled like a lost answer.
@@ -138,12 +128,12 @@
             answer = orders.NoAnswer(True, repr(error))
         match answer:
             case orders.Accepted(clock_s=clock_s):
-                self._set_clock(clock_s)
+                self.lease.learn_clock(clock_s)
                 self.confirmed_s[task, run] = self.now()
                 self.allocator.run_started(task, run, self.now())
                 self.on_started(task, run, self.now() - sent_s)
             case orders.Refused(reason=reason, clock_s=clock_s):
-                self._set_clock(clock_s)
+                self.lease.learn_clock(clock_s)
                 self.allocator.run_refused(task, run, str(reason))
             case orders.OtherInstance():
                 self.allocator.run_refused(task, run, "other_instance")
@@ -197,7 +187,7 @@
             answer = self.client.stop(target.instance, *key)
             match answer:
                 case orders.Accepted(clock_s=clock_s):
-                    self._set_clock(clock_s)
+                    self.lease.learn_clock(clock_s)
                     self.confirmed_s[key] = self.now()
                     return True
                 case orders.OtherInstance():
@@ -262,12 +252,12 @@
         sent_s = self.now()
         lease_end_s = None
         wait_s = 0.0
-        if self.clock_offset_s is not None:
+        if self.lease.clock_known:
             idle = not self.allocator.runs
             wait_s = IDLE_HOLD_WAIT_S if idle else HOLD_WAIT_S
             recent = sent_s - self.last_answer_s < EXTEND_TIMEOUT_S
             if recent and self.allocator.reachable:
-                lease_end_s = self._lease_end_s()
+                lease_end_s = self.lease.extend()
         answer = self.client.hold(
             target.instance, lease_end_s, self.last_confirmed_end, wait_s
         )
@@ -276,7 +266,7 @@
         match answer:
             case orders.RunListing():
                 self.last_answer_s = self.now()
-                self._set_clock(answer.clock_s)
+                self.lease.learn_clock(answer.clock_s)
                 return self._reconcile(target, answer, sent_s)
             case orders.OtherInstance():
                 self._discard_target("another instance answers")
@@ -303,14 +293,14 @@
             extra={
                 "detail": detail,
                 "runs": len(self.allocator.runs),
-                "lease_s": round(self.lease_until_s - self.now(), 3),
+                "lease_s": round(self.lease.remaining_s(), 3),
             },
         )
         self.allocator.target_unreachable()
 
     def _check_leases(self, detail: str) -> None:
         """Gives up all runs of an unreachable target whose leases are over."""
-        if self.now() <= self.lease_until_s:
+        if not self.lease.expired():
             return
         self._mark_unreachable(detail)
         if self.allocator.runs:
@@ -419,21 +409,3 @@
     def _clear_confirmed(self, key: RunKey) -> None:
         """Removes the confirmation time of an attempt that has ended."""
         self.confirmed_s.pop(key, None)
-
-    def _set_clock(self, clock_s: float | None) -> None:
-        """Updates the clock offset from the target's clock in an answer."""
-        if clock_s is not None:
-            self.clock_offset_s = clock_s - self.now()
-
-    def _lapse_s(self) -> float:
-        """Returns the seconds after which a new lease has certainly expired."""
-        return self.lease_s * (1.0 + MAX_CLOCK_DRIFT) + LAPSE_MARGIN_S
-
-    def _lease_end_s(self) -> float:
-        """Returns the end of a new lease on the target's clock.
-
-        Also updates `lease_until_s`.
-        """
-        now_s = self.now()
-        self.lease_until_s = now_s + self._lapse_s()
-        return now_s + self.clock_offset_s + self.lease_s
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -16,6 +16,7 @@
 from trefoilgw.room import core as room
 from trefoilgw.room import health
 from trefoilgw.runner import driving
+from trefoilgw.runner import leases
 from trefoilgw.runner import links as runner_links
 from trefoilgw.runner import metrics as runner_metrics
 from trefoilgw.streams import redialling
@@ -66,7 +67,7 @@
         self.driver = driving.TargetDriver(
             targets.TargetClient(settings.target_address),
             self.allocator,
-            settings.lease_limit_s,
+            leases.TargetLease(settings.lease_limit_s, clock.boottime),
             settings.run_stop_s,
             clock.boottime,
             self.flush,
@@ -111,7 +112,7 @@
     def reload(self, settings: hosting.HostSettings) -> None:
         """Applies the settings that can change without a restart."""
         self.settings = settings
-        self.driver.lease_s = settings.lease_limit_s
+        self.driver.lease.length_s = settings.lease_limit_s
         self.links.seeds = frozenset(settings.seed_streams())
 
     def shut_down(self) -> None:
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -10,6 +10,7 @@
 from trefoilgw.room.tests import fixtures
 from trefoilgw.room.tests.fixtures import A
 from trefoilgw.runner import driving
+from trefoilgw.runner import leases
 from trefoilgw.work import core as work
 from trefoilgw.work import orders
 
@@ -65,13 +66,13 @@
         self.driver = driving.TargetDriver(
             self.client,
             self.allocator,
-            lease_s=1.0,
+            lease=leases.TargetLease(1.0, lambda: self.now_s),
             run_stop_s=0.0,
             now=lambda: self.now_s,
             on_change=lambda: None,
         )
         self.driver.reset_target_state()
-        self.driver.clock_offset_s = -95.0
+        self.driver.lease.clock_offset_s = -95.0
 
     def request_start(self, task):
         fixtures.start_runs(self.allocator, A, task, now_s=self.now_s)
@@ -219,14 +220,14 @@
         self.client.holds = [orders.NoAnswer(False, "refused")]
         self.extend_lease()
         self.assertFalse(self.allocator.usable)
-        leases_end_s = 100.0 + self.driver.lease_s * (
-            1.0 + driving.MAX_CLOCK_DRIFT
+        leases_end_s = 100.0 + self.driver.lease.length_s * (
+            1.0 + leases.MAX_CLOCK_DRIFT
         )
         while self.now_s < leases_end_s:
             self.extend_lease()
             self.assertEqual([], self.endings())
             self.now_s += 0.05
-        self.now_s = leases_end_s + driving.LAPSE_MARGIN_S + 0.001
+        self.now_s = leases_end_s + leases.LAPSE_MARGIN_S + 0.001
         self.extend_lease()
         self.assertEqual("lost", self.endings()[0][2])
 
@@ -245,10 +246,10 @@
         for _ in range(2):
             self.extend_lease()
             self.now_s += 0.05
-        until_s = self.driver.lease_until_s
+        until_s = self.driver.lease.until_s
         self.extend_lease()
         self.assertIsNone(self.client.leases[-1])
-        self.assertEqual(until_s, self.driver.lease_until_s)
+        self.assertEqual(until_s, self.driver.lease.until_s)
         self.extend_lease()
         self.assertTrue(self.allocator.usable)
         self.assertEqual([], self.endings())
