--- a/tools/tests/test_fault_soak.py
+++ b/tools/tests/test_fault_soak.py
@@ -6,8 +6,6 @@
 import types
 import unittest
 
-import attrs
-
 from tools import deployments
 from tools import fault_soak
 
@@ -123,7 +121,7 @@
                 self.assertGreater(soak.answers.get(200, 0), 0)
 
 
-class AllKindsTest(unittest.TestCase):
+class LoadTest(unittest.TestCase):
     def test_default_plan_has_the_load_of_a_small_deployment(self):
         """The pace decides whether a fault meets a task at all."""
         plan = fault_soak.Plan()
@@ -133,7 +131,6 @@
         )
         room = plan.runners * plan.cores * 1000
         self.assertTrue(0.5 < used / room < 0.9)
-        self.assertIn(fault_soak.Fault.ODD_REPORT, attrs.asdict(plan)["faults"])
 
 
 if __name__ == "__main__":
