--- a/tools/standins/relay.py
+++ b/tools/standins/relay.py
@@ -71,15 +71,8 @@
         peer that was away for long.
         """
         before, self.mode = self.mode, mode
-        if (
-            mode is not Mode.SILENT
-            and before is not Mode.OPEN
-            or mode
-            in (
-                Mode.RESET,
-                Mode.REFUSE,
-            )
-        ):
+        goes_silent = before is Mode.OPEN and mode is Mode.SILENT
+        if mode is not before and not goes_silent:
             for sock in list(self.sockets):
                 self._reset(sock)
         if mode is Mode.REFUSE:
