Give up the runs of a runner that restarts before its stream is lost

Callers whose tasks ran on a host that lost power and was back within 1.2 s got no answer before their own time limit.

Cause: the stream of the new process replaced the open one of the earlier process. The end of a replaced stream is not passed on, so that nothing counted the time after which the earlier process's runs have certainly ended, and its tasks were never placed again.

Change: a connection of another incarnation of a runner ends the earlier one for the scheduler, as the end of its stream would.

test_runner_that_restarts_before_its_stream_is_lost failed without the change: no task was sent again.

--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -240,8 +240,13 @@
     def runner_connected(
         self, name: str, incarnation: str, domain: str, now_s: float
     ) -> None:
-        """Handles the opening of a stream by a runner."""
+        """Handles the opening of a stream by a runner.
+
+        It may have restarted before the end of its earlier stream was noticed.
+        """
         view = self.runner_views.get(name)
+        if view is not None and view.incarnation != incarnation:
+            self.runner_disconnected(name)
         if view is None:
             view = runners.RunnerView(name, incarnation, domain)
             self.runner_views[name] = view
--- a/trefoilgw/scheduling/tests/test_core.py
+++ b/trefoilgw/scheduling/tests/test_core.py
@@ -403,6 +403,22 @@
         scheduler.tick(1.0 + runners.RUN_EXPIRY_S)
         self.assertEqual(1, len(fixtures.sent(scheduler.take_actions())))
 
+    def test_runner_that_restarts_before_its_stream_is_lost(self):
+        """Its tasks waited for ever: nothing gave up the earlier process.
+
+        A host that loses power closes no stream, and the new one replaces it.
+        """
+        scheduler = fixtures.make_scheduler("r1")
+        scheduler.submit(fixtures.job("j"), 1, 0.0)
+        scheduler.take_actions()
+        fixtures.connect_runner(scheduler, "r1", incarnation="i2", now_s=0.5)
+        scheduler.tick(runners.RUN_EXPIRY_S - 0.01)
+        self.assertEqual([], fixtures.sent(scheduler.take_actions()))
+        scheduler.tick(runners.RUN_EXPIRY_S)
+        self.assertEqual(
+            [("r1", "j.0.0.0", 2)], fixtures.sent(scheduler.take_actions())
+        )
+
     def test_unknown_runs_are_stopped(self):
         """A runner may have runs of a job canceled while it was away."""
         scheduler = self.scheduler_without_runner()
