Keep the runs of a target that has left until their leases expire

A deregistration may come from another writer, and a target that has sent one may be cut off while it works on. Its runs were reported as lost at once and began again elsewhere.

--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -273,9 +273,6 @@
             case orders.NoAnswer(reached=reached, detail=detail):
                 if reached:
                     self.last_unanswered_s = self.now()
-                elif self.allocator.leaving:
-                    self._discard_target("it has left")
-                    return False
                 else:
                     self._mark_unreachable(detail)
                 self._check_leases(detail)
@@ -299,9 +296,15 @@
         self.allocator.target_unreachable()
 
     def _check_leases(self, detail: str) -> None:
-        """Gives up all runs of an unreachable target whose leases are over."""
+        """Gives up all runs of an unreachable target whose leases are over.
+
+        A target that has deregistered before is gone then.
+        """
         if not self.lease.expired():
             return
+        if self.allocator.leaving:
+            self._discard_target("it has left")
+            return
         self._mark_unreachable(detail)
         if self.allocator.runs:
             runs = len(self.allocator.runs)
