Give up the runs of a target that refuses each call once they have lapsed

A target that answers each call with a refusal, such as an unhealthy one, extends no lease: its runs end within a second. The runner expected either a list of runs or no answer, and held the runs until the target answered properly again, so that their jobs stood still all that time.

Change: a refusal counts for the expiry of the leases like a lost answer.

test_target_that_refuses_each_call_loses_its_runs failed without the change.

--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -270,6 +270,9 @@
                 return self._reconcile(target, answer, sent_s)
             case orders.OtherInstance():
                 self._discard_target("another instance answers")
+            case orders.Refused(reason=reason):
+                # It has extended no lease, and lists no ends.
+                self._check_leases(f"refused: {reason}")
             case orders.NoAnswer(reached=reached, detail=detail):
                 if reached:
                     self.last_unanswered_s = self.now()
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -231,6 +231,22 @@
         self.extend_lease()
         self.assertEqual("lost", self.endings()[0][2])
 
+    def test_target_that_refuses_each_call_loses_its_runs(self):
+        """Its leases expired, but the runs were held until it answered again.
+
+        A target that refuses a call has not extended any lease.
+        """
+        self.start_one()
+        self.client.holds = [
+            orders.Refused(orders.RefusalReason.UNHEALTHY, None)
+        ]
+        until_s = self.now_s + driving.EXTEND_TIMEOUT_S + 1.2
+        while self.now_s < until_s:
+            self.extend_lease()
+            self.now_s += 0.05
+        self.assertEqual("lost", self.endings()[0][2])
+        self.assertFalse(self.allocator.usable)
+
     def test_unreachable_target_gets_no_longer_lease(self):
         """A request that is not received would only delay the end of the runs.
 
