Start no run after its scheduler's authority has ended

A runner that was paused between accepting an order and sending the start to its target sent it when it woke, although its scheduler had given the run up 2 s after the last renewal of its authority and begun it elsewhere. A run that was to be stopped meanwhile was sent as well.

Cause: the authority was checked when the order was accepted, but the start is sent later, by a greenthread of its own.

Two tests of the driver failed without the change: both starts were sent.

--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -177,6 +177,22 @@
 
     # Runs on the target.
 
+    def start_refusal(self, task: str, run: int, now_s: float) -> str:
+        """Returns why an accepted attempt must not be sent, or nothing.
+
+        Time may have passed since it was accepted, in which its scheduler has
+        given it up, or it has ended.
+        """
+        known = self.runs.get((task, run))
+        if known is None:
+            return "ended"
+        if known.state is not room_runs.RunState.STARTING:
+            return "stopped"
+        owner = self.owners.get(known.owner)
+        if owner is None or now_s >= owner.authority_until_s:
+            return "authority"
+        return ""
+
     def run_started(self, task: str, run: int, now_s: float) -> None:
         """Marks a run as running after the target has confirmed its start."""
         known = self.runs.get((task, run))
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -96,13 +96,20 @@
     def start(self, task: str, run: int, payload: str) -> None:
         """Starts an attempt and reports the outcome to the allocator.
 
-        An attempt that has ended since it was accepted is not started: it may
-        have been given up with all others while this process was paused.
+        This process may have been paused since the attempt was accepted. It is
+        not started if it has ended since, if it is to be stopped, or if the
+        authority of its scheduler is over.
 
         Blocks, so spawn it as a greenthread.
         """
-        if (task, run) not in self.allocator.runs:
-            log.info("start dropped", extra={"task": task, "run": run})
+        reason = self.allocator.start_refusal(task, run, self.now())
+        if reason:
+            log.info(
+                "start dropped",
+                extra={"task": task, "run": run, "reason": reason},
+            )
+            self.allocator.run_refused(task, run, reason)
+            self.on_change()
             return
         self.starting.add((task, run))
         try:
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -6,6 +6,7 @@
 import attrs
 import eventlet
 
+from trefoilgw.messages import runs as messages
 from trefoilgw.room import actions
 from trefoilgw.room.tests import fixtures
 from trefoilgw.room.tests.fixtures import A
@@ -159,6 +160,26 @@
         self.driver.start("j.0.0.0", 1, "p")
         self.assertEqual([], self.client.started)
 
+    def test_paused_runner_does_not_start_what_it_accepted_before(self):
+        """Its scheduler gave the run up, and began it elsewhere, meanwhile."""
+        self.allocator.owners[A].authority_until_s = self.now_s + 0.9
+        self.request_start("j.0.0.0")
+        self.now_s += 3.0
+        self.driver.start("j.0.0.0", 1, "p")
+        self.assertEqual([], self.client.started)
+        self.assertEqual(
+            [(A, "j.0.0.0", "not_run", "authority")], self.endings()
+        )
+
+    def test_run_that_is_to_be_stopped_is_not_started(self):
+        """A start that is sent after the order to stop may overtake it."""
+        self.request_start("j.0.0.0")
+        order = messages.StopRuns((messages.RunRef("j.0.0.0", 1),))
+        self.allocator.stop_runs(A, order)
+        self.driver.start("j.0.0.0", 1, "p")
+        self.assertEqual([], self.client.started)
+        self.assertEqual("not_run", self.endings()[0][2])
+
     def test_refused_start_has_not_run(self):
         """The target has not started it, so another target may."""
         self.request_start("j.0.0.0")
