Count a scheduler's authority from the start of the handshake

A scheduler counts the authority that it gives with a stream from its answer to the runner's hello, and gives the runner's runs up 2.05 s after it. The runner counted from when it had read that answer. If it was late, or the runner was paused before it read it, it started and kept runs for longer than the scheduler assumed.

Change: the authority counts from when the runner began to dial, which is always before the scheduler's answer, as that of a ping counts from when the ping was sent.

test_authority_counts_from_the_start_of_the_handshake failed without the change.

--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -297,9 +297,15 @@
 
     # Schedulers.
 
-    def owner_connected(self, name: str, now_s: float) -> None:
-        """Adds a scheduler whose stream has opened, and sends it its runs."""
-        owner = room_owners.Owner(name, now_s + room_owners.AUTHORITY_S)
+    def owner_connected(self, name: str, alive_s: float) -> None:
+        """Adds a scheduler whose stream has opened, and sends it its runs.
+
+        Args:
+            name: Its incarnation.
+            alive_s: Time on the own clock at which it was certainly not
+                paused.
+        """
+        owner = room_owners.Owner(name, alive_s + room_owners.AUTHORITY_S)
         self.owners[name] = owner
         active = tuple(
             messages.RunRef(*run.key)
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -238,7 +238,8 @@
         link.unanswered_s = None
         link.retiring_since_s = None
         log.info("scheduler joined", extra={"address": link.address})
-        self.allocator.owner_connected(link.owner, self.now())
+        # The scheduler answered after that.
+        self.allocator.owner_connected(link.owner, stream.dialed_s)
         try:
             self.on_change()
             stream.start(
--- a/trefoilgw/runner/tests/test_links.py
+++ b/trefoilgw/runner/tests/test_links.py
@@ -195,6 +195,25 @@
         ]
         self.assertEqual([], alone)
 
+    def test_authority_counts_from_the_start_of_the_handshake(self):
+        """The scheduler counts from its answer, which may arrive late.
+
+        A runner that is paused between the two would start and keep runs that
+        its scheduler has given up.
+        """
+        self.now_s = 10.0
+        link = links.Link("s:1", 0.0)
+        stream = FakeStream(fixtures.A)
+        stream.dialed_s = 9.2
+        stream.start = lambda on_message, on_closed, may_yield: on_closed(
+            stream, "closed by the peer"
+        )
+        self.links._serve(link, stream)
+        self.assertEqual(
+            9.2 + owners.AUTHORITY_S,
+            self.allocator.owners[fixtures.A].authority_until_s,
+        )
+
     def test_stream_without_answers_is_closed(self):
         """A cut connection is not closed by the peer."""
         self.open_seed()
--- a/trefoilgw/streams/core.py
+++ b/trefoilgw/streams/core.py
@@ -26,6 +26,7 @@
 from trefoilgw.messages import codec
 from trefoilgw.messages import core as messages
 from trefoilgw.streams import proofs
+from trefoilgw.timers import clock
 
 MAX_PORT = 65535
 HANDSHAKE_TIMEOUT_S = 3.0
@@ -78,6 +79,8 @@
         received_messages: Messages delivered.
         received_bytes: Bytes read.
         last_received_s: Monotonic time of the last bytes read.
+        dialed_s: When the client began to dial, on the clock of leases; 0 on
+            the server side.
         closed: True once either side has closed the stream.
         max_outbox_bytes: The stream closes if the queued frames exceed this.
     """
@@ -94,6 +97,7 @@
     received_messages: int = 0
     received_bytes: int = 0
     last_received_s: float = attrs.field(factory=time.monotonic)
+    dialed_s: float = 0.0
     closed: bool = False
     max_outbox_bytes: int = MAX_OUTBOX_BYTES
     _outbox: list = attrs.field(factory=list)
@@ -362,11 +366,12 @@
             hello, or its proof is wrong.
     """
     sock = None
+    dialed_s = clock.boottime()
     try:
         with eventlet.Timeout(timeout_s, TimeoutError("handshake timed out")):
             sock = socket.create_connection(parse_address(address))
             _disable_nagle(sock)
-            stream = Stream(sock, peer=address)
+            stream = Stream(sock, peer=address, dialed_s=dialed_s)
             stream.welcome = _client_handshake(stream, key, hello)
             return stream
     except (OSError, codec.FrameError, ValueError, DialError) as error:
