End the lease of a target's runs with the authority of their schedulers

Callers that lose their scheduler submit again 1.3 s later. The runner stops the scheduler's runs 0.9 s after its last sign of life, but the target held a lease of 1 s from the last poll: if it missed the stop, since it was cut off with or after the scheduler, or if the runner died just then, the runs went on for up to 1.9 s after that sign, beside those of the second submission. A runner that had restarted even extended the lease of its predecessor's runs until the target had confirmed their stop.

Cause: the lease on the target did not depend on the permission under which its runs were started.

Change: a lease ends 0.25 s after the first authority to end among the schedulers that have runs at the target, which is the time to stop them, and is extended only while there are runs. A start that would need a longer one is refused. The time after which a scheduler gives up a lost runner stays as it is, so that it now has a margin for hosts that act late.

--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -295,6 +295,18 @@
             messages.RunEnded(task, number, str(ending), reason, run_s),
         )
 
+    def lease_limit_s(self) -> float:
+        """Returns when the lease of the runs must end at the latest.
+
+        The target itself then ends the runs of a scheduler that has lost its
+        authority, even if it can't be told to stop them. All runs share one
+        lease, so the first authority to end decides. Without runs there is
+        nothing to extend.
+        """
+        names = {x.owner for x in self.runs.values()}
+        ends = [self.owners[x].authority_until_s for x in names]
+        return min(ends, default=-math.inf) + room_owners.STOP_ALLOWANCE_S
+
     # Schedulers.
 
     def owner_connected(self, name: str, alive_s: float) -> None:
--- a/trefoilgw/room/owners.py
+++ b/trefoilgw/room/owners.py
@@ -11,6 +11,10 @@
 # which a caller sends its job again, which may then run through another
 # scheduler.
 AUTHORITY_S = 0.9
+# Time after the end of its authority in which a scheduler's runs are stopped:
+# the allocator's next tick, the call, and the target's time to stop. The lease
+# of the target's runs ends after it.
+STOP_ALLOWANCE_S = 0.25
 # Time in which the same two processes may reopen a broken stream and keep the
 # runs.
 RECONNECT_S = 0.3
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -124,10 +124,14 @@
         if target is None or not self.lease.clock_known:
             self.allocator.run_refused(task, run, "target_unknown")
             return
+        lease_end_s = self.lease.extend(self.allocator.lease_limit_s())
+        if lease_end_s is None:
+            self.allocator.run_refused(task, run, "lease")
+            return
         sent_s = self.now()
         try:
             answer = self.client.start(
-                target.instance, task, run, payload, self.lease.extend()
+                target.instance, task, run, payload, lease_end_s
             )
         except Exception as error:
             # The order may have been sent, so it is handled like a lost answer.
@@ -264,7 +268,7 @@
             wait_s = IDLE_HOLD_WAIT_S if idle else HOLD_WAIT_S
             recent = sent_s - self.last_answer_s < EXTEND_TIMEOUT_S
             if recent and self.allocator.reachable:
-                lease_end_s = self.lease.extend()
+                lease_end_s = self.lease.extend(self.allocator.lease_limit_s())
         answer = self.client.hold(
             target.instance, lease_end_s, self.last_confirmed_end, wait_s
         )
--- a/trefoilgw/runner/leases.py
+++ b/trefoilgw/runner/leases.py
@@ -42,16 +42,26 @@
         if clock_s is not None:
             self.clock_offset_s = clock_s - self.now()
 
-    def extend(self) -> float:
+    def extend(self, limit_s: float) -> float | None:
         """Returns the end of a new lease on the target's clock.
 
         Call it right before the lease is sent: from then on it may be in force,
         whether there is an answer or not.
+
+        Args:
+            limit_s: Time on the own clock at which the lease ends at the
+                latest.
+
+        Returns:
+            None if that time is over, so that the lease can't be extended.
         """
         now_s = self.now()
-        lapse_s = self.length_s * (1.0 + MAX_CLOCK_DRIFT) + LAPSE_MARGIN_S
-        self.until_s = now_s + lapse_s
-        return now_s + self.clock_offset_s + self.length_s
+        length_s = min(self.length_s, limit_s - now_s)
+        if length_s <= 0.0:
+            return None
+        lapse_s = length_s * (1.0 + MAX_CLOCK_DRIFT) + LAPSE_MARGIN_S
+        self.until_s = max(self.until_s, now_s + lapse_s)
+        return now_s + self.clock_offset_s + length_s
 
     def remaining_s(self) -> float:
         """Returns the seconds for which a lease may still be in force."""
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -8,8 +8,10 @@
 
 from trefoilgw.messages import runs as messages
 from trefoilgw.room import actions
+from trefoilgw.room import owners
 from trefoilgw.room.tests import fixtures
 from trefoilgw.room.tests.fixtures import A
+from trefoilgw.room.tests.fixtures import B
 from trefoilgw.runner import driving
 from trefoilgw.runner import leases
 from trefoilgw.work import core as work
@@ -232,6 +234,50 @@
         self.assertLess(self.now_s, last_extended_s + 1.3)
         self.assertIsNone(self.client.leases[-1])
 
+    def test_lease_ends_with_the_authority_of_the_schedulers(self):
+        """Runs went on for a second after it if the target missed their stop.
+
+        The caller of a lost scheduler has submitted its job again by then.
+        """
+        self.allocator.owners[A].authority_until_s = self.now_s + 0.5
+        self.start_one()
+        self.client.holds = [listing(running=["j.0.0.0"])]
+        self.extend_lease()
+        end_s = 5.0 + 0.5 + owners.STOP_ALLOWANCE_S
+        self.assertAlmostEqual(end_s, self.client.leases[-1])
+        self.now_s += 0.4
+        self.extend_lease()
+        self.now_s += 0.4
+        self.extend_lease()
+        self.assertIsNone(self.client.leases[-1])
+
+    def test_first_authority_to_end_limits_the_lease(self):
+        """All runs at a target share one lease."""
+        self.allocator.owner_connected(B, self.now_s)
+        self.start_one()
+        fixtures.start_confirmed(self.allocator, B, "k.0.0.0", now_s=self.now_s)
+        self.assertEqual(
+            self.now_s + owners.AUTHORITY_S + owners.STOP_ALLOWANCE_S,
+            self.allocator.lease_limit_s(),
+        )
+
+    def test_start_that_would_extend_an_ended_lease_is_refused(self):
+        """A start extends the lease of all runs, also of a lost scheduler."""
+        self.allocator.owner_connected(B, self.now_s)
+        fixtures.start_confirmed(self.allocator, B, "k.0.0.0", now_s=self.now_s)
+        self.now_s += owners.AUTHORITY_S + owners.STOP_ALLOWANCE_S
+        self.request_start("j.0.0.0")
+        self.driver.start("j.0.0.0", 1, "p")
+        self.assertEqual([], self.client.started)
+        self.assertEqual([(A, "j.0.0.0", "not_run", "lease")], self.endings())
+
+    def test_runs_of_an_earlier_process_get_no_longer_lease(self):
+        """They went on until the target confirmed their stop."""
+        self.client.holds = [listing(running=["old.0.0.0"])]
+        self.extend_lease()
+        self.extend_lease()
+        self.assertEqual([None, None], self.client.leases)
+
     def test_refused_connection_keeps_the_runs_until_their_leases_expire(self):
         """Runs went on at a target that was cut off, and began elsewhere.
 
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -9,8 +9,8 @@
 
 # Time after the last renewal of the authority by which all runs of an
 # unreachable runner have ended. The runner may start runs during its 0.9 s of
-# authority. Its target may then go on with them for the lease, 1.02 s on a slow
-# clock, and needs 0.05 s to stop them.
+# authority, and their lease ends 0.25 s after it, a little later on a slow
+# clock. The rest is for hosts that act late.
 RUN_EXPIRY_S = 2.05
 # Weight of a new run in the moving average of the slowness.
 SLOWNESS_WEIGHT = 0.1
