End a job when its caller can no longer be waiting

A caller that is cut off from its scheduler closes its connection and submits the job to another one 1.3 s later. The scheduler did not see the connection close and went on with the job, beside its second submission.

Cause: only a closed connection ended a job. The time for which the caller waits, which it states, was used for the estimate of run times alone.

Change: a job ends 0.3 s after that time, with its runs stopped, unless another submission of it has come meanwhile. Callers that state no time are served as before.

test_job_ends_when_its_caller_can_no_longer_be_waiting failed without the change.

--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -8,6 +8,7 @@
 
 import bisect
 import logging
+import math
 import random
 from collections.abc import Iterable
 
@@ -38,6 +39,9 @@
 SLACK_RESERVE_PER_ERROR = 1.2
 MAX_PLANNED_SLACK_SHARE = 0.7
 MIN_RETRY_AFTER_S = 0.1
+# Time after the end of its caller's wait in which a job is still answered. Well
+# below the time after which callers submit a job again.
+CALLER_GRACE_S = 0.3
 # Refusal reason of a runner that reserves its free capacity for more urgent
 # work, and the time that the scheduler waits for an offer before it retries.
 HEADROOM_REASON = "headroom"
@@ -123,6 +127,9 @@
         """
         known = self.admitted.get(spec.key)
         if known is not None:
+            known.abandoned_after_s = max(
+                known.abandoned_after_s, _abandoned_after_s(spec, now_s)
+            )
             return known
         refusal = self._refuse_too_large(spec, now_s)
         if refusal is not None:
@@ -203,6 +210,7 @@
             reject_after_s=now_s + slack_s,
             urgency=urgency.urgency_class(slack_s),
             admitted_s=now_s,
+            abandoned_after_s=_abandoned_after_s(spec, now_s),
         )
 
     def cancel(self, key: str) -> bool:
@@ -605,6 +613,7 @@
         Must be called every few tens of milliseconds.
         """
         self._expire_lost_runners(now_s)
+        self._end_abandoned(now_s)
         self._reject_overdue(now_s)
         self._place(now_s)
         self.handled_s = self._ticked_s
@@ -643,6 +652,16 @@
             if task.runner == name and task.incarnation == incarnation
         ]
 
+    def _end_abandoned(self, now_s: float) -> None:
+        """Ends the jobs whose callers can't be waiting any more.
+
+        The end of a caller's connection is not seen if the way to it is cut
+        off. The caller may have submitted the job to another scheduler.
+        """
+        for job in list(self.admitted.values()):
+            if now_s > job.abandoned_after_s:
+                self._answer(job, actions.Unfinished("caller_wait_over"))
+
     def _reject_overdue(self, now_s: float) -> None:
         """Rejects jobs that have not started and would end late."""
         for job in list(self.waiting_jobs):
@@ -654,3 +673,10 @@
     def _send_message(self, runner: str, message: object) -> None:
         """Queues a message to a runner as an action."""
         self.pending_actions.append(actions.SendMessage(runner, message))
+
+
+def _abandoned_after_s(spec: work.JobSpec, now_s: float) -> float:
+    """Returns when the caller of a job submitted now waits no longer."""
+    if spec.caller_wait_s is None:
+        return math.inf
+    return now_s + spec.caller_wait_s + CALLER_GRACE_S
--- a/trefoilgw/scheduling/jobs.py
+++ b/trefoilgw/scheduling/jobs.py
@@ -1,6 +1,7 @@
 """State of admitted jobs and their tasks."""
 
 import enum
+import math
 
 import attrs
 
@@ -67,6 +68,7 @@
         reject_after_s: Time after which a job that has not started is
             rejected, since it would end late.
         urgency: Urgency class of the job.
+        abandoned_after_s: Time after which no caller waits for it any more.
         started: Whether any attempt was ever sent.
     """
 
@@ -79,6 +81,7 @@
     urgency: int
     admitted_s: float = 0.0
     predicted_wait_s: float = 0.0
+    abandoned_after_s: float = math.inf
     started: bool = False
 
     @property
--- a/trefoilgw/scheduling/tests/test_core.py
+++ b/trefoilgw/scheduling/tests/test_core.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from trefoilgw.messages import runs as messages
 from trefoilgw.room.tests import fixtures as room_fixtures
 from trefoilgw.scheduling import actions
@@ -77,6 +79,26 @@
         taken = fixtures.end_run(scheduler, "r1", "j.0.0.0", 1, DONE)
         self.assertEqual([], fixtures.answers(taken))
 
+    def test_job_ends_when_its_caller_can_no_longer_be_waiting(self):
+        """Its caller was cut off, so that the closed connection was not seen.
+
+        It had submitted the job to another scheduler, and two runs overlapped.
+        """
+        scheduler = fixtures.make_scheduler("r1")
+        spec = attrs.evolve(fixtures.job("j"), caller_wait_s=4.0)
+        scheduler.submit(spec, 1, 0.0)
+        scheduler.submit(spec, 1, 1.0)
+        scheduler.take_actions()
+        scheduler.tick(5.0)
+        self.assertEqual([], fixtures.answers(scheduler.take_actions()))
+        scheduler.tick(5.0 + scheduling.CALLER_GRACE_S + 0.01)
+        taken = scheduler.take_actions()
+        self.assertEqual(
+            [("j", actions.Unfinished("caller_wait_over"))],
+            fixtures.answers(taken),
+        )
+        self.assertEqual([("r1", "j.0.0.0", 1)], fixtures.stopped(taken))
+
     def test_cancelled_job_stops_its_runs(self):
         """The caller has gone, so its runs would only occupy capacity."""
         scheduler = fixtures.make_scheduler("r1")
