Give failures of an event a log budget of their own

Each event may write 100 lines a second, and the limiter counted by the name of the event alone. `run not done` and `run ended` are logged as successes for refused runs and as failures for failed and lost ones, so that a flood of refusals used up the budget, and the log did not show which runs were lost.

Change: the lines of an event that report a failure and those that do not are counted apart, 100 a second each. The limits over all events are as before.

test_failures_of_an_event_have_a_budget_of_their_own failed without the change: none of six failures was let through.

--- a/trefoilgw/logs/rate_limits.py
+++ b/trefoilgw/logs/rate_limits.py
@@ -20,7 +20,9 @@
     """Limits log lines in fixed windows of `WINDOW_S`.
 
     Attributes:
-        max_event_lines: Maximum number of lines of one event per window.
+        max_event_lines: Maximum number of lines of one event per window that
+            report a failure, and of those that do not. Refusals that are logged
+            as successes would else hide the failures of the same event.
         max_success_lines: Maximum number of lines per window that report no
             failure.
         max_lines: Maximum number of lines per window.
@@ -47,14 +49,14 @@
                 towards `max_success_lines`.
         """
         allowed = (
-            self._written[event] < self.max_event_lines
+            self._written[event, failure] < self.max_event_lines
             and self._total < self.max_lines
             and (failure or self._successes < self.max_success_lines)
         )
         if not allowed:
             self.dropped[event] += 1
             return False
-        self._written[event] += 1
+        self._written[event, failure] += 1
         self._total += 1
         if not failure:
             self._successes += 1
--- a/trefoilgw/logs/tests/test_bounded.py
+++ b/trefoilgw/logs/tests/test_bounded.py
@@ -37,6 +37,23 @@
         self.assertEqual(5, sum(allowed))
         self.assertTrue(limiter.try_acquire("other", failure=False))
 
+    def test_failures_of_an_event_have_a_budget_of_their_own(self):
+        """A flood of refused runs hid the lost runs of the same event."""
+        limiter = rate_limits.LineRateLimiter(
+            max_event_lines=5, max_success_lines=20, max_lines=30
+        )
+        for _ in range(100):
+            limiter.try_acquire("run ended", failure=False)
+        failures = [
+            limiter.try_acquire("run ended", failure=True) for _ in range(6)
+        ]
+        self.assertEqual([True] * 5 + [False], failures)
+        self.assertEqual(96, limiter.dropped["run ended"])
+        limiter.advance_window(2.0)
+        for _ in range(100):
+            limiter.try_acquire("run ended", failure=True)
+        self.assertTrue(limiter.try_acquire("run ended", failure=False))
+
     def test_new_window_resets_counts_and_reports_dropped_lines(self):
         """Lines dropped without a report would look like a lack of events."""
         limiter = rate_limits.LineRateLimiter(max_event_lines=1)
