Move the plan of a job and the progress of runs out of the two cores

What they compute from their arguments alone moves: the plan of a new job to scheduling/planning.py, the progress of runs to room/runs.py, and the content of a capacity report to room/reporting.py. Nothing else changes.

--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -210,20 +210,9 @@
                 run, as the target lists it.
             now_s: Current time.
         """
-        stalled = []
-        progressing = 0
-        for key, share in progress.items():
-            run = self.runs.get(key)
-            if run is None or run.state is not room_runs.RunState.RUNNING:
-                continue
-            if share > run.progress:
-                run.progress = share
-                run.last_progress_s = now_s
-                progressing += 1
-                continue
-            limit_s = health.stall_limit_s(run.order.expected_s)
-            if now_s - run.last_progress_s > limit_s:
-                stalled.append(run)
+        stalled, progressing = room_runs.update_progress(
+            self.runs, progress, now_s
+        )
         self.target_health.update_stalls(len(stalled), progressing)
         for run in stalled:
             run.reason = "stalled"
@@ -236,15 +225,7 @@
         Updates the relative speed of the target first.
         """
         running = [
-            (
-                run,
-                health.RunProgress(
-                    run.job,
-                    max(now_s - run.requested_s, 1e-6),
-                    run.order.expected_s,
-                    run.progress,
-                ),
-            )
+            (run, run.measured(now_s))
             for run in self.runs.values()
             if run.state is room_runs.RunState.RUNNING
         ]
@@ -553,21 +534,16 @@
         due = reporting.due_owners(connected, usable, suspect, free, now_s)
         if not due:
             return
-        known = self.target
-        capacity = messages.Room.of(known.capacity if known else work.Demand())
-        free_room = messages.Room.of(free)
         for owner in due:
             owner.run_ended = False
-            report = messages.CapacityReport(
-                owner.starts_received,
-                usable and not owner.retiring,
+            report = reporting.make_report(
+                owner,
+                self.owners.values(),
+                self.target,
+                usable,
                 suspect,
-                known.service if known else "",
-                capacity,
-                free_room,
+                free,
                 self.freed_cpu_rate.quantized(),
-                reporting.competing_cpu(self.owners.values(), owner.name),
-                len(connected),
             )
             if report != owner.last_report:
                 owner.last_report = report
--- a/trefoilgw/room/runs.py
+++ b/trefoilgw/room/runs.py
@@ -1,10 +1,12 @@
 """Attempts that use the capacity of a target."""
 
 import enum
+from collections.abc import Mapping
 
 import attrs
 
 from trefoilgw.messages import runs as messages
+from trefoilgw.room import health
 from trefoilgw.work import core as work
 
 
@@ -50,3 +52,45 @@
     def job(self) -> str:
         """Key of its job, the first part of the task name."""
         return self.order.task.partition(".")[0]
+
+    def measured(self, now_s: float) -> health.RunProgress:
+        """Returns its progress in the time since it was requested."""
+        return health.RunProgress(
+            self.job,
+            max(now_s - self.requested_s, 1e-6),
+            self.order.expected_s,
+            self.progress,
+        )
+
+
+def update_progress(
+    runs: Mapping[tuple[str, int], Run],
+    progress: Mapping[tuple[str, int], float],
+    now_s: float,
+) -> tuple[list[Run], int]:
+    """Updates the progress of running attempts.
+
+    Args:
+        runs: Attempts by task and number.
+        progress: Share of work done, 0 to 1, by task and number.
+        now_s: Current time.
+
+    Returns:
+        The attempts that have stalled, and the number of those that have made
+        progress.
+    """
+    stalled = []
+    progressing = 0
+    for key, share in progress.items():
+        run = runs.get(key)
+        if run is None or run.state is not RunState.RUNNING:
+            continue
+        if share > run.progress:
+            run.progress = share
+            run.last_progress_s = now_s
+            progressing += 1
+            continue
+        limit_s = health.stall_limit_s(run.order.expected_s)
+        if now_s - run.last_progress_s > limit_s:
+            stalled.append(run)
+    return stalled, progressing
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -21,10 +21,10 @@
 from trefoilgw.scheduling import forecasts
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import placing
+from trefoilgw.scheduling import planning
 from trefoilgw.scheduling import runners
 from trefoilgw.scheduling import runtimes
 from trefoilgw.work import core as work
-from trefoilgw.work import urgency
 
 # Number of waiting jobs that don't fit after which placement stops. Until then
 # less urgent jobs may use the remaining capacity.
@@ -32,11 +32,6 @@
 # Added to the run number when a target has seen a higher one. Run numbers start
 # at the wall clock in milliseconds, and clocks of hosts may be seconds apart.
 RUN_NUMBER_SKIP = 60_000
-# Share of the slack held in reserve for each unit of the error of expected run
-# times: half of the jobs that start at the very end of their slack would be
-# late. Even with exact run times some slack is reserved for slow targets.
-SLACK_RESERVE_PER_ERROR = 1.2
-MAX_PLANNED_SLACK_SHARE = 0.7
 MIN_RETRY_AFTER_S = 0.1
 # Refusal reason of a runner that reserves its free capacity for more urgent
 # work, and the time that the scheduler waits for an offer before it retries.
@@ -127,7 +122,10 @@
         refusal = self._refuse_too_large(spec, now_s)
         if refusal is not None:
             return refusal
-        job = self._make_job(spec, first_run, now_s)
+        self._order += 1
+        job = planning.make_job(
+            spec, first_run, self._order, self.run_times, now_s
+        )
         slack_s = job.latest_start_s - now_s
         if not any(
             x.serves(spec.queue.service) for x in self.runner_views.values()
@@ -171,40 +169,6 @@
                 return actions.Rejected("too_large", None, detail=detail)
         return None
 
-    def _make_job(
-        self, spec: work.JobSpec, first_run: int, now_s: float
-    ) -> jobs.Job:
-        """Returns the state of a new job."""
-        queue = spec.queue
-        estimates = [
-            self.run_times.estimate(
-                queue.name, x.declared_s, spec.caller_wait_s
-            )
-            for x in spec.tasks
-        ]
-        tasks = [
-            jobs.Task(task, estimate.run_s, first_run)
-            for task, estimate in zip(spec.tasks, estimates, strict=True)
-        ]
-        longest = max(estimates, key=lambda x: x.run_s)
-        longest_s = longest.run_s
-        planned_share = min(
-            MAX_PLANNED_SLACK_SHARE,
-            1.0 - SLACK_RESERVE_PER_ERROR * longest.error,
-        )
-        slack_s = (queue.stretch - 1.0) * longest_s + queue.latency_s
-        self._order += 1
-        return jobs.Job(
-            spec=spec,
-            tasks=tasks,
-            order=self._order,
-            expected_s=longest_s,
-            latest_start_s=now_s + max(0.0, planned_share) * slack_s,
-            reject_after_s=now_s + slack_s,
-            urgency=urgency.urgency_class(slack_s),
-            admitted_s=now_s,
-        )
-
     def cancel(self, key: str) -> bool:
         """Cancels a job; returns False if it is not admitted."""
         job = self.admitted.get(key)
