--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -8,7 +8,6 @@
 
 import bisect
 import logging
-import math
 import random
 from collections.abc import Iterable
 
@@ -22,10 +21,10 @@
 from trefoilgw.scheduling import forecasts
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import placing
+from trefoilgw.scheduling import planning
 from trefoilgw.scheduling import runners
 from trefoilgw.scheduling import runtimes
 from trefoilgw.work import core as work
-from trefoilgw.work import urgency
 
 # Number of waiting jobs that don't fit after which placement stops. Until then
 # less urgent jobs may use the remaining capacity.
@@ -33,15 +32,7 @@
 # Added to the run number when a target has seen a higher one. Run numbers start
 # at the wall clock in milliseconds, and clocks of hosts may be seconds apart.
 RUN_NUMBER_SKIP = 60_000
-# Share of the slack held in reserve for each unit of the error of expected run
-# times: half of the jobs that start at the very end of their slack would be
-# late. Even with exact run times some slack is reserved for slow targets.
-SLACK_RESERVE_PER_ERROR = 1.2
-MAX_PLANNED_SLACK_SHARE = 0.7
 MIN_RETRY_AFTER_S = 0.1
-# Time after the end of its caller's wait in which a job is still answered. Well
-# below the time after which callers submit a job again.
-CALLER_GRACE_S = 0.3
 # Refusal reason of a runner that reserves its free capacity for more urgent
 # work, and the time that the scheduler waits for an offer before it retries.
 HEADROOM_REASON = "headroom"
@@ -128,13 +119,16 @@
         known = self.admitted.get(spec.key)
         if known is not None:
             known.abandoned_after_s = max(
-                known.abandoned_after_s, _abandoned_after_s(spec, now_s)
+                known.abandoned_after_s, planning.abandoned_after_s(spec, now_s)
             )
             return known
         refusal = self._refuse_too_large(spec, now_s)
         if refusal is not None:
             return refusal
-        job = self._make_job(spec, first_run, now_s)
+        self._order += 1
+        job = planning.make_job(
+            spec, first_run, self._order, self.run_times, now_s
+        )
         slack_s = job.latest_start_s - now_s
         if not any(
             x.serves(spec.queue.service) for x in self.runner_views.values()
@@ -178,41 +172,6 @@
                 return actions.Rejected("too_large", None, detail=detail)
         return None
 
-    def _make_job(
-        self, spec: work.JobSpec, first_run: int, now_s: float
-    ) -> jobs.Job:
-        """Returns the state of a new job."""
-        queue = spec.queue
-        estimates = [
-            self.run_times.estimate(
-                queue.name, x.declared_s, spec.caller_wait_s
-            )
-            for x in spec.tasks
-        ]
-        tasks = [
-            jobs.Task(task, estimate.run_s, first_run)
-            for task, estimate in zip(spec.tasks, estimates, strict=True)
-        ]
-        longest = max(estimates, key=lambda x: x.run_s)
-        longest_s = longest.run_s
-        planned_share = min(
-            MAX_PLANNED_SLACK_SHARE,
-            1.0 - SLACK_RESERVE_PER_ERROR * longest.error,
-        )
-        slack_s = (queue.stretch - 1.0) * longest_s + queue.latency_s
-        self._order += 1
-        return jobs.Job(
-            spec=spec,
-            tasks=tasks,
-            order=self._order,
-            expected_s=longest_s,
-            latest_start_s=now_s + max(0.0, planned_share) * slack_s,
-            reject_after_s=now_s + slack_s,
-            urgency=urgency.urgency_class(slack_s),
-            admitted_s=now_s,
-            abandoned_after_s=_abandoned_after_s(spec, now_s),
-        )
-
     def cancel(self, key: str) -> bool:
         """Cancels a job; returns False if it is not admitted."""
         job = self.admitted.get(key)
@@ -673,10 +632,3 @@
     def _send_message(self, runner: str, message: object) -> None:
         """Queues a message to a runner as an action."""
         self.pending_actions.append(actions.SendMessage(runner, message))
-
-
-def _abandoned_after_s(spec: work.JobSpec, now_s: float) -> float:
-    """Returns when the caller of a job submitted now waits no longer."""
-    if spec.caller_wait_s is None:
-        return math.inf
-    return now_s + spec.caller_wait_s + CALLER_GRACE_S
--- a/trefoilgw/scheduling/tests/test_core.py
+++ b/trefoilgw/scheduling/tests/test_core.py
@@ -9,6 +9,7 @@
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import core as scheduling
 from trefoilgw.scheduling import jobs
+from trefoilgw.scheduling import planning
 from trefoilgw.scheduling import runners
 from trefoilgw.scheduling.tests import fixtures
 from trefoilgw.work import core as work
@@ -91,7 +92,7 @@
         scheduler.take_actions()
         scheduler.tick(5.0)
         self.assertEqual([], fixtures.answers(scheduler.take_actions()))
-        scheduler.tick(5.0 + scheduling.CALLER_GRACE_S + 0.01)
+        scheduler.tick(5.0 + planning.CALLER_GRACE_S + 0.01)
         taken = scheduler.take_actions()
         self.assertEqual(
             [("j", actions.Unfinished("caller_wait_over"))],
