Wait anew for a runner that has connected again

The time after which a lost runner's runs are given up counted on from its lost stream while it was connected again, until it had told which runs it has. The new stream gives it a new authority, so that its runs could go on when they were begun elsewhere.

Change: a connection of the same process ends that count. The loss of the new stream starts it again.

test_reconnected_runner_that_tells_nothing_yet_is_waited_for failed without the change.

--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -218,6 +218,7 @@
             view = runners.RunnerView(name, incarnation, domain)
             self.runner_views[name] = view
         view.connect(incarnation, now_s)
+        self.lost_runners.pop((name, incarnation), None)
 
     def runner_disconnected(self, name: str) -> None:
         """Handles the end of a runner's stream; its runs may go on."""
--- a/trefoilgw/scheduling/tests/test_core.py
+++ b/trefoilgw/scheduling/tests/test_core.py
@@ -408,6 +408,20 @@
         scheduler.tick(5.0)
         self.assertEqual([], fixtures.sent(scheduler.take_actions()))
 
+    def test_reconnected_runner_that_tells_nothing_yet_is_waited_for(self):
+        """Its new stream gives it a new authority, also if it then is silent.
+
+        The time since it lost the earlier one counted on, and its run began
+        elsewhere.
+        """
+        scheduler = self.scheduler_without_runner()
+        scheduler.runner_connected(self.name, "i1", "d1", 1.9)
+        scheduler.tick(1.0 + runners.RUN_EXPIRY_S)
+        self.assertEqual([], fixtures.sent(scheduler.take_actions()))
+        scheduler.runner_disconnected(self.name)
+        scheduler.tick(1.9 + runners.RUN_EXPIRY_S)
+        self.assertEqual(1, len(fixtures.sent(scheduler.take_actions())))
+
     def test_run_missing_at_a_reconnected_runner_is_placed_at_once(self):
         """A start message lost with the stream never starts a run."""
         scheduler = self.scheduler_without_runner()
