Retry a stop that failed with an unexpected error

An exception in a call that stops a run left the entry of the pending stop behind: each later stop of the run waited for it for ever, and the run went on while the lease was extended.

Change: such an error counts as a lost answer, as for a start, and a pending stop is removed however it ends. `stop failed` tells of it.

test_unexpected_error_of_a_stop_does_not_end_it failed without the change.

--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -174,9 +174,12 @@
         if pending is not None:
             return pending.wait()
         pending = self.pending_stops[key] = event.Event()
-        confirmed = self._stop_until_confirmed(key)
-        self.pending_stops.pop(key, None)
-        pending.send(confirmed)
+        confirmed = False
+        try:
+            confirmed = self._stop_until_confirmed(key)
+        finally:
+            del self.pending_stops[key]
+            pending.send(confirmed)
         return confirmed
 
     def _wait_until_stopped(self, target: work.Target, key: RunKey) -> None:
@@ -195,7 +198,13 @@
         """Repeats the stop request until it is confirmed; see `stop`."""
         target = self.allocator.target
         while target is not None and target is self._if_current(target):
-            answer = self.client.stop(target.instance, *key)
+            try:
+                answer = self.client.stop(target.instance, *key)
+            except Exception as error:
+                log.exception(
+                    "stop failed", extra={"task": key[0], "run": key[1]}
+                )
+                answer = orders.NoAnswer(True, repr(error))
             match answer:
                 case orders.Accepted(clock_s=clock_s):
                     self.lease.learn_clock(clock_s)
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -139,6 +139,18 @@
         self.assertEqual(["j.0.0.0"], self.client.stopped)
         self.assertEqual({}, self.allocator.runs)
 
+    def test_unexpected_error_of_a_stop_does_not_end_it(self):
+        """The run could not be stopped any more, and its lease was extended."""
+        self.request_start("j.0.0.0")
+        self.driver.start("j.0.0.0", 1, "p")
+        self.client.stops = [RuntimeError("broken"), ACCEPTED]
+        with (
+            mock.patch.object(driving.eventlet, "sleep"),
+            self.assertLogs(driving.log),
+        ):
+            self.assertTrue(self.driver.stop("j.0.0.0", 1))
+        self.assertEqual({}, self.driver.pending_stops)
+
     def test_two_stops_share_one_confirmation(self):
         """A pending stop must not be taken for a confirmed one."""
         self.request_start("j.0.0.0")
