Start nothing at a target that lists no runs for a second

A start extends the leases of all runs at its target. At a target that refused or did not answer any call, each new start moved the time at which the leases have expired: runs that had lapsed were held as long as new orders came, and their jobs stood still.

Change: without an answer to a poll for 1 s the target counts as unreachable, so that it gets nothing new, and a start that is still under way to it is dropped.

test_starts_do_not_hold_the_runs_of_a_silent_target failed without the change, as did test_target_that_refuses_each_call_loses_its_runs with starts meanwhile; it now also demands that no run is given up before its lease can have expired. test_lease_of_an_unresponsive_target_is_not_extended stopped when the target became unreachable, which now is before the runs are given up; it goes on until then, with the same bounds. The bound of test_target_that_left_keeps_its_runs_until_their_leases_expire no longer comes from the driver itself. Found by a review.

--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -188,6 +188,8 @@
             return "ended"
         if known.state is not room_runs.RunState.STARTING:
             return "stopped"
+        if not self.reachable:
+            return "unreachable"
         owner = self.owners.get(known.owner)
         if owner is None or now_s >= owner.authority_until_s:
             return "authority"
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -34,6 +34,9 @@
 # Without any answer for this time the lease is no longer extended, so that it
 # expires and the runs can be placed elsewhere.
 EXTEND_TIMEOUT_S = 0.5
+# Without any list of runs for this time nothing is started any more. Each start
+# extends the leases, so that they would never expire.
+START_TIMEOUT_S = 2 * EXTEND_TIMEOUT_S
 RETRY_INTERVAL_S = 0.05
 
 log = logging.getLogger(__name__)
@@ -323,6 +326,8 @@
 
         A target that has deregistered before is gone then.
         """
+        if self.now() - self.last_answer_s > START_TIMEOUT_S:
+            self._mark_unreachable(detail)
         if not self.lease.expired():
             return
         if self.allocator.leaving:
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -238,9 +238,11 @@
         for _ in range(40):
             self.now_s += 0.1
             self.extend_lease()
-            if not self.allocator.reachable:
+            endings = self.endings()
+            if endings:
                 break
-        self.assertEqual("lost", self.endings()[0][2])
+        self.assertEqual("lost", endings[0][2])
+        self.assertFalse(self.allocator.reachable)
         last_extended_s = 100.0 + driving.EXTEND_TIMEOUT_S
         self.assertGreater(self.now_s, last_extended_s + 1.02)
         self.assertLess(self.now_s, last_extended_s + 1.3)
@@ -310,22 +312,46 @@
         self.extend_lease()
         self.assertEqual("lost", self.endings()[0][2])
 
-    def test_target_that_refuses_each_call_loses_its_runs(self):
-        """Its leases expired, but the runs were held until it answered again.
+    def lost_at_s(self, answer):
+        """Returns when a run is reported as lost if all calls fail alike.
 
-        A target that refuses a call has not extended any lease.
+        A new start comes each 0.3 s.
+
+        Args:
+            answer: The answer of the target to each call.
         """
         self.start_one()
-        self.client.holds = [
-            orders.Refused(orders.RefusalReason.UNHEALTHY, None)
-        ]
-        until_s = self.now_s + driving.EXTEND_TIMEOUT_S + 1.2
-        while self.now_s < until_s:
+        self.client.holds = [answer]
+        self.client.starts = [answer]
+        self.client.stops = [ACCEPTED]
+        for number in range(100):
             self.extend_lease()
+            if "lost" in [x[2] for x in self.endings()]:
+                break
+            if number % 6 == 0:
+                self.request_start(f"k{number}.0.0.0")
+                self.driver.start(f"k{number}.0.0.0", 1, "p")
             self.now_s += 0.05
-        self.assertEqual("lost", self.endings()[0][2])
+        return self.now_s
+
+    def test_target_that_refuses_each_call_loses_its_runs(self):
+        """Its leases expired, but the runs were held until it answered again.
+
+        A target that refuses a call has not extended any lease. The starts
+        that it refuses may not hold the runs either.
+        """
+        refused = orders.Refused(orders.RefusalReason.UNHEALTHY, None)
+        lost_at_s = self.lost_at_s(refused)
+        self.assertGreater(lost_at_s, 100.0 + 1.02)
+        self.assertLess(lost_at_s, 100.0 + driving.START_TIMEOUT_S + 1.02 + 0.2)
         self.assertFalse(self.allocator.usable)
 
+    def test_starts_do_not_hold_the_runs_of_a_silent_target(self):
+        """Each start extended the leases, for as long as there was room."""
+        lost_at_s = self.lost_at_s(NO_ANSWER)
+        self.assertGreater(lost_at_s, 100.0 + 1.02)
+        self.assertLess(lost_at_s, 100.0 + driving.START_TIMEOUT_S + 1.02 + 0.2)
+
     def test_unreachable_target_gets_no_longer_lease(self):
         """A request that is not received would only delay the end of the runs.
 
@@ -430,11 +456,14 @@
         ]
         self.extend_lease()
         self.assertEqual([], self.endings())
-        leases_end_s = self.driver.lease.until_s
+        leases_end_s = 100.0 + self.driver.lease.length_s * (
+            1.0 + leases.MAX_CLOCK_DRIFT
+        )
         while self.now_s < leases_end_s:
             self.extend_lease()
             self.assertEqual([], self.endings())
             self.now_s += 0.05
+        self.now_s = leases_end_s + leases.LAPSE_MARGIN_S + 0.001
         self.extend_lease()
         self.assertEqual("lost", self.endings()[0][2])
         self.assertIsNone(self.allocator.target)
