Stop an unanswered start also once its run has been given up

A start without an answer may be carried out seconds later. Its stop was repeated only until the run was given up, so that nothing kept the target from carrying the start out afterwards but the end of the lease in it.

Change: the stop goes on until the target has confirmed it, or is gone.

test_unanswered_start_is_stopped_also_once_its_run_is_given_up failed without the change: two stops were sent in place of four. Found by a review.

--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -215,12 +215,20 @@
                     return True
                 case orders.OtherInstance():
                     return False
-            if key not in self.allocator.runs and key not in self.foreign_runs:
+            if not self._may_be_at_work(key):
                 # The target has meanwhile listed the end of the run.
                 return True
             eventlet.sleep(RETRY_INTERVAL_S)
         return False
 
+    def _may_be_at_work(self, key: RunKey) -> bool:
+        """Returns whether an attempt may be running, or may still start."""
+        return (
+            key in self.allocator.runs
+            or key in self.foreign_runs
+            or key in self.starting
+        )
+
     def _if_current(self, target: work.Target) -> work.Target | None:
         """Returns the target if it is still the registered one, else None."""
         known = self.allocator.target
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -151,6 +151,19 @@
             self.assertTrue(self.driver.stop("j.0.0.0", 1))
         self.assertEqual({}, self.driver.pending_stops)
 
+    def test_unanswered_start_is_stopped_also_once_its_run_is_given_up(self):
+        """The target may carry it out seconds later, after newer calls."""
+        self.request_start("j.0.0.0")
+        self.client.starts = [NO_ANSWER]
+        self.client.stops = [NO_ANSWER, NO_ANSWER, NO_ANSWER, ACCEPTED]
+
+        def give_up(_):
+            self.allocator.leases_expired("target_lost")
+
+        with mock.patch.object(driving.eventlet, "sleep", give_up):
+            self.driver.start("j.0.0.0", 1, "p")
+        self.assertEqual(4, len(self.client.stopped))
+
     def test_two_stops_share_one_confirmation(self):
         """A pending stop must not be taken for a confirmed one."""
         self.request_start("j.0.0.0")
