Wait for a stopped run that a target no longer lists

A target has some time to end a run whose stop it has confirmed. A run that it did not list any more was reported as stopped at once.

Change: the absence of such a run from the list counts only after that time. A target is now also told apart by its instance, not by its start time alone, while a call is under way: without start times all are the same.

test_stopped_run_that_is_not_listed_may_take_its_time_to_end failed without the change.

--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -211,7 +211,8 @@
             match answer:
                 case orders.Accepted(clock_s=clock_s):
                     self.lease.learn_clock(clock_s)
-                    self.confirmed_s[key] = self.now()
+                    # Its end may be listed only after that time.
+                    self.confirmed_s[key] = self.now() + self.run_stop_s
                     return True
                 case orders.OtherInstance():
                     return False
@@ -232,7 +233,11 @@
     def _if_current(self, target: work.Target) -> work.Target | None:
         """Returns the target if it is still the registered one, else None."""
         known = self.allocator.target
-        same = known is not None and known.started_ms == target.started_ms
+        same = (
+            known is not None
+            and known.instance == target.instance
+            and known.started_ms == target.started_ms
+        )
         return target if same else None
 
     def run(self) -> None:
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -164,6 +164,20 @@
             self.driver.start("j.0.0.0", 1, "p")
         self.assertEqual(4, len(self.client.stopped))
 
+    def test_stopped_run_that_is_not_listed_may_take_its_time_to_end(self):
+        """A confirmed stop takes effect within the time that targets state."""
+        self.driver.run_stop_s = 0.05
+        self.request_start("j.0.0.0")
+        self.driver.start("j.0.0.0", 1, "p")
+        self.driver.stop("j.0.0.0", 1)
+        self.client.holds = [listing()]
+        self.now_s += 0.04
+        self.extend_lease()
+        self.assertEqual([], self.endings())
+        self.now_s += 0.02
+        self.extend_lease()
+        self.assertEqual("stopped", self.endings()[0][2])
+
     def test_two_stops_share_one_confirmation(self):
         """A pending stop must not be taken for a confirmed one."""
         self.request_start("j.0.0.0")
