Take the end of a run only from the runner that it was sent to

Run numbers start at the wall clock of the scheduler that admits a job. If the clock was set back between two submissions of a job, an attempt of the first at another runner could have the number of one of the second, and its end made the scheduler repeat a task that was at work.

Change: the end of an attempt counts only from the runner that has it.

test_end_from_another_runner_is_ignored failed without the change. Found by a review.

--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -315,7 +315,7 @@
     ) -> None:
         """Handles the end of an attempt; ignores all but the latest one."""
         found = self._find_sent_task(message.task, message.run)
-        if found is None:
+        if found is None or found[1].runner != name:
             return
         job, task = found
         match work.Ending(message.ending):
--- a/trefoilgw/scheduling/tests/test_core.py
+++ b/trefoilgw/scheduling/tests/test_core.py
@@ -71,6 +71,19 @@
         taken = fixtures.end_run(scheduler, "r1", "j.0.0.0", 1, FAILED)
         self.assertEqual([("r1", "j.0.0.1", 1)], fixtures.stopped(taken))
 
+    def test_end_from_another_runner_is_ignored(self):
+        """Two attempts of a job may have a number in common.
+
+        Numbers start at the clock of the scheduler that admits the job, which
+        may have been set back before its next submission.
+        """
+        scheduler = fixtures.make_scheduler("r1", "r2")
+        scheduler.submit(fixtures.job("j"), 1, 0.0)
+        name = fixtures.sent(scheduler.take_actions())[0][0]
+        other = {"r1": "r2", "r2": "r1"}[name]
+        taken = fixtures.end_run(scheduler, other, "j.0.0.0", 1, LOST)
+        self.assertEqual([], fixtures.sent(taken))
+
     def test_late_end_of_an_earlier_attempt_is_ignored(self):
         """The end of an old attempt must not count for the new one."""
         scheduler = fixtures.make_scheduler("r1")
