Log for each repeat of a task why its run can no longer work

Operators saw two runs of a task at a time, and no line told why the scheduler had repeated it: `run not done` gave a reason, `runs missing` and `runner given up` only listed tasks, and none named the target's life.

Change: whoever ends a run names its evidence, one of ended, not_run, lease_expired and other_life (work.Evidence). The runner sends it with the end, together with the instance and the start time of the target. The scheduler queues one Repeated for each task that it places again, from which the program writes one line, `task repeated`, and counts tasks_repeated_total{evidence}. The line is a success if the run has certainly not started, else a failure, so that refusals don't use up the budget of the others. A message without evidence counts as evidence none, which is a failure.

`run not done` is left for the last failure of a job. `runs missing` is gone, and `runner given up` has the number of its tasks.

A start without an answer that the target lists, as running or as ended, counts as not run as before, but its evidence is ended.

Two checks change: the log of a missing run is now the queued Repeated, which is compared as a whole; CapacityAllocator.target_gone and run_refused take the evidence as a required keyword.

--- a/trefoilgw/logs/job_timeline.py
+++ b/trefoilgw/logs/job_timeline.py
@@ -20,7 +20,10 @@
     {
         "configuration in force",
         "foreign run",
+        "leases expired",
         "lines left out",
+        "other target reported",
+        "paused",
         "roster lease lapsed",
         "runner given up",
         "runner joined",
@@ -44,6 +47,10 @@
 )
 
 
+# Events of attempts that did not do their task.
+_FAILED_ATTEMPT_EVENTS = frozenset({"run not done", "task repeated"})
+
+
 @attrs.frozen
 class Step:
     """One log line of a timeline.
@@ -176,16 +183,19 @@
 
 
 def _describe_failed_attempts(steps: list[Step]) -> str:
-    """Returns the counts of failed attempts by cause and runner, as text.
+    """Returns the counts of failed attempts as text.
 
-    The text is empty if no attempt failed.
+    They are counted by cause, runner and evidence that they can't work any
+    longer. The text is empty if no attempt failed.
     """
     found: dict[str, int] = {}
     for step in steps:
-        if step.event != "run not done":
+        if step.event not in _FAILED_ATTEMPT_EVENTS:
             continue
         cause = step.details.get("reason") or step.details.get("ending")
         name = f"{cause} at {step.details.get('runner')}"
+        if "evidence" in step.details:
+            name += f" ({step.details['evidence']})"
         found[name] = found.get(name, 0) + 1
     if not found:
         return ""
--- a/trefoilgw/logs/tests/test_job_timeline.py
+++ b/trefoilgw/logs/tests/test_job_timeline.py
@@ -48,9 +48,30 @@
         )
         self.assertEqual(1, len(job_timeline.build_timeline([row], KEY).steps))
 
+    def test_what_ends_runs_is_shown_with_the_job(self):
+        """Why a run was given up stands in lines without the job's id."""
+        context = [
+            make_line(1.1, "worker-1", event)
+            for event in (
+                "leases expired",
+                "other target reported",
+                "runner given up",
+                "target gone",
+            )
+        ]
+        rows = [
+            make_line(1.0, "entry-1", "job admitted", job=KEY),
+            *context,
+            make_line(1.2, "entry-1", "task repeated", task=f"{KEY}.0.0.0"),
+        ]
+        timeline = job_timeline.build_timeline(rows, KEY)
+        self.assertEqual(6, len(timeline.steps))
+
     def test_summary_names_the_cause(self):
         """Operators need the cause of a failure, not only the outcome."""
         failed = {"runner": "worker-2", "ending": "failed", "reason": ""}
+        repeated = {**failed, "evidence": "ended"}
+        stalled = {**repeated, "ending": "stopped", "reason": "stalled"}
         cases = {
             "rejected at once, reason overload: room was expected after 0.5 s, "
             "it could wait 0.2 s": [
@@ -65,9 +86,16 @@
                 )
             ],
             "failed after 2 s; attempts that did nothing: "
-            "2 x failed at worker-2": [
+            "1 x stalled at worker-2 (ended), 2 x failed at worker-2 (ended), "
+            "1 x failed at worker-2": [
+                make_line(
+                    0, "a", "task repeated", task=f"{KEY}.0.0.1", **stalled
+                ),
+                make_line(
+                    1, "a", "task repeated", task=f"{KEY}.0.0.1", **repeated
+                ),
                 make_line(
-                    1, "a", "run not done", task=f"{KEY}.0.0.1", **failed
+                    1.5, "a", "task repeated", task=f"{KEY}.0.0.1", **repeated
                 ),
                 make_line(
                     2, "a", "run not done", task=f"{KEY}.0.0.1", **failed
--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -178,6 +178,10 @@
         reason: Cause of the ending, for logs and metrics. The scheduler also
             depends on some of the texts, such as ``headroom`` and ``slow``.
         run_s: Run time in seconds.
+        evidence: Value of the `work.Evidence` that it can no longer work.
+        instance: Instance of the target that it ended at, empty if none is
+            known.
+        started_ms: Start of that instance in Unix milliseconds, 0 if unknown.
     """
 
     task: str
@@ -185,6 +189,9 @@
     ending: str
     reason: str
     run_s: float
+    evidence: str = str(work.Evidence.NONE)
+    instance: str = ""
+    started_ms: int = 0
 
 
 @attrs.frozen
--- a/trefoilgw/messages/tests/test_codec.py
+++ b/trefoilgw/messages/tests/test_codec.py
@@ -12,6 +12,7 @@
 from trefoilgw.messages import core as messages
 from trefoilgw.messages import runs
 from trefoilgw.outcomes import core as outcomes
+from trefoilgw.work import core as work
 
 ENTRY = messages.RosterEntry("a" * 16, "127.0.0.1:1", "127.0.0.1:2", "d1")
 SAMPLES = (
@@ -70,6 +71,13 @@
                     with self.assertRaises(codec.FrameError):
                         list(codec.Decoder().feed(frame))
 
+    def test_end_of_a_run_without_evidence_is_recognized(self):
+        """It must not count as evidence that the run can no longer work."""
+        data = frame(msgpack.packb([55, "t", 1, "lost", "gone", 0.5]))
+        (ended,) = codec.Decoder().feed(data)
+        self.assertEqual(work.Evidence.NONE, ended.evidence)
+        self.assertEqual(("", 0), (ended.instance, ended.started_ms))
+
     def test_truncated_frame_yields_nothing(self):
         """A stream cut within a frame must not yield a partial message."""
         data = codec.encode(SAMPLES[-1])
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -134,18 +134,23 @@
         self.leaving = True
 
     def target_gone(
-        self, reason: str, kept: Collection[tuple[str, int]] = ()
+        self,
+        reason: str,
+        kept: Collection[tuple[str, int]] = (),
+        *,
+        evidence: work.Evidence,
     ) -> bool:
         """Removes a target that is gone and reports its runs as lost.
 
         Args:
             reason: Why, for the schedulers.
             kept: Runs that its next life has already started.
+            evidence: Why the others can no longer work.
 
         Returns:
             True if its successor is registered in its place.
         """
-        self._end_all_as_lost(reason, kept)
+        self._end_all_as_lost(reason, evidence, kept)
         self.target, successor = None, self.successor
         if successor is None:
             return False
@@ -165,15 +170,18 @@
 
         Call this only once the leases of all runs have certainly expired.
         """
-        self._end_all_as_lost(reason)
+        self._end_all_as_lost(reason, work.Evidence.LEASE_EXPIRED)
 
     def _end_all_as_lost(
-        self, reason: str, kept: Collection[tuple[str, int]] = ()
+        self,
+        reason: str,
+        evidence: work.Evidence,
+        kept: Collection[tuple[str, int]] = (),
     ) -> None:
         """Ends all runs but some as lost, for the given reason."""
         for run in list(self.runs.values()):
             if run.key not in kept:
-                self._end(run, work.Ending.LOST, reason, 0.0)
+                self._end(run, work.Ending.LOST, reason, 0.0, evidence)
 
     # Runs on the target.
 
@@ -239,16 +247,25 @@
                 run.reason = "slow"
                 self._stop(run)
 
-    def run_refused(self, task: str, run: int, reason: str) -> None:
-        """Ends an attempt that has not started and never will as not run."""
+    def run_refused(
+        self, task: str, run: int, reason: str, *, evidence: work.Evidence
+    ) -> None:
+        """Ends an attempt that counts as not run and never will start.
+
+        Args:
+            task: Name of the task.
+            run: Number of the attempt.
+            reason: Why, for the scheduler.
+            evidence: Why it can no longer work.
+        """
         known = self.runs.get((task, run))
         if known is not None:
-            self._end(known, work.Ending.NOT_RUN, reason, 0.0)
+            self._end(known, work.Ending.NOT_RUN, reason, 0.0, evidence)
 
     def run_ended(
         self, task: str, run: int, ending: work.Ending, now_s: float
     ) -> None:
-        """Ends an attempt that has ended on the target.
+        """Ends an attempt that has ended on the target, as its list shows.
 
         A success or failure also updates the health of the target.
         """
@@ -259,10 +276,16 @@
             self.target_health.record_success()
         elif ending is work.Ending.FAILED:
             self.target_health.record_failure(known.job)
-        self._end(known, ending, known.reason, now_s - known.requested_s)
+        run_s = now_s - known.requested_s
+        self._end(known, ending, known.reason, run_s, work.Evidence.ENDED)
 
     def _end(
-        self, run: room_runs.Run, ending: work.Ending, reason: str, run_s: float
+        self,
+        run: room_runs.Run,
+        ending: work.Ending,
+        reason: str,
+        run_s: float,
+        evidence: work.Evidence,
     ) -> None:
         """Frees the capacity of a run and reports its end to its scheduler."""
         del self.runs[run.key]
@@ -270,10 +293,11 @@
         if owner is not None:
             owner.run_ended = True
         self.freed_cpu_rate.record(run.demand.cpu_millicores)
-        task, number = run.key
         self._send(
             run.owner,
-            messages.RunEnded(task, number, str(ending), reason, run_s),
+            room_runs.make_end(
+                run.order, ending, reason, run_s, evidence, self.target
+            ),
         )
 
     # Schedulers.
@@ -369,10 +393,16 @@
         if reason:
             # The scheduler's view is out of date.
             owner.reported_s = -math.inf
-            ending = str(work.Ending.NOT_RUN)
             self._send(
                 owner.name,
-                messages.RunEnded(order.task, order.run, ending, reason, 0.0),
+                room_runs.make_end(
+                    order,
+                    work.Ending.NOT_RUN,
+                    reason,
+                    0.0,
+                    work.Evidence.NOT_RUN,
+                    self.target,
+                ),
             )
             return
         demand = order.room.demand
--- a/trefoilgw/room/runs.py
+++ b/trefoilgw/room/runs.py
@@ -94,3 +94,33 @@
         if now_s - run.last_progress_s > limit_s:
             stalled.append(run)
     return stalled, progressing
+
+
+def make_end(
+    order: messages.RunOrder,
+    ending: work.Ending,
+    reason: str,
+    run_s: float,
+    evidence: work.Evidence,
+    target: work.Target | None,
+) -> messages.RunEnded:
+    """Returns the message that reports the end of an attempt.
+
+    Args:
+        order: The request to start it.
+        ending: How it ended.
+        reason: Why, for the scheduler and for logs.
+        run_s: Run time in seconds.
+        evidence: Why it can no longer work.
+        target: The target that it was meant for, None if there is none.
+    """
+    return messages.RunEnded(
+        order.task,
+        order.run,
+        str(ending),
+        reason,
+        run_s,
+        str(evidence),
+        target.instance if target else "",
+        target.started_ms if target else 0,
+    )
--- a/trefoilgw/room/tests/fixtures.py
+++ b/trefoilgw/room/tests/fixtures.py
@@ -82,6 +82,14 @@
     ]
 
 
+def sent_evidence(issued):
+    """Returns task, evidence and target life of each reported end."""
+    return [
+        (x.task, x.evidence, x.instance, x.started_ms)
+        for _, x in sent_messages(issued, messages.RunEnded)
+    ]
+
+
 def sent_endings(issued):
     """Returns owner, task, ending and reason of each reported end."""
     return [
--- a/trefoilgw/room/tests/test_core.py
+++ b/trefoilgw/room/tests/test_core.py
@@ -199,12 +199,20 @@
         allocator = fixtures.make_allocator(A)
         fixtures.start_confirmed(allocator, A, "j.0.0.0")
         allocator.target_reported(fixtures.make_target(started_ms=2))
-        self.assertTrue(allocator.target_gone("target_gone"))
+        self.assertTrue(
+            allocator.target_gone(
+                "target_gone", evidence=work.Evidence.OTHER_LIFE
+            )
+        )
         endings = fixtures.sent_endings(allocator.take_actions())
         self.assertEqual("lost", endings[0][2])
         self.assertEqual(2, allocator.target.started_ms)
         self.assertFalse(allocator.usable)
-        self.assertFalse(allocator.target_gone("target_gone"))
+        self.assertFalse(
+            allocator.target_gone(
+                "target_gone", evidence=work.Evidence.OTHER_LIFE
+            )
+        )
         self.assertIsNone(allocator.target)
 
     def test_target_that_leaves_keeps_its_runs_until_it_has_left(self):
@@ -221,7 +229,7 @@
         """A report may arrive after the process that sent it has crashed."""
         allocator = fixtures.make_allocator(A)
         allocator.target_reported(fixtures.make_target(started_ms=5))
-        allocator.target_gone("target_gone")
+        allocator.target_gone("target_gone", evidence=work.Evidence.OTHER_LIFE)
         self.assertFalse(
             allocator.target_reported(fixtures.make_target(started_ms=4))
         )
@@ -229,6 +237,67 @@
         self.assertIsNone(allocator.successor)
 
 
+class EvidenceTest(unittest.TestCase):
+    """Logs did not tell why a run that was repeated could no longer work."""
+
+    def setUp(self):
+        self.allocator = fixtures.make_allocator(A)
+        fixtures.start_confirmed(self.allocator, A, "j.0.0.0")
+        self.allocator.take_actions()
+
+    def check(self, evidence, task="j.0.0.0"):
+        """Checks the evidence of the only reported end, and its target."""
+        self.assertEqual(
+            [(task, str(evidence), "i-1", 1)],
+            fixtures.sent_evidence(self.allocator.take_actions()),
+        )
+
+    def test_end_that_the_target_lists(self):
+        """It is the strongest evidence, whatever the ending."""
+        self.allocator.run_ended("j.0.0.0", 1, work.Ending.FAILED, 0.5)
+        self.check(work.Evidence.ENDED)
+
+    def test_expired_leases(self):
+        """Nothing was heard of the run itself."""
+        self.allocator.leases_expired("target_lost")
+        self.check(work.Evidence.LEASE_EXPIRED)
+
+    def test_target_that_is_gone(self):
+        """The end names the life that is over, not the one that follows."""
+        self.allocator.target_reported(fixtures.make_target(started_ms=2))
+        self.allocator.target_gone(
+            "target_gone", evidence=work.Evidence.OTHER_LIFE
+        )
+        self.assertEqual(2, self.allocator.target.started_ms)
+        self.check(work.Evidence.OTHER_LIFE)
+
+    def test_order_that_the_target_refuses(self):
+        """The evidence is that of the caller, who knows whether it was sent."""
+        self.allocator.run_refused(
+            "j.0.0.0", 1, "late", evidence=work.Evidence.NOT_RUN
+        )
+        self.check(work.Evidence.NOT_RUN)
+
+    def test_order_that_is_not_sent_to_the_target(self):
+        """Such a run is not in `runs` at any time."""
+        self.allocator.shutting_down = True
+        issued = fixtures.start_runs(self.allocator, A, "k.0.0.0")
+        self.assertEqual(
+            [("k.0.0.0", "not_run", "i-1", 1)], fixtures.sent_evidence(issued)
+        )
+
+    def test_order_without_a_target(self):
+        """There is no life that the end could name."""
+        self.allocator.target_gone(
+            "target_gone", evidence=work.Evidence.OTHER_LIFE
+        )
+        self.allocator.take_actions()
+        issued = fixtures.start_runs(self.allocator, A, "k.0.0.0")
+        self.assertEqual(
+            [("k.0.0.0", "not_run", "", 0)], fixtures.sent_evidence(issued)
+        )
+
+
 class AuthorityTest(unittest.TestCase):
     def test_nothing_starts_after_the_authority_has_expired(self):
         """A paused runner may resume with orders that have been superseded."""
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -108,7 +108,7 @@
                 "start dropped",
                 extra={"task": task, "run": run, "reason": reason},
             )
-            self.allocator.run_refused(task, run, reason)
+            self._refuse(task, run, reason)
             self.on_change()
             return
         self.starting.add((task, run))
@@ -122,7 +122,7 @@
         """Sends a start and reports the outcome to the allocator."""
         target = self.allocator.target
         if target is None or not self.lease.clock_known:
-            self.allocator.run_refused(task, run, "target_unknown")
+            self._refuse(task, run, "target_unknown")
             return
         sent_s = self.now()
         try:
@@ -141,19 +141,27 @@
                 self.on_started(task, run, self.now() - sent_s)
             case orders.Refused(reason=reason, clock_s=clock_s):
                 self.lease.learn_clock(clock_s)
-                self.allocator.run_refused(task, run, str(reason))
+                self._refuse(task, run, str(reason))
             case orders.OtherInstance():
-                self.allocator.run_refused(task, run, "other_instance")
+                self._refuse(task, run, "other_instance")
             case orders.NoAnswer(reached=False):
-                self.allocator.run_refused(task, run, "unreachable")
+                self._refuse(task, run, "unreachable")
             case orders.NoAnswer(detail=detail):
                 log.info(
                     "start not answered",
                     extra={"task": task, "run": run, "detail": detail},
                 )
                 if self.stop(task, run):
-                    self._wait_until_stopped(target, (task, run))
-                    self.allocator.run_refused(task, run, "not_answered")
+                    evidence = self._wait_until_stopped(target, (task, run))
+                    self.allocator.run_refused(
+                        task, run, "not_answered", evidence=evidence
+                    )
+
+    def _refuse(self, task: str, run: int, reason: str) -> None:
+        """Ends an attempt that was not sent, or that the target refused."""
+        self.allocator.run_refused(
+            task, run, reason, evidence=work.Evidence.NOT_RUN
+        )
 
     def stop(self, task: str, run: int) -> bool:
         """Stops an attempt and waits until the target has confirmed that.
@@ -175,10 +183,15 @@
         pending.send(confirmed)
         return confirmed
 
-    def _wait_until_stopped(self, target: work.Target, key: RunKey) -> None:
+    def _wait_until_stopped(
+        self, target: work.Target, key: RunKey
+    ) -> work.Evidence:
         """Waits until an attempt whose stop is confirmed no longer runs.
 
         It may have been running if only the answer to its start was lost.
+
+        Returns:
+            Why it can no longer work.
         """
         answer = self.client.hold(
             target.instance, None, self.last_confirmed_end, 0.0
@@ -186,6 +199,12 @@
         listed = isinstance(answer, orders.RunListing)
         if not listed or key in answer.running:
             eventlet.sleep(self.run_stop_s)
+            return work.Evidence.ENDED
+        ended = {(x.task, x.run) for x in answer.ended}
+        same_life = answer.started_ms in (0, target.started_ms)
+        if key in ended or not same_life:
+            return work.Evidence.ENDED
+        return work.Evidence.NOT_RUN
 
     def _stop_until_confirmed(self, key: RunKey) -> bool:
         """Repeats the stop request until it is confirmed; see `stop`."""
@@ -276,7 +295,10 @@
                 self.lease.learn_clock(answer.clock_s)
                 return self._reconcile(target, answer, sent_s)
             case orders.OtherInstance():
-                self._discard_target("another instance answers")
+                self._discard_target(
+                    "another instance answers",
+                    evidence=work.Evidence.OTHER_LIFE,
+                )
             case orders.Refused(reason=reason):
                 # It has extended no lease, and lists no ends.
                 self._check_leases(f"refused: {reason}")
@@ -313,7 +335,9 @@
         if not self.lease.expired():
             return
         if self.allocator.leaving:
-            self._discard_target("it has left")
+            self._discard_target(
+                "it has left", evidence=work.Evidence.LEASE_EXPIRED
+            )
             return
         self._mark_unreachable(detail)
         if self.allocator.runs:
@@ -339,22 +363,31 @@
         kept = reply.running.keys() | {
             key for key, at_s in self.confirmed_s.items() if at_s > sent_s
         }
-        self._discard_target("the target has restarted", kept)
+        self._discard_target(
+            "the target has restarted",
+            kept,
+            evidence=work.Evidence.OTHER_LIFE,
+        )
 
     def _discard_target(
-        self, reason: str, kept: Set[RunKey] = frozenset()
+        self,
+        reason: str,
+        kept: Set[RunKey] = frozenset(),
+        *,
+        evidence: work.Evidence,
     ) -> None:
         """Removes a target that is gone or has restarted.
 
         Args:
             reason: Why, for the log.
             kept: Runs that its next life has already started.
+            evidence: Why its other runs can no longer work.
         """
         log.warning(
             "target gone",
             extra={"detail": reason, "runs": len(self.allocator.runs)},
         )
-        if self.allocator.target_gone("target_gone", kept):
+        if self.allocator.target_gone("target_gone", kept, evidence=evidence):
             self.target_registered()
         else:
             self.reset_target_state()
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -189,6 +189,87 @@
         self.assertEqual([(A, "j.0.0.0", "not_run", "room")], self.endings())
 
 
+class EvidenceTest(DriverTestCase):
+    """The place that ends a run tells why it can no longer work."""
+
+    def start(self, *starts, stops=(ACCEPTED,), holds=(NO_ANSWER,)):
+        """Requests and starts a run with prepared answers of the target."""
+        self.request_start("j.0.0.0")
+        self.client.starts = list(starts)
+        self.client.stops = list(stops)
+        self.client.holds = list(holds)
+        self.driver.start("j.0.0.0", 1, "p")
+
+    def evidence(self):
+        """Returns the evidence of the only reported end."""
+        ((_, evidence, instance, started_ms),) = fixtures.sent_evidence(
+            self.allocator.take_actions()
+        )
+        self.assertEqual(("i-1", 1), (instance, started_ms))
+        return work.Evidence(evidence)
+
+    def test_refused_and_unsent_starts(self):
+        """None of them has started anything."""
+        for answer in (
+            orders.Refused(orders.RefusalReason.LATE, 5.0),
+            orders.OtherInstance(),
+            orders.NoAnswer(False, "refused"),
+        ):
+            with self.subTest(answer=answer):
+                self.setUp()
+                self.start(answer)
+                self.assertIs(work.Evidence.NOT_RUN, self.evidence())
+
+    def test_unanswered_start(self):
+        """It may have been carried out, and only its answer was lost."""
+        ran = work.Evidence.ENDED
+        for held, evidence in (
+            (listing(), work.Evidence.NOT_RUN),
+            (listing(running=["j.0.0.0"]), ran),
+            (listing(ended=[("j.0.0.0", work.Ending.STOPPED)]), ran),
+            (listing(started_ms=2), ran),
+            (NO_ANSWER, ran),
+        ):
+            with self.subTest(held=held):
+                self.setUp()
+                self.start(NO_ANSWER, holds=[held])
+                self.assertIs(evidence, self.evidence())
+
+    def test_listed_ends(self):
+        """A run that is no longer listed has ended as well."""
+        for held in (
+            listing(ended=[("j.0.0.0", work.Ending.LOST)]),
+            listing(),
+        ):
+            with self.subTest(held=held):
+                self.setUp()
+                self.start(ACCEPTED, holds=[held])
+                self.now_s += 0.1
+                self.extend_lease()
+                self.assertIs(work.Evidence.ENDED, self.evidence())
+
+    def test_another_life_answers(self):
+        """It may be another instance, or the same one started anew."""
+        for held in (orders.OtherInstance(), listing(started_ms=2)):
+            with self.subTest(held=held):
+                self.setUp()
+                self.start(ACCEPTED, holds=[held])
+                self.extend_lease()
+                self.assertIs(work.Evidence.OTHER_LIFE, self.evidence())
+
+    def test_expired_leases(self):
+        """Also of a target that has left before, which is then gone."""
+        for leaves in (False, True):
+            with self.subTest(leaves=leaves):
+                self.setUp()
+                self.start(ACCEPTED, holds=[orders.NoAnswer(False, "refused")])
+                if leaves:
+                    self.allocator.target_leaves()
+                self.now_s += 2.0
+                self.extend_lease()
+                self.assertIs(work.Evidence.LEASE_EXPIRED, self.evidence())
+
+
 class LeaseTest(DriverTestCase):
     def start_one(self, task="j.0.0.0"):
         self.request_start(task)
--- a/trefoilgw/scheduler/decision_log.py
+++ b/trefoilgw/scheduler/decision_log.py
@@ -85,11 +85,46 @@
         )
 
 
-def log_run_not_done(runner: str, ended: runs.RunEnded) -> None:
-    """Logs that an attempt ended without completing its task."""
-    refused = ended.ending == work.Ending.NOT_RUN
+def log_task_repeated(repeated: actions.Repeated) -> None:
+    """Logs that a task is placed again, and why its run can't work any longer.
+
+    A run that has certainly not started is no failure, and refusals come in
+    floods. All others are logged as failures, with a budget of their own.
+    """
+    end = repeated.end
+    match end.evidence:
+        case work.Evidence.NOT_RUN:
+            level = logging.INFO
+        case (
+            work.Evidence.ENDED
+            | work.Evidence.LEASE_EXPIRED
+            | work.Evidence.OTHER_LIFE
+            | work.Evidence.NONE
+        ):
+            level = logging.WARNING
+        case _:
+            raise ValueError(f"no evidence: {end.evidence!r}")
     log.log(
-        logging.INFO if refused else logging.WARNING,
+        level,
+        "task repeated",
+        extra={
+            "task": repeated.task,
+            "run": repeated.run,
+            "runner": repeated.runner,
+            "incarnation": repeated.incarnation,
+            "instance": end.instance,
+            "born": end.started_ms,
+            "ending": str(end.ending),
+            "reason": end.reason,
+            "evidence": str(end.evidence),
+            "age_s": round(repeated.age_s, 3),
+        },
+    )
+
+
+def log_run_not_done(runner: str, ended: runs.RunEnded) -> None:
+    """Logs the failure after which a task is not repeated."""
+    log.warning(
         "run not done",
         extra={
             "task": ended.task,
--- a/trefoilgw/scheduler/metrics.py
+++ b/trefoilgw/scheduler/metrics.py
@@ -22,6 +22,8 @@
         requests_rejected: Requests that do not describe a valid job.
         job_seconds: Seconds from admission to answer.
         not_done: Attempts that did not complete their task.
+        repeated: Tasks that were placed again, by the evidence that their
+            earlier run can no longer work.
         run_seconds: Run times in seconds, as measured by the runners.
     """
 
@@ -31,6 +33,7 @@
     requests_rejected: metrics.Counter = attrs.field(init=False)
     job_seconds: metrics.Histogram = attrs.field(init=False)
     not_done: metrics.Counter = attrs.field(init=False)
+    repeated: metrics.Counter = attrs.field(init=False)
     run_seconds: metrics.Histogram = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -50,6 +53,9 @@
         self.not_done = registry.counter(
             "runs_not_done", "Attempts that did nothing", "ending", "reason"
         )
+        self.repeated = registry.counter(
+            "tasks_repeated", "Tasks that were placed again", "evidence"
+        )
         self.run_seconds = registry.histogram(
             "run_seconds", "Seconds of runs done"
         )
@@ -75,6 +81,10 @@
         else:
             self.not_done.add(1, ended.ending, ended.reason)
 
+    def task_repeated(self, evidence: work.Evidence) -> None:
+        """Counts a task that is placed again."""
+        self.repeated.add(1, str(evidence))
+
     def register_gauges(self, scheduler: scheduling.Scheduler) -> None:
         """Registers gauges that are read from the scheduler's state."""
         registry = self.registry
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -29,6 +29,7 @@
 from trefoilgw.scheduler import roster as scheduler_roster
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import core as scheduling
+from trefoilgw.scheduling import jobs
 from trefoilgw.streams import redialling
 from trefoilgw.timers import clock
 from trefoilgw.timers import core as timer_service
@@ -377,16 +378,21 @@
                             view, message, clock.boottime()
                         )
                     self.clients.send(runner, message)
+                case actions.Repeated():
+                    decision_log.log_task_repeated(action)
+                    self.counts.task_repeated(action.end.evidence)
                 case actions.Answer(job=job, outcome=outcome):
                     now_s = clock.boottime()
                     decision_log.log_job_ended(job, outcome, now_s)
                     self.counts.job_ended(job, outcome, now_s)
                     self._answer_waiters(job.key, outcome)
 
-    def _record_run_end(self, runner: str, ended: runs.RunEnded) -> None:
-        """Counts the end of an attempt; logs it unless the task was done."""
+    def _record_run_end(
+        self, runner: str, ended: runs.RunEnded, state: jobs.TaskState
+    ) -> None:
+        """Counts the end of an attempt; logs it if its task has failed."""
         self.counts.run_ended(ended)
-        if ended.ending != work.Ending.DONE:
+        if state is jobs.TaskState.FAILED:
             decision_log.log_run_not_done(runner, ended)
 
     def _tick(self) -> None:
--- a/trefoilgw/scheduler/tests/test_program.py
+++ b/trefoilgw/scheduler/tests/test_program.py
@@ -1,16 +1,25 @@
-"""Tests of callers that leave while the scheduler is paused."""
+"""Tests of callers that leave in a pause, and of the lines of repeats."""
 
 import json
+import logging
 import types
 import unittest
 
 import eventlet
 
+from trefoilgw.messages import runs
 from trefoilgw.platform import callers
 from trefoilgw.platform import hosting
 from trefoilgw.platform.tests import test_decoding
+from trefoilgw.scheduler import decision_log
 from trefoilgw.scheduler import program
+from trefoilgw.scheduling import actions
+from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling.tests import fixtures
+from trefoilgw.work import core as work
+
+# Events that tell of an attempt that did not do its task.
+REPEAT_EVENTS = ("task repeated", "run not done")
 
 
 class FakeCaller:
@@ -69,5 +78,95 @@
         self.assertEqual({"stays"}, parts.scheduler.admitted.keys())
 
 
+class RepeatTest(unittest.TestCase):
+    def setUp(self):
+        self.parts = make_program()
+        caller = FakeCaller()
+        eventlet.spawn(
+            self.parts.submit, fixtures.job("j", tasks=5), caller.connection
+        )
+        eventlet.sleep(0.0)
+        self.stream = types.SimpleNamespace(
+            hello=types.SimpleNamespace(name="r1"),
+            sent=[],
+            send=lambda message: None,
+            close=lambda reason: None,
+        )
+        self.parts.clients.runners["r1"] = self.stream
+
+    def end(self, index, ending, evidence):
+        """Handles the end of a run; returns the lines about it and its task."""
+        (run,) = {
+            x.run for x in self.job_tasks() if x.spec.name == f"j.0.0.{index}"
+        }
+        message = runs.RunEnded(
+            f"j.0.0.{index}", run, ending, "why", 0.1, evidence, "i-1", 7
+        )
+        with self.assertLogs("trefoilgw.scheduler", "INFO") as logged:
+            logging.getLogger("trefoilgw.scheduler").info("end of the list")
+            for _ in range(2):
+                self.parts.clients._handle_runner_message(self.stream, message)
+        return [x for x in logged.records if x.msg in REPEAT_EVENTS]
+
+    def job_tasks(self):
+        return self.parts.scheduler.admitted["j"].tasks
+
+    def counted(self):
+        return self.parts.counts.repeated.values
+
+    def test_each_repeat_has_one_line(self):
+        """Two lines of one repeat, or none, would mislead who counts them.
+
+        The second message stands for one that is sent again after a reconnect.
+        """
+        for index, (ending, evidence, level) in enumerate(
+            (
+                ("failed", "ended", logging.WARNING),
+                ("lost", "lease_expired", logging.WARNING),
+                ("lost", "other_life", logging.WARNING),
+                ("not_run", "not_run", logging.INFO),
+            )
+        ):
+            with self.subTest(evidence=evidence):
+                (line,) = self.end(index, ending, evidence)
+                self.assertEqual("task repeated", line.msg)
+                self.assertEqual(level, line.levelno)
+                self.assertEqual(evidence, line.evidence)
+                self.assertEqual(f"j.0.0.{index}", line.task)
+                self.assertEqual(("r1", "i1"), (line.runner, line.incarnation))
+                self.assertEqual(("i-1", 7), (line.instance, line.born))
+                self.assertEqual("why", line.reason)
+                self.assertGreaterEqual(line.age_s, 0.0)
+                self.assertEqual(1, self.counted()[(evidence,)])
+
+    def test_repeat_without_evidence_is_a_failure(self):
+        """It may be the cause of two runs of a task at a time."""
+        (line,) = self.end(0, "lost", "none")
+        self.assertEqual(
+            ("none", logging.WARNING), (line.evidence, line.levelno)
+        )
+
+    def test_task_that_is_done_or_has_failed_is_not_repeated(self):
+        """The last failure has a line of its own."""
+        self.assertEqual([], self.end(0, "done", "ended"))
+        self.job_tasks()[1].failures = 2
+        (line,) = self.end(1, "failed", "ended")
+        self.assertEqual("run not done", line.msg)
+        self.assertEqual({}, self.counted())
+
+    def test_every_evidence_has_a_level(self):
+        """A new value must not fail in the midst of the scheduler's actions."""
+        with self.assertLogs(decision_log.log, "INFO") as logged:
+            for evidence in work.Evidence:
+                end = jobs.RunEnd(work.Ending.LOST, "", evidence)
+                decision_log.log_task_repeated(
+                    actions.Repeated("j.0.0.0", 1, "r1", "i1", end, 0.5)
+                )
+        self.assertEqual(
+            [str(x) for x in work.Evidence],
+            [x.evidence for x in logged.records],
+        )
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilgw/scheduling/actions.py
+++ b/trefoilgw/scheduling/actions.py
@@ -13,6 +13,27 @@
     message: object
 
 
+@attrs.frozen
+class Repeated:
+    """A task waits for another attempt; records why, for logs and metrics.
+
+    Attributes:
+        task: Name of the task.
+        run: Number of the attempt that has ended.
+        runner: Name of the runner that it was sent to.
+        incarnation: Incarnation of that runner.
+        end: How the attempt ended, and why it can no longer work.
+        age_s: Seconds since the attempt was sent.
+    """
+
+    task: str
+    run: int
+    runner: str
+    incarnation: str
+    end: jobs.RunEnd
+    age_s: float
+
+
 @attrs.frozen
 class Completed:
     """All tasks of a job are done."""
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -42,6 +42,14 @@
 MAX_PAUSE_S = 1.0
 # Reasons for which a runner stops a run so that another runner can repeat it.
 RESCHEDULING_REASONS = frozenset({"stalled", "slow"})
+# Ends that no runner reports: of a runner that is given up, and of an order
+# that its runner does not have after it has connected again.
+GIVEN_UP = jobs.RunEnd(
+    work.Ending.LOST, "runner_given_up", work.Evidence.LEASE_EXPIRED
+)
+NOT_HELD = jobs.RunEnd(
+    work.Ending.NOT_RUN, "not_received", work.Evidence.NOT_RUN
+)
 
 log = logging.getLogger(__name__)
 
@@ -233,24 +241,15 @@
         """
         held = {(x.task, x.run) for x in message.runs}
         known = set()
-        missing = []
         incarnation = self.runner_views[name].incarnation
         self.lost_runners.pop((name, incarnation), None)
-        for job, task in self._sent_to(name, incarnation):
+        for job, task in jobs.sent_to(
+            self.admitted.values(), name, incarnation
+        ):
             key = (task.spec.name, task.run)
             known.add(key)
             if key not in held:
-                missing.append(task.spec.name)
-                self._requeue(job, task)
-        if missing:
-            log.warning(
-                "runs missing",
-                extra={
-                    "runner": name,
-                    "incarnation": incarnation,
-                    "tasks": missing,
-                },
-            )
+                self._requeue(job, task, NOT_HELD, now_s)
         unknown = tuple(messages.RunRef(*x) for x in sorted(held - known))
         if unknown:
             self._send_message(name, messages.StopRuns(unknown))
@@ -308,40 +307,34 @@
 
     def run_ended(
         self, name: str, message: messages.RunEnded, now_s: float
-    ) -> None:
-        """Handles the end of an attempt; ignores all but the latest one."""
-        found = self._find_sent_task(message.task, message.run)
+    ) -> jobs.TaskState | None:
+        """Handles the end of an attempt; ignores all but the latest one.
+
+        Returns:
+            What the end has made of the task: it is done, has failed or waits
+            for its next attempt. None if the end is ignored.
+        """
+        found = jobs.find_sent(self.admitted, message.task, message.run)
         if found is None:
-            return
+            return None
         job, task = found
-        match work.Ending(message.ending):
+        end = jobs.RunEnd.of(message)
+        match end.ending:
             case work.Ending.DONE:
                 self._task_done(name, job, task, message.run_s)
                 # The next report tells which capacity is free now.
-                return
+                return task.state
             case work.Ending.FAILED:
-                self._task_failed(name, job, task)
+                self._task_failed(name, job, task, end, now_s)
             case work.Ending.NOT_RUN:
-                self._task_refused(name, job, task, message.reason, now_s)
+                self._task_refused(name, job, task, end, now_s)
             case work.Ending.STOPPED | work.Ending.LOST:
-                if message.reason in RESCHEDULING_REASONS:
+                if end.reason in RESCHEDULING_REASONS:
                     task.excluded_runners.add(name)
-                self._requeue(job, task)
+                self._requeue(job, task, end, now_s)
+        state = task.state
         self._place(now_s)
-
-    def _find_sent_task(
-        self, name: str, run: int
-    ) -> tuple[jobs.Job, jobs.Task] | None:
-        """Returns the job and task of a run that is at a runner, or None."""
-        job = self.admitted.get(name.partition(".")[0])
-        if job is None:
-            return None
-        for task in job.tasks:
-            if task.spec.name == name and task.run == run:
-                return (
-                    (job, task) if task.state is jobs.TaskState.SENT else None
-                )
-        return None
+        return state
 
     def _task_done(
         self, name: str, job: jobs.Job, task: jobs.Task, run_s: float
@@ -361,37 +354,69 @@
         if all(x.state is jobs.TaskState.DONE for x in job.tasks):
             self._answer(job, actions.Completed())
 
-    def _task_failed(self, name: str, job: jobs.Job, task: jobs.Task) -> None:
+    def _task_failed(
+        self,
+        name: str,
+        job: jobs.Job,
+        task: jobs.Task,
+        end: jobs.RunEnd,
+        now_s: float,
+    ) -> None:
         """Requeues a failed task, or fails its job after the last attempt."""
         task.failures += 1
-        task.excluded_runners.add(name)
-        self._requeue(job, task)
         if task.failures >= job.spec.queue.attempts_limit:
+            task.state = jobs.TaskState.FAILED
             self._answer(job, actions.Failed(task.spec.name))
+            return
+        task.excluded_runners.add(name)
+        self._requeue(job, task, end, now_s)
 
     def _task_refused(
         self,
         name: str,
         job: jobs.Job,
         task: jobs.Task,
-        reason: str,
+        end: jobs.RunEnd,
         now_s: float,
     ) -> None:
         """Requeues a task that its runner refused to start."""
         view = self.runner_views.get(name)
-        if view is not None and reason == HEADROOM_REASON:
+        if view is not None and end.reason == HEADROOM_REASON:
             view.refuse_until(job.urgency, now_s + HEADROOM_RETRY_S)
         elif view is not None:
             view.blocked = True
-        self._requeue(job, task)
-        if reason == "old":
+        self._requeue(job, task, end, now_s)
+        if end.reason == "old":
             task.run += RUN_NUMBER_SKIP
 
-    def _requeue(self, job: jobs.Job, task: jobs.Task) -> None:
+    def _requeue(
+        self,
+        job: jobs.Job,
+        task: jobs.Task,
+        end: jobs.RunEnd,
+        now_s: float,
+    ) -> None:
         """Makes a task wait for its next attempt.
 
         The exclusions of runners end once they cover all of them.
+
+        Args:
+            job: Its job.
+            task: The task.
+            end: How its latest attempt ended, and why that can't work any
+                longer.
+            now_s: Current time.
         """
+        self.pending_actions.append(
+            actions.Repeated(
+                task.spec.name,
+                task.run,
+                task.runner,
+                task.incarnation,
+                end,
+                now_s - task.sent_s,
+            )
+        )
         task.state = jobs.TaskState.WAITING
         task.run += 1
         if len(task.excluded_runners) >= len(self.runner_views):
@@ -580,33 +605,22 @@
             if now_s - renewed_s < runners.RUN_EXPIRY_S:
                 continue
             del self.lost_runners[key]
-            lost = self._sent_to(*key)
+            lost = jobs.sent_to(self.admitted.values(), *key)
             for job, task in lost:
-                self._requeue(job, task)
+                self._requeue(job, task, GIVEN_UP, now_s)
             log.warning(
                 "runner given up",
                 extra={
                     "runner": key[0],
                     "incarnation": key[1],
                     "silent_s": round(now_s - renewed_s, 3),
-                    "tasks": [task.spec.name for _, task in lost],
+                    "tasks": len(lost),
                 },
             )
             view = self.runner_views.get(key[0])
             if view is not None and not view.connected:
                 del self.runner_views[key[0]]
 
-    def _sent_to(
-        self, name: str, incarnation: str
-    ) -> list[tuple[jobs.Job, jobs.Task]]:
-        """Returns the jobs and tasks whose latest attempt is at a runner."""
-        return [
-            (job, task)
-            for job in self.admitted.values()
-            for task in job.sent()
-            if task.runner == name and task.incarnation == incarnation
-        ]
-
     def _reject_overdue(self, now_s: float) -> None:
         """Rejects jobs that have not started and would end late."""
         for job in list(self.waiting_jobs):
--- a/trefoilgw/scheduling/jobs.py
+++ b/trefoilgw/scheduling/jobs.py
@@ -1,18 +1,54 @@
 """State of admitted jobs and their tasks."""
 
 import enum
+from collections.abc import Iterable
 
 import attrs
 
+from trefoilgw.messages import runs as messages
 from trefoilgw.work import core as work
 
 
 class TaskState(enum.Enum):
-    """Stage of a task: waiting for capacity, at a runner, or done."""
+    """Stage of a task: waiting for capacity, at a runner, or ended.
+
+    A task has failed once it has had all attempts that its queue allows.
+    """
 
     WAITING = "waiting"
     SENT = "sent"
     DONE = "done"
+    FAILED = "failed"
+
+
+@attrs.frozen
+class RunEnd:
+    """How an attempt ended without doing its task.
+
+    Attributes:
+        ending: How it ended.
+        reason: Cause of the ending.
+        evidence: Why it can no longer work.
+        instance: Instance of the target that it ended at, empty if unknown.
+        started_ms: Start of that instance in Unix milliseconds, 0 if unknown.
+    """
+
+    ending: work.Ending
+    reason: str
+    evidence: work.Evidence
+    instance: str = ""
+    started_ms: int = 0
+
+    @classmethod
+    def of(cls, message: messages.RunEnded) -> "RunEnd":
+        """Returns the end that a runner reports."""
+        return cls(
+            work.Ending(message.ending),
+            message.reason,
+            work.Evidence(message.evidence),
+            message.instance,
+            message.started_ms,
+        )
 
 
 @attrs.define(eq=False)
@@ -102,3 +138,34 @@
     def waiting_millicores(self) -> int:
         """Returns the capacity needed by the waiting tasks."""
         return sum(x.millicores for x in self.waiting())
+
+
+def find_sent(
+    admitted: dict[str, Job], name: str, run: int
+) -> tuple[Job, Task] | None:
+    """Returns the job and task of a run that is at a runner, or None.
+
+    Args:
+        admitted: Jobs by key.
+        name: Name of the task.
+        run: Number of its latest attempt.
+    """
+    job = admitted.get(name.partition(".")[0])
+    if job is None:
+        return None
+    for task in job.sent():
+        if task.spec.name == name and task.run == run:
+            return job, task
+    return None
+
+
+def sent_to(
+    admitted: Iterable[Job], runner: str, incarnation: str
+) -> list[tuple[Job, Task]]:
+    """Returns the jobs and tasks whose latest attempt is at a runner."""
+    return [
+        (job, task)
+        for job in admitted
+        for task in job.sent()
+        if task.runner == runner and task.incarnation == incarnation
+    ]
--- a/trefoilgw/scheduling/tests/fixtures.py
+++ b/trefoilgw/scheduling/tests/fixtures.py
@@ -102,12 +102,23 @@
     ]
 
 
+def repeats(taken):
+    return [x for x in taken if isinstance(x, actions.Repeated)]
+
+
 def end_run(
-    scheduler, name, task, run, ending, now_s=0.5, reason="", run_s=0.4
+    scheduler,
+    name,
+    task,
+    run,
+    ending,
+    now_s=0.5,
+    reason="",
+    run_s=0.4,
+    evidence=work.Evidence.ENDED,
 ):
-    scheduler.run_ended(
-        name,
-        messages.RunEnded(task, run, str(ending), reason, run_s),
-        now_s,
+    ended = messages.RunEnded(
+        task, run, str(ending), reason, run_s, str(evidence), "i-1", 7
     )
+    scheduler.run_ended(name, ended, now_s)
     return scheduler.take_actions()
--- a/trefoilgw/scheduling/tests/test_core.py
+++ b/trefoilgw/scheduling/tests/test_core.py
@@ -98,6 +98,79 @@
         self.assertEqual([], fixtures.sent(scheduler.take_actions()))
 
 
+class RepeatTest(unittest.TestCase):
+    """Each repeat is told once, with the evidence of the earlier run."""
+
+    def end(self, ending, evidence, queue=fixtures.QUEUE):
+        """Ends a run of a new job; returns what the scheduler tells of it."""
+        scheduler = fixtures.make_scheduler("r1")
+        scheduler.submit(fixtures.job("j", in_queue=queue), 1, 0.1)
+        scheduler.take_actions()
+        taken = fixtures.end_run(
+            scheduler, "r1", "j.0.0.0", 1, ending, 0.5, "why", evidence=evidence
+        )
+        return fixtures.repeats(taken)
+
+    def test_repeat_names_run_runner_target_and_evidence(self):
+        """Operators could not tell why a scheduler repeated a task."""
+        for ending, evidence in (
+            (FAILED, work.Evidence.ENDED),
+            (work.Ending.STOPPED, work.Evidence.ENDED),
+            (LOST, work.Evidence.LEASE_EXPIRED),
+            (LOST, work.Evidence.OTHER_LIFE),
+            (LOST, work.Evidence.NONE),
+            (NOT_RUN, work.Evidence.NOT_RUN),
+        ):
+            with self.subTest(ending=ending, evidence=evidence):
+                end = jobs.RunEnd(ending, "why", evidence, "i-1", 7)
+                self.assertEqual(
+                    [actions.Repeated("j.0.0.0", 1, "r1", "i1", end, 0.4)],
+                    self.end(ending, evidence),
+                )
+
+    def test_task_that_is_not_repeated(self):
+        """Such a line would be taken for a second run."""
+        last = fixtures.queue(attempts_limit=1)
+        self.assertEqual([], self.end(DONE, work.Evidence.ENDED))
+        self.assertEqual([], self.end(FAILED, work.Evidence.ENDED, last))
+
+    def test_end_of_an_earlier_attempt(self):
+        """The scheduler does not wait for it any longer."""
+        scheduler = fixtures.make_scheduler("r1")
+        scheduler.submit(fixtures.job("j"), 1, 0.0)
+        fixtures.end_run(scheduler, "r1", "j.0.0.0", 1, LOST)
+        taken = fixtures.end_run(scheduler, "r1", "j.0.0.0", 1, LOST)
+        self.assertEqual([], fixtures.repeats(taken))
+
+    def test_run_ended_returns_the_state_of_the_task(self):
+        """Logs and counters depend on whether the end was awaited."""
+        scheduler = fixtures.make_scheduler("r1", "r2", "r3")
+        scheduler.submit(fixtures.job("j", tasks=2), 1, 0.0)
+        found = [
+            scheduler.run_ended(
+                "r1", messages.RunEnded(task, run, ending, "", 0.1), 0.2
+            )
+            for task, run, ending in (
+                ("j.0.0.0", 1, "done"),
+                ("j.0.0.0", 1, "done"),
+                ("j.0.0.1", 1, "failed"),
+                ("j.0.0.1", 2, "lost"),
+                ("j.0.0.1", 3, "failed"),
+                ("j.0.0.1", 4, "failed"),
+            )
+        ]
+        state = jobs.TaskState
+        expected = [
+            state.DONE,
+            None,
+            state.WAITING,
+            state.WAITING,
+            state.WAITING,
+            state.FAILED,
+        ]
+        self.assertEqual(expected, found)
+
+
 class PlacementTest(unittest.TestCase):
     def test_refused_task_waits_for_the_next_report(self):
         """Without the wait the task would be sent and refused in a loop."""
@@ -371,9 +444,20 @@
         scheduler = self.scheduler_without_runner()
         scheduler.tick(1.0 + runners.RUN_EXPIRY_S - 0.01)
         self.assertEqual([], fixtures.sent(scheduler.take_actions()))
-        scheduler.tick(1.0 + runners.RUN_EXPIRY_S)
-        names = [x[0] for x in fixtures.sent(scheduler.take_actions())]
+        with self.assertLogs(scheduling.log) as logged:
+            scheduler.tick(1.0 + runners.RUN_EXPIRY_S)
+        self.assertEqual(1, logged.records[0].tasks)
+        taken = scheduler.take_actions()
+        names = [x[0] for x in fixtures.sent(taken)]
         self.assertEqual([{"r1": "r2", "r2": "r1"}[self.name]], names)
+        given_up = jobs.RunEnd(
+            LOST, "runner_given_up", work.Evidence.LEASE_EXPIRED
+        )
+        age_s = 1.0 + runners.RUN_EXPIRY_S
+        self.assertEqual(
+            [actions.Repeated("j.0.0.0", 1, self.name, "i1", given_up, age_s)],
+            fixtures.repeats(taken),
+        )
 
     def test_reconnected_runner_keeps_its_run(self):
         """The run goes on after a reset connection and must not be repeated."""
@@ -389,10 +473,20 @@
         """A start message lost with the stream never starts a run."""
         scheduler = self.scheduler_without_runner()
         scheduler.runner_connected(self.name, "i1", "d1", 1.1)
-        with self.assertLogs(scheduling.log) as logged:
-            scheduler.reconcile_runs(self.name, messages.ActiveRuns(()), 1.1)
-        self.assertEqual(["j.0.0.0"], logged.records[0].tasks)
-        self.assertEqual(1, len(fixtures.sent(scheduler.take_actions())))
+        scheduler.reconcile_runs(self.name, messages.ActiveRuns(()), 1.1)
+        taken = scheduler.take_actions()
+        not_received = jobs.RunEnd(
+            NOT_RUN, "not_received", work.Evidence.NOT_RUN
+        )
+        self.assertEqual(
+            [
+                actions.Repeated(
+                    "j.0.0.0", 1, self.name, "i1", not_received, 1.1
+                )
+            ],
+            fixtures.repeats(taken),
+        )
+        self.assertEqual(1, len(fixtures.sent(taken)))
 
     def test_new_incarnation_does_not_confirm_the_end_of_old_runs(self):
         """The target may still carry out orders of a killed runner."""
--- a/trefoilgw/work/__init__.py
+++ b/trefoilgw/work/__init__.py
@@ -3,6 +3,7 @@
 from trefoilgw.work.core import Configuration
 from trefoilgw.work.core import Demand
 from trefoilgw.work.core import Ending
+from trefoilgw.work.core import Evidence
 from trefoilgw.work.core import JobSpec
 from trefoilgw.work.core import Queue
 from trefoilgw.work.core import Target
@@ -12,6 +13,7 @@
     "Configuration",
     "Demand",
     "Ending",
+    "Evidence",
     "JobSpec",
     "Queue",
     "Target",
--- a/trefoilgw/work/core.py
+++ b/trefoilgw/work/core.py
@@ -76,6 +76,29 @@
     NOT_RUN = "not_run"
 
 
+class Evidence(enum.StrEnum):
+    """Why a run that has ended can no longer work.
+
+    A task may be repeated only once its earlier run can't work any longer.
+
+    Attributes:
+        ENDED: The target has listed its end, or no longer lists it, or has
+            confirmed its stop and had the time for it.
+        NOT_RUN: It never started and never will: it was not sent, the target
+            refused it, or its stop was confirmed before it could start.
+        LEASE_EXPIRED: All leases under which it may work have expired.
+        OTHER_LIFE: Another life of the target, which is another instance or
+            has another start time, answers for it.
+        NONE: None was given, so that it may still work.
+    """
+
+    ENDED = "ended"
+    NOT_RUN = "not_run"
+    LEASE_EXPIRED = "lease_expired"
+    OTHER_LIFE = "other_life"
+    NONE = "none"
+
+
 @attrs.frozen
 class Queue:
     """A queue as the operators configured it.
