Send the latest ends of runs again when a stream is opened again

A run that was done was repeated if its end was lost with a broken stream.

Cause: when the same two processes connect again, the scheduler takes each run that the runner does not list for one that was never received. It may have ended as well, and the message may have been lost.

The scheduler ignores those that it does not wait for, and the runner logs each end once. A run that is missing after that was never received (not_run, not_received), unless its order is 4 s old: then its end may be forgotten, and the evidence is lease_expired, reason not_held.

To keep the allocator small, the search for slow runs moves to room/runs.py and two lines of bookkeeping to room/owners.py.

test_run_whose_end_was_lost_is_not_repeated and test_end_during_the_break_is_reported failed without the change: a done task was repeated, and a failed run counted as not run.

--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -8,6 +8,11 @@
 # The hosts share no secret, so hellos are signed with an empty key. The proof
 # then shows only that the peer speaks this protocol, not who it is.
 NO_KEY = b""
+# Time for which a runner keeps the ends that it has reported, to send them
+# again if the stream breaks. A scheduler gives a lost runner up 2.05 s after
+# the last renewal of its authority, and notices after 1.2 s that a runner is
+# silent.
+ENDS_KEPT_S = 4.0
 
 
 @attrs.frozen
@@ -171,6 +176,8 @@
 class RunEnded:
     """Reports that an attempt has ended or can no longer start.
 
+    It may arrive twice, as it is sent again on the next stream.
+
     Attributes:
         task: Name of the task.
         run: Number of the attempt.
@@ -273,7 +280,10 @@
 
 @core.message(63)
 class ActiveRuns:
-    """First message of a runner on a stream: lists the attempts in progress.
+    """Lists the attempts in progress when a stream has opened.
+
+    Before it the runner sends only pings and, again, the ends of the last
+    `ENDS_KEPT_S`.
 
     Attributes:
         runs: The scheduler's attempts that have not ended. All others that it
--- a/trefoilgw/room/actions.py
+++ b/trefoilgw/room/actions.py
@@ -38,7 +38,9 @@
     Attributes:
         owner: Incarnation of the scheduler.
         message: The message.
+        again: Whether it was sent before, and may have been lost.
     """
 
     owner: str
     message: object
+    again: bool = False
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -23,6 +23,7 @@
 from trefoilgw.room import health
 from trefoilgw.room import offers
 from trefoilgw.room import owners as room_owners
+from trefoilgw.room import recent_ends
 from trefoilgw.room import reporting
 from trefoilgw.room import runs as room_runs
 from trefoilgw.work import core as work
@@ -45,6 +46,7 @@
         target_health: Health of the target, derived from its runs.
         headroom: CPU that is kept free for urgent work.
         freed_cpu_rate: Rate at which ended runs free CPU.
+        reported_ends: Ends that were reported lately, by scheduler.
         pending_actions: Actions that `take_actions` will return.
         last_offer: Number of the last offer.
     """
@@ -66,6 +68,9 @@
     freed_cpu_rate: freed_cpu.FreedCpuRate = attrs.field(
         factory=freed_cpu.FreedCpuRate
     )
+    reported_ends: recent_ends.RecentEnds = attrs.field(
+        factory=recent_ends.RecentEnds
+    )
     pending_actions: list = attrs.field(factory=list)
     last_offer: int = 0
 
@@ -225,27 +230,11 @@
         for run in stalled:
             run.reason = "stalled"
             self._stop(run)
-        self._stop_slow_runs(now_s)
-
-    def _stop_slow_runs(self, now_s: float) -> None:
-        """Stops runs of a slow target that would end sooner elsewhere.
-
-        Updates the relative speed of the target first.
-        """
-        running = [
-            (run, run.measured(now_s))
-            for run in self.runs.values()
-            if run.state is room_runs.RunState.RUNNING
-        ]
-        self.target_health.update_speed([progress for _, progress in running])
-        if self.target_health.suspect_reason is not health.SuspectReason.SLOW:
-            return
-        for run, progress in running:
-            if progress.conclusive and progress.restart_is_faster(
-                self.target_health.relative_speed
-            ):
-                run.reason = "slow"
-                self._stop(run)
+        for run in room_runs.find_slow(
+            self.runs.values(), self.target_health, now_s
+        ):
+            run.reason = "slow"
+            self._stop(run)
 
     def run_refused(
         self, task: str, run: int, reason: str, *, evidence: work.Evidence
@@ -287,23 +276,38 @@
         run_s: float,
         evidence: work.Evidence,
     ) -> None:
-        """Frees the capacity of a run and reports its end to its scheduler."""
+        """Frees the capacity of a run and reports its end."""
         del self.runs[run.key]
         owner = self.owners.get(run.owner)
         if owner is not None:
             owner.run_ended = True
         self.freed_cpu_rate.record(run.demand.cpu_millicores)
-        self._send(
-            run.owner,
-            room_runs.make_end(
-                run.order, ending, reason, run_s, evidence, self.target
-            ),
+        self._report_end(run.owner, run.order, ending, reason, run_s, evidence)
+
+    def _report_end(
+        self,
+        owner: str,
+        order: messages.RunOrder,
+        ending: work.Ending,
+        reason: str,
+        run_s: float,
+        evidence: work.Evidence,
+    ) -> None:
+        """Reports the end of an attempt to its scheduler, and keeps it."""
+        message = room_runs.make_end(
+            order, ending, reason, run_s, evidence, self.target
         )
+        self.reported_ends.add(owner, message)
+        self._send(owner, message)
 
     # Schedulers.
 
     def owner_connected(self, name: str, now_s: float) -> None:
-        """Adds a scheduler whose stream has opened, and sends it its runs."""
+        """Adds a scheduler whose stream has opened, and sends it its runs.
+
+        The ends that were reported lately go first. They may have been lost
+        with its earlier stream.
+        """
         owner = room_owners.Owner(name, now_s + room_owners.AUTHORITY_S)
         self.owners[name] = owner
         active = tuple(
@@ -311,6 +315,10 @@
             for run in self.runs.values()
             if run.owner == name
         )
+        self.pending_actions += [
+            actions.SendMessage(name, x, again=True)
+            for x in self.reported_ends.of(name)
+        ]
         self._send(name, messages.ActiveRuns(active))
 
     def owner_disconnected(self, name: str, now_s: float) -> None:
@@ -393,16 +401,13 @@
         if reason:
             # The scheduler's view is out of date.
             owner.reported_s = -math.inf
-            self._send(
+            self._report_end(
                 owner.name,
-                room_runs.make_end(
-                    order,
-                    work.Ending.NOT_RUN,
-                    reason,
-                    0.0,
-                    work.Evidence.NOT_RUN,
-                    self.target,
-                ),
+                order,
+                work.Ending.NOT_RUN,
+                reason,
+                0.0,
+                work.Evidence.NOT_RUN,
             )
             return
         demand = order.room.demand
@@ -463,27 +468,19 @@
         """Replaces the bids of a scheduler with its current waiting work."""
         owner = self.owners.get(name)
         if owner is not None:
-            owner.bids = tuple(
-                room_owners.Bid(
-                    x.urgency,
-                    now_s + x.slack_s,
-                    x.room.demand,
-                    x.wanted.demand,
-                )
-                for x in message.demands
-            )
+            owner.bids = room_owners.bids_of(message, now_s)
 
     def tick(self, now_s: float) -> None:
         """Removes expired offers and stops runs whose scheduler lost authority.
 
-        Also updates the average CPU use and the rate of freed CPU.
+        Also updates the average CPU use and the rate of freed CPU, and forgets
+        old ends.
         """
+        self.reported_ends.expire(now_s)
         self.headroom.update(self._cpu_use(), now_s)
         self.freed_cpu_rate.decay(now_s)
         for owner in list(self.owners.values()):
-            for reservation in list(owner.reservations.values()):
-                if now_s >= reservation.until_s:
-                    del owner.reservations[reservation.number]
+            owner.expire_reservations(now_s)
             if now_s >= owner.authority_until_s:
                 self._expire_owner(owner)
 
--- a/trefoilgw/room/owners.py
+++ b/trefoilgw/room/owners.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from trefoilgw.messages import runs as messages
 from trefoilgw.work import core as work
 
 # A scheduler's runs are stopped this long after it last renewed its authority,
@@ -37,6 +38,14 @@
     total_demand: work.Demand
 
 
+def bids_of(message: messages.Bid, now_s: float) -> tuple[Bid, ...]:
+    """Returns the bids of a message that was received at a time."""
+    return tuple(
+        Bid(x.urgency, now_s + x.slack_s, x.room.demand, x.wanted.demand)
+        for x in message.demands
+    )
+
+
 @attrs.frozen
 class Reservation:
     """Capacity that is reserved for a scheduler until it answers an offer.
@@ -96,6 +105,12 @@
             if x.urgency == urgency
         )
 
+    def expire_reservations(self, now_s: float) -> None:
+        """Frees the capacity of offers that were not answered in time."""
+        for reservation in list(self.reservations.values()):
+            if now_s >= reservation.until_s:
+                del self.reservations[reservation.number]
+
     def is_misled(self, usable: bool, suspect: bool, free: work.Demand) -> bool:
         """Returns whether the last report misleads the scheduler.
 
--- a/trefoilgw/room/runs.py
+++ b/trefoilgw/room/runs.py
@@ -1,6 +1,7 @@
 """Attempts that use the capacity of a target."""
 
 import enum
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 import attrs
@@ -96,6 +97,29 @@
     return stalled, progressing
 
 
+def find_slow(
+    runs: Iterable[Run], target_health: health.TargetHealth, now_s: float
+) -> list[Run]:
+    """Returns the runs of a slow target that would end sooner elsewhere.
+
+    Updates the relative speed of the target first.
+    """
+    running = [
+        (run, run.measured(now_s))
+        for run in runs
+        if run.state is RunState.RUNNING
+    ]
+    target_health.update_speed([progress for _, progress in running])
+    if target_health.suspect_reason is not health.SuspectReason.SLOW:
+        return []
+    return [
+        run
+        for run, progress in running
+        if progress.conclusive
+        and progress.restart_is_faster(target_health.relative_speed)
+    ]
+
+
 def make_end(
     order: messages.RunOrder,
     ending: work.Ending,
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -135,8 +135,10 @@
         self.allocator.report_capacity(now_s)
         for action in self.allocator.take_actions():
             match action:
-                case actions.SendMessage(owner=owner, message=message):
-                    if isinstance(message, runs.RunEnded):
+                case actions.SendMessage(
+                    owner=owner, message=message, again=again
+                ):
+                    if isinstance(message, runs.RunEnded) and not again:
                         self._run_ended(message)
                     self.links.send(owner, message)
                 case actions.Start(task=task, run=run, payload=payload):
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -43,13 +43,17 @@
 # Reasons for which a runner stops a run so that another runner can repeat it.
 RESCHEDULING_REASONS = frozenset({"stalled", "slow"})
 # Ends that no runner reports: of a runner that is given up, and of an order
-# that its runner does not have after it has connected again.
+# that its runner does not have after it has connected again. The runner has
+# never received it if it would still know of its end, else it may have ended.
 GIVEN_UP = jobs.RunEnd(
     work.Ending.LOST, "runner_given_up", work.Evidence.LEASE_EXPIRED
 )
-NOT_HELD = jobs.RunEnd(
+NOT_RECEIVED = jobs.RunEnd(
     work.Ending.NOT_RUN, "not_received", work.Evidence.NOT_RUN
 )
+NOT_HELD = jobs.RunEnd(
+    work.Ending.LOST, "not_held", work.Evidence.LEASE_EXPIRED
+)
 
 log = logging.getLogger(__name__)
 
@@ -236,8 +240,9 @@
     ) -> None:
         """Reconciles the runs of a runner with the tasks sent to it.
 
-        Tasks that the runner does not have wait again; runs that the scheduler
-        does not know are stopped.
+        The runner has sent the ends of the last `ENDS_KEPT_S` before. Tasks
+        that it does not have wait again; runs that the scheduler does not know
+        are stopped.
         """
         held = {(x.task, x.run) for x in message.runs}
         known = set()
@@ -249,7 +254,9 @@
             key = (task.spec.name, task.run)
             known.add(key)
             if key not in held:
-                self._requeue(job, task, NOT_HELD, now_s)
+                recent = now_s - task.sent_s < messages.ENDS_KEPT_S
+                end = NOT_RECEIVED if recent else NOT_HELD
+                self._requeue(job, task, end, now_s)
         unknown = tuple(messages.RunRef(*x) for x in sorted(held - known))
         if unknown:
             self._send_message(name, messages.StopRuns(unknown))
