Wait for the runs of a runner that has connected again

A scheduler that lost the stream of a runner repeated its tasks 2.05 s after the last renewal of the authority, also if the same process had connected again meanwhile. The runner renews the authority when the stream opens, so its runs may go on for 2 s from then. A pause of the scheduler between the handshake and the list of active runs is enough for that.

Cause: the runner stayed among the lost ones until its list was handled.

Change: it leaves them with the opening of the stream. If that breaks before the list arrives, the time counts from its opening.

test_runner_that_has_connected_again_is_not_given_up failed without the change: the task was repeated 0.05 s after the stream had opened.

--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -219,6 +219,8 @@
         """Handles the opening of a stream by a runner.
 
         It may have restarted before the end of its earlier stream was noticed.
+        If it is the same process, the stream renews the authority there, so
+        that its runs may go on, and it tells next which of them do.
         """
         view = self.runner_views.get(name)
         if view is not None and view.incarnation != incarnation:
@@ -226,6 +228,7 @@
         if view is None:
             view = runners.RunnerView(name, incarnation, domain)
             self.runner_views[name] = view
+        self.lost_runners.pop((name, incarnation), None)
         view.connect(incarnation, now_s)
 
     def runner_disconnected(self, name: str) -> None:
@@ -247,7 +250,6 @@
         held = {(x.task, x.run) for x in message.runs}
         known = set()
         incarnation = self.runner_views[name].incarnation
-        self.lost_runners.pop((name, incarnation), None)
         for job, task in jobs.sent_to(
             self.admitted.values(), name, incarnation
         ):
--- a/trefoilgw/scheduling/tests/test_core.py
+++ b/trefoilgw/scheduling/tests/test_core.py
@@ -469,6 +469,22 @@
         scheduler.tick(5.0)
         self.assertEqual([], fixtures.sent(scheduler.take_actions()))
 
+    def test_runner_that_has_connected_again_is_not_given_up(self):
+        """Its runs were repeated while they worked on.
+
+        The new stream renews the authority at the runner, and a pause of the
+        scheduler may delay the list of active runs.
+        """
+        scheduler = self.scheduler_without_runner()
+        scheduler.runner_connected(self.name, "i1", "d1", 2.0)
+        scheduler.tick(1.0 + runners.RUN_EXPIRY_S)
+        self.assertEqual([], fixtures.repeats(scheduler.take_actions()))
+        scheduler.runner_disconnected(self.name)
+        scheduler.tick(2.0 + runners.RUN_EXPIRY_S - 0.01)
+        self.assertEqual([], fixtures.repeats(scheduler.take_actions()))
+        scheduler.tick(2.0 + runners.RUN_EXPIRY_S)
+        self.assertEqual(1, len(fixtures.repeats(scheduler.take_actions())))
+
     def test_run_missing_at_a_reconnected_runner_is_placed_at_once(self):
         """A start message lost with the stream never starts a run."""
         scheduler = self.scheduler_without_runner()
