Report the end of a run whose start was not answered as the target lists it

A task could be repeated although its run was done: if only the answer to the start was lost, and the run ended before its stop was confirmed, the runner reported it as not run, before the next poll read its end.

Change: a run whose end the target lists after the stop is left to the next poll, which reports how it ended. The target lists it until then, as only polls confirm ends.

test_unanswered_start_of_a_run_that_has_ended failed without the change: the end was reported as not_run, reason not_answered.

--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -153,9 +153,10 @@
                 )
                 if self.stop(task, run):
                     evidence = self._wait_until_stopped(target, (task, run))
-                    self.allocator.run_refused(
-                        task, run, "not_answered", evidence=evidence
-                    )
+                    if evidence is not None:
+                        self.allocator.run_refused(
+                            task, run, "not_answered", evidence=evidence
+                        )
 
     def _refuse(self, task: str, run: int, reason: str) -> None:
         """Ends an attempt that was not sent, or that the target refused."""
@@ -185,13 +186,14 @@
 
     def _wait_until_stopped(
         self, target: work.Target, key: RunKey
-    ) -> work.Evidence:
+    ) -> work.Evidence | None:
         """Waits until an attempt whose stop is confirmed no longer runs.
 
         It may have been running if only the answer to its start was lost.
 
         Returns:
-            Why it can no longer work.
+            Why it can no longer work. None if the target lists its end, which
+            the next poll reports.
         """
         answer = self.client.hold(
             target.instance, None, self.last_confirmed_end, 0.0
@@ -200,11 +202,10 @@
         if not listed or key in answer.running:
             eventlet.sleep(self.run_stop_s)
             return work.Evidence.ENDED
-        ended = {(x.task, x.run) for x in answer.ended}
-        same_life = answer.started_ms in (0, target.started_ms)
-        if key in ended or not same_life:
+        if answer.started_ms not in (0, target.started_ms):
             return work.Evidence.ENDED
-        return work.Evidence.NOT_RUN
+        ended = {(x.task, x.run) for x in answer.ended}
+        return None if key in ended else work.Evidence.NOT_RUN
 
     def _stop_until_confirmed(self, key: RunKey) -> bool:
         """Repeats the stop request until it is confirmed; see `stop`."""
