--- a/trefoilgw/room/runs.py
+++ b/trefoilgw/room/runs.py
@@ -1,6 +1,7 @@
 """Attempts that use the capacity of a target."""
 
 import enum
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 import attrs
@@ -94,3 +95,56 @@
         if now_s - run.last_progress_s > limit_s:
             stalled.append(run)
     return stalled, progressing
+
+
+def find_slow(
+    runs: Iterable[Run], target_health: health.TargetHealth, now_s: float
+) -> list[Run]:
+    """Returns the runs of a slow target that would end sooner elsewhere.
+
+    Updates the relative speed of the target first.
+    """
+    running = [
+        (run, run.measured(now_s))
+        for run in runs
+        if run.state is RunState.RUNNING
+    ]
+    target_health.update_speed([progress for _, progress in running])
+    if target_health.suspect_reason is not health.SuspectReason.SLOW:
+        return []
+    return [
+        run
+        for run, progress in running
+        if progress.conclusive
+        and progress.restart_is_faster(target_health.relative_speed)
+    ]
+
+
+def make_end(
+    order: messages.RunOrder,
+    ending: work.Ending,
+    reason: str,
+    run_s: float,
+    evidence: work.Evidence,
+    target: work.Target | None,
+) -> messages.RunEnded:
+    """Returns the message that reports the end of an attempt.
+
+    Args:
+        order: The request to start it.
+        ending: How it ended.
+        reason: Why, for the scheduler and for logs.
+        run_s: Run time in seconds.
+        evidence: Why it can no longer work.
+        target: The target that it was meant for, None if there is none.
+    """
+    return messages.RunEnded(
+        order.task,
+        order.run,
+        str(ending),
+        reason,
+        run_s,
+        str(evidence),
+        target.instance if target else "",
+        target.started_ms if target else 0,
+    )
