Let the fault soak cut all connections between hosts

Cause: the soak could cut a target from its runner and nothing else. The operators saw two runs of a task at a time in deployments of whole hosts, and no play had cut, reset, delayed or moved a host, a scheduler or the store.

Change: programs of a soak run with their connections redirected to relays, one for each host and destination.

--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -8,6 +8,7 @@
 import json
 import pathlib
 import socket
+import threading
 import time
 import uuid
 
@@ -32,6 +33,7 @@
 MAX_WARMUP_TASKS = 60
 LEASE_LIMIT_MS = 1000
 POLL_INTERVAL_S = 0.02
+HOSTS_PER_RELAY_PROCESS = 8
 
 
 def reserve_ports(count: int) -> list[socket.socket]:
@@ -74,7 +76,16 @@
         target_cores: Cores of each target.
         relayed: Whether runners call their targets through relays, which
             `cut_target` can cut.
-        relay: Control address of the relays; empty without any.
+        linked: Whether all other connections between hosts, those to the store
+            and the targets' reports lead through relays as well.
+        controls: Control address of each relay, by the address that it listens
+            on.
+        cuts: Modes that are in force at each relay, in the order in which they
+            began, with the number of the cut.
+        moves: Number of moves to another address, by runner.
+        instances: Instance of each target that does not have the usual one.
+        clock_rate: Seconds of the steady clocks of every third target in a
+            second; the others' clocks are exact.
     """
 
     launcher: processes.Launcher
@@ -86,7 +97,14 @@
     store: str = ""
     target_cores: int = 4
     relayed: bool = False
-    relay: str = ""
+    linked: bool = False
+    controls: dict[str, str] = attrs.field(factory=dict)
+    cuts: dict[str, dict[int, dict]] = attrs.field(factory=dict)
+    moves: dict[int, int] = attrs.field(factory=dict)
+    instances: dict[int, str] = attrs.field(factory=dict)
+    clock_rate: float = 1.0
+    _cut_count: int = 0
+    _lock: threading.Lock = attrs.field(factory=threading.Lock)
 
     @property
     def ports(self) -> list[int]:
@@ -108,8 +126,8 @@
         store = self.launcher.start("store", "tools.standins.platform_store")
         self.store = store.wait_ready()["http"]
         self.configure(1)
-        if self.relayed:
-            self.relay = self.start_relays()
+        if self.relayed or self.linked:
+            self.start_relays()
         for number in range(self.schedulers):
             self.start_scheduler(number)
         for number in range(self.runners):
@@ -126,7 +144,7 @@
 
     def runner_ip(self, number: int) -> str:
         """Returns the IP address of a runner's host."""
-        return f"127.0.2.{number + 1}"
+        return f"127.{self.moves.get(number, 0)}.2.{number + 1}"
 
     def start_scheduler(self, number: int) -> processes.Process:
         """Starts a scheduler, or restarts one that ended."""
@@ -144,9 +162,8 @@
         listen = {"control": f"{ip}:{reports}"}
         name = f"runner-{number}"
         settings = self._make_settings(name, ip, ["side"], listen)
-        settings["app"] = (
-            self.relay_address(number) if self.relay else f"{ip}:{app}"
-        )
+        address = self.relay_address(number)
+        settings["app"] = address if address in self.controls else f"{ip}:{app}"
         return self._launch(name, "trefoilgw.runner.main", settings)
 
     def start_target(self, number: int) -> processes.Process:
@@ -157,48 +174,194 @@
 
     def launch_target(self, number: int) -> processes.Process:
         """Starts a target without waiting for it."""
-        ip = self.runner_ip(number)
-        reports, app = self.ports[3:5]
+        app = self.app_address(number)
+        reports = self.report_relay_address(number)
+        if reports not in self.controls:
+            reports = self.reports_address(number)
+        clock_rate = self.clock_rate if number % 3 == 0 else 1.0
         return self.launcher.start(
             f"target-{number}",
             "tools.standins.platform_target",
             "--listen",
-            f"{ip}:{app}",
+            app,
             "--reports",
-            f"{ip}:{reports}",
+            reports,
+            "--instance",
+            self.instance(number),
             "--cores",
             str(self.target_cores),
+            "--clock-rate",
+            str(clock_rate),
             "--record",
             str(self.record_path(number)),
         )
 
+    def instance(self, number: int) -> str:
+        """Returns the instance that a target names, also after a restart."""
+        usual = f"i-{self.app_address(number)}"
+        return self.instances.get(number, usual)
+
+    def app_address(self, number: int) -> str:
+        """Returns the address that a target listens on."""
+        return f"{self.runner_ip(number)}:{self.ports[4]}"
+
+    def reports_address(self, number: int) -> str:
+        """Returns the address at which a runner accepts reports."""
+        return f"{self.runner_ip(number)}:{self.ports[3]}"
+
     def record_path(self, number: int) -> pathlib.Path:
         """Returns the file with the runs of a target, over its restarts."""
         return self.launcher.directory / f"target-{number}.runs"
 
+    # Relays.
+
     def relay_address(self, number: int) -> str:
         """Returns the address at which a runner reaches its target."""
         return f"127.0.3.{number + 1}:{self.ports[4]}"
 
-    def start_relays(self) -> str:
-        """Starts the relays to the targets; returns their control address."""
-        pairs = [
-            f"{self.relay_address(x)}={self.runner_ip(x)}:{self.ports[4]}"
-            for x in range(self.runners)
-        ]
-        process = self.launcher.start(
-            "relay",
-            "tools.standins.relay",
-            "--listen",
-            f"127.0.3.254:{self.ports[5]}",
-            *pairs,
-        )
-        return process.wait_ready()["http"]
+    def report_relay_address(self, number: int) -> str:
+        """Returns the address at which a target reaches its runner."""
+        return f"127.0.4.{number + 1}:{self.ports[3]}"
+
+    def store_link(self, scheduler: int) -> str:
+        """Returns the address at which a scheduler reaches the store."""
+        return f"127.0.5.{scheduler + 1}:{self.ports[2]}"
+
+    def stream_link(self, source: str, number: int, scheduler: int) -> str:
+        """Returns the address at which a program reaches a scheduler.
+
+        Args:
+            source: Kind of the program, ``runner`` or ``scheduler``.
+            number: Its number.
+            scheduler: Number of the scheduler.
+        """
+        subnet = 1 if source == "scheduler" else 2
+        return f"127.{100 + scheduler}.{subnet}.{number + 1}:{self.ports[2]}"
+
+    def runner_links(self, number: int) -> list[str]:
+        """Returns the relays of a runner to the schedulers."""
+        schedulers = range(self.schedulers)
+        return [self.stream_link("runner", number, x) for x in schedulers]
+
+    def scheduler_links(self, number: int) -> list[str]:
+        """Returns all relays from and to a scheduler."""
+        found = [self.store_link(number)]
+        for other in range(self.schedulers):
+            if other != number:
+                found.append(self.stream_link("scheduler", number, other))
+                found.append(self.stream_link("scheduler", other, number))
+        for runner in range(self.runners):
+            found.append(self.stream_link("runner", runner, number))
+        return found
+
+    def stream_address(self, scheduler: int) -> str:
+        """Returns the address at which a scheduler accepts streams."""
+        return f"{self.scheduler_ip(scheduler)}:{self.ports[2]}"
+
+    def _host_relays(self) -> list[dict[str, str]]:
+        """Returns the destination of each relay, by the relay, of each host."""
+        schedulers = range(self.schedulers)
+        hosts = []
+        for number in range(self.runners):
+            relays = {self.relay_address(number): self.app_address(number)}
+            if self.linked:
+                address = self.report_relay_address(number)
+                relays[address] = self.reports_address(number)
+                for scheduler in schedulers:
+                    address = self.stream_link("runner", number, scheduler)
+                    relays[address] = self.stream_address(scheduler)
+            hosts.append(relays)
+        for number in schedulers if self.linked else ():
+            relays = {self.store_link(number): self.store}
+            for other in schedulers:
+                address = self.stream_link("scheduler", number, other)
+                relays[address] = self.stream_address(other)
+            hosts.append(relays)
+        return hosts
+
+    def start_relays(self) -> None:
+        """Starts the relays, in one process for every few hosts."""
+        hosts = self._host_relays()
+        for first in range(0, len(hosts), HOSTS_PER_RELAY_PROCESS):
+            relays = {}
+            for host in hosts[first : first + HOSTS_PER_RELAY_PROCESS]:
+                relays |= host
+            number = first // HOSTS_PER_RELAY_PROCESS
+            process = self.launcher.start(
+                f"relay-{number}",
+                "tools.standins.relay",
+                "--listen",
+                f"127.0.6.{number + 1}:{self.ports[5]}",
+                *(f"{x}={y}" for x, y in relays.items()),
+            )
+            control = process.wait_ready()["http"]
+            self.controls |= dict.fromkeys(relays, control)
+
+    def cut(self, addresses: list[str], how: str, **options) -> int:
+        """Cuts relays; returns the number of the cut for `mend`.
+
+        Args:
+            addresses: Addresses of the relays.
+            how: Mode of the relays.
+            **options: Further fields of the relays' control interface.
+        """
+        with self._lock:
+            self._cut_count += 1
+            for address in addresses:
+                modes = self.cuts.setdefault(address, {})
+                modes[self._cut_count] = {"how": how, **options}
+            self._apply_cuts(addresses)
+            return self._cut_count
+
+    def mend(self, cut: int, abandon: bool = False) -> None:
+        """Ends a cut; its relays stay in the mode of the newest other one.
+
+        Args:
+            cut: Number of the cut.
+            abandon: Whether the open connections stay silent for good.
+        """
+        with self._lock:
+            found = [x for x, modes in self.cuts.items() if cut in modes]
+            for address in found:
+                del self.cuts[address][cut]
+            self._apply_cuts(found, abandon=abandon)
+
+    def _mode(self, address: str) -> dict:
+        """Returns the mode of a relay's newest cut."""
+        modes = self.cuts.get(address)
+        return modes[max(modes)] if modes else {"how": "open"}
+
+    def _apply_cuts(self, addresses: list[str], **options) -> None:
+        """Sets the relays to the modes of their newest cuts."""
+        bodies: dict[tuple[str, str], list[str]] = {}
+        for address in addresses:
+            body = json.dumps(self._mode(address) | options)
+            key = (self.controls[address], body)
+            bodies.setdefault(key, []).append(address)
+        for (control, body), listen in bodies.items():
+            changes = json.loads(body) | {"listen": listen}
+            self.call_control(control, "cut", changes)
+
+    def move_runner(self, number: int) -> None:
+        """Gives a runner's host another IP address, before it is restarted."""
+        with self._lock:
+            self.moves[number] = self.moves.get(number, 0) + 1
+            for address, target in (
+                (self.relay_address(number), self.app_address(number)),
+                (
+                    self.report_relay_address(number),
+                    self.reports_address(number),
+                ),
+            ):
+                change = {"listen": [address], "target": target}
+                body = self._mode(address) | change
+                self.call_control(self.controls[address], "cut", body)
 
     def cut_target(self, number: int, how: str) -> None:
         """Cuts a relayed target from its runner; `open` ends the cut."""
-        body = {"listen": self.relay_address(number), "how": how}
-        self.call_control(self.relay, "cut", body)
+        address = self.relay_address(number)
+        body = {"listen": [address], "how": how}
+        self.call_control(self.controls[address], "cut", body)
 
     def _make_settings(
         self, name: str, ip: str, serves: list[str], listen: dict
@@ -236,13 +399,29 @@
         """Writes the settings of a program and starts it."""
         path = self.launcher.directory / f"{name}.json"
         path.write_text(json.dumps(settings))
-        return self.launcher.start(
-            name,
-            module,
-            "--metrics-port",
-            str(self.ports[5]),
-            TREFOILGW_BOOT=str(path),
-        )
+        command = (module, "--metrics-port", str(self.ports[5]))
+        if self.linked:
+            relays = self.launcher.directory / f"{name}.relays"
+            relays.write_text(json.dumps(self._redirections(name)))
+            clock = str(self.clock_path(name))
+            options = ("--relays", str(relays), "--clock", clock)
+            command = ("tools.standins.relayed_program", *options, *command)
+        return self.launcher.start(name, *command, TREFOILGW_BOOT=str(path))
+
+    def clock_path(self, name: str) -> pathlib.Path:
+        """Returns the file with the shift of a program's wall clock."""
+        return self.launcher.directory / f"{name}.clock"
+
+    def _redirections(self, name: str) -> dict[str, str]:
+        """Returns the relays of a program by their destination."""
+        kind, _, number = name.partition("-")
+        found = {
+            self.stream_address(x): self.stream_link(kind, int(number), x)
+            for x in range(self.schedulers)
+        }
+        if kind == "scheduler":
+            found[self.store] = self.store_link(int(number))
+        return found
 
     def metrics(self, ip: str) -> str:
         """Returns the Prometheus exposition of the program on a host."""
@@ -274,6 +453,17 @@
         }
         self.post_report(number, instance, json.dumps(report).encode())
 
+    def deregister(self, number: int) -> None:
+        """Sends the deregistration of a target to its runner."""
+        path = platform_target.LEAVE_PATH + self.instance(number)
+        urllib3.request(
+            "POST",
+            f"http://{self.reports_address(number)}{path}",
+            body=b"{}",
+            timeout=1.0,
+            retries=False,
+        )
+
     def post_report(self, number: int, instance: str, body: bytes) -> int:
         """Sends a report with any body; returns the status of the answer."""
         address = f"{self.runner_ip(number)}:{self.ports[3]}"
--- a/tools/standins/platform_target.py
+++ b/tools/standins/platform_target.py
@@ -25,8 +25,9 @@
 REPORT_INTERVAL_S = 0.3
 ADVANCE_INTERVAL_S = 0.005
 MAX_LEASE_S = 1.0
-# Path at which the runner accepts reports.
+# Paths at which the runner accepts reports and deregistrations.
 REPORT_PATH = "/Instances.Heartbeat/"
+LEAVE_PATH = "/Instances.Deregister/"
 
 
 @attrs.frozen
@@ -41,6 +42,10 @@
             are carried out `late_s` later.
         late_s: Delay in seconds of the starts of `lose_starts`.
         draining: The target reports that it is about to leave.
+        unavailable: Every call gets status 503, and nothing is done.
+        mute_every: Every call with a number that is a multiple of this is
+            carried out and gets no answer; 0 for none.
+        left: The target reports nothing more.
     """
 
     hang: bool = False
@@ -49,6 +54,9 @@
     lose_starts: int = 0
     late_s: float = 0.0
     draining: bool = False
+    unavailable: bool = False
+    mute_every: int = 0
+    left: bool = False
 
 
 @attrs.define(eq=False)
@@ -85,7 +93,10 @@
         instance: Identifier of this process.
         room: Room in millicores.
         born_ms: Start of this process, in milliseconds since the epoch.
-        lease_until_s: End of the lease of all runs, monotonic.
+        clock_start_s: Start of the target's clock, on the machine's monotonic
+            clock.
+        clock_rate: Seconds of the target's clock in a second.
+        lease_until_s: End of the lease of all runs, on the target's clock.
         running: Current run by task.
         history: All runs so far.
         unconfirmed_ends: Numbers and runs of the ends that the runner has not
@@ -96,11 +107,14 @@
         faults: Faults in force.
         record: File to which starts and ends are written as JSON lines, which
             outlives the process; None for none.
+        calls: Number of the runner's calls so far.
     """
 
     instance: str
     room: int
     born_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
+    clock_start_s: float = 0.0
+    clock_rate: float = 1.0
     lease_until_s: float = 0.0
     running: dict[str, Run] = attrs.field(factory=dict)
     history: list[Run] = attrs.field(factory=list)
@@ -110,10 +124,15 @@
     changed: event.Event = attrs.field(factory=event.Event)
     faults: Faults = attrs.field(factory=Faults)
     record: pathlib.Path | None = None
+    calls: int = 0
+
+    def clock_s(self) -> float:
+        """Returns the target's own steady clock in seconds."""
+        return (time.monotonic() - self.clock_start_s) * self.clock_rate
 
     def clock_ms(self) -> int:
-        """Returns the target's monotonic clock in milliseconds."""
-        return int(time.monotonic() * 1000)
+        """Returns the target's own steady clock in milliseconds."""
+        return int(self.clock_s() * 1000)
 
     def extend_lease(self, body: dict) -> None:
         """Extends the lease of all runs by the deadline in a request.
@@ -121,7 +140,7 @@
         The lease ends at most `MAX_LEASE_S` from now.
         """
         if "deadlineMs" in body:
-            limit_s = time.monotonic() + MAX_LEASE_S
+            limit_s = self.clock_s() + MAX_LEASE_S
             wanted_s = body["deadlineMs"] / 1000
             self.lease_until_s = max(self.lease_until_s, min(wanted_s, limit_s))
 
@@ -213,7 +232,7 @@
             now_s = time.monotonic()
             elapsed_s, last_s = now_s - last_s, now_s
             for run in list(self.running.values()):
-                if now_s > self.lease_until_s:
+                if self.clock_s() > self.lease_until_s:
                     self.end_run(run, "lapsed")
                 elif not self.faults.hang:
                     run.done_s += elapsed_s / self.faults.slow
@@ -247,6 +266,8 @@
             eventlet.spawn_after(target.faults.late_s, target.start, body)
             eventlet.sleep(60.0)
             status, response = 500, {}
+        elif target.faults.unavailable:
+            status, response = 503, {}
         else:
             calls = {
                 "/run-start": target.start,
@@ -254,6 +275,10 @@
                 "/hold": target.hold,
             }
             status, response = calls[path](body)
+            target.calls += 1
+            every = target.faults.mute_every
+            if every and target.calls % every == 0:
+                eventlet.sleep(60.0)
         start_response(f"{status} -", [("Content-Type", "application/json")])
         return [json.dumps(response).encode()]
 
@@ -274,6 +299,9 @@
     """Sends reports to the runner until killed; spawn it as a greenthread."""
     sequence = 0
     while True:
+        eventlet.sleep(REPORT_INTERVAL_S if sequence else 0.0)
+        if target.faults.left:
+            continue
         sequence += 1
         body = {
             "service": service,
@@ -292,7 +320,6 @@
             urllib.request.urlopen(request, timeout=1.0).close()
         except OSError as error:
             print(f"the runner did not accept the report: {error}", flush=True)
-        eventlet.sleep(REPORT_INTERVAL_S)
 
 
 def main() -> None:
@@ -306,8 +333,18 @@
     parser.add_argument(
         "--record", type=pathlib.Path, help="file for starts and ends of runs"
     )
+    parser.add_argument("--instance", default="", help="name of the instance")
+    parser.add_argument(
+        "--clock-rate",
+        type=float,
+        default=1.0,
+        help="seconds of its steady clock in a second",
+    )
     options = parser.parse_args()
-    target = Target(f"i-{options.listen}", options.cores * 1000)
+    instance = options.instance or f"i-{options.listen}"
+    target = Target(instance, options.cores * 1000)
+    target.clock_start_s = time.monotonic()
+    target.clock_rate = options.clock_rate
     target.record = options.record
     sock, address = listening.listen(options.listen)
     eventlet.spawn_n(target.advance_runs)
