--- a/tools/tests/test_platform_faults.py
+++ b/tools/tests/test_platform_faults.py
@@ -353,12 +353,19 @@
 class CutOffTargetTest(PlatformTestCase):
     relayed = True
 
-    def play_cuts(self, how):
-        """Cuts one target off while tasks run everywhere, three times."""
+    def play_cuts(self, how, deregistered=False):
+        """Cuts one target off while tasks run everywhere, three times.
+
+        Args:
+            how: Mode of the cuts.
+            deregistered: Whether it deregisters before each cut.
+        """
         deployment, key = self.deployment, deployments.new_key()
         thread = self.submit_in_thread(0, key, deployments.job_body(9, 0.9))
         self.wait_for_runs(key, 9)
         for _ in range(3):
+            if deregistered:
+                deployment.deregister(0)
             deployment.cut_target(0, how)
             time.sleep(0.3)
             deployment.cut_target(0, "open")
@@ -371,6 +378,10 @@
         """Its runs were given up at once and began again elsewhere."""
         self.play_cuts("refuse")
 
+    def test_target_that_has_deregistered_may_work_on(self):
+        """Its runs were given up at its first refused connection."""
+        self.play_cuts("refuse", deregistered=True)
+
     def test_target_that_resets_connections_may_work_on(self):
         """A connection that is reset while it opens is no proof either."""
         self.play_cuts("reset")
