--- a/trefoilgw/logs/job_timeline.py
+++ b/trefoilgw/logs/job_timeline.py
@@ -98,7 +98,7 @@
     for line in lines:
         if not line.strip():
             continue
-        row = _parse_fields(line)
+        row = parse_fields(line)
         if row is None:
             unreadable += 1
             continue
@@ -116,7 +116,7 @@
     )
 
 
-def _parse_fields(line: str) -> dict | None:
+def parse_fields(line: str) -> dict | None:
     """Returns the fields of a line, or None if it holds no JSON object."""
     start = line.find("{")
     if start < 0:
--- a/trefoilgw/scheduler/decision_log.py
+++ b/trefoilgw/scheduler/decision_log.py
@@ -31,6 +31,7 @@
             "queue": job.spec.queue.name,
             "configuration": version,
             "tasks": len(job.tasks),
+            "first_run": job.tasks[0].run,
             "expected_s": round(job.expected_s, 3),
             "wait_s": round(job.predicted_wait_s, 3),
             "slack_s": round(job.latest_start_s - now_s, 3),
