Tell apart the failures among the lines left out

A flood of refusals leaves lines `task repeated` out, and the search for repeats without evidence then had to allow for as many lost runs.

Change: `lines left out` gains failures, the counts of those lines that report a failure. The line of a run that had started is always a failure, so that only these can hide it. tools/repeats.py also reports runs that have started although a line says that they have not.

--- a/tools/repeats.py
+++ b/tools/repeats.py
@@ -3,7 +3,8 @@
 ``python -m tools.repeats --logs FILE... --records FILE...`` reads the logs of
 the schedulers of a deployment and the targets' records of runs, and prints each
 repeated run without a line `task repeated` that gives evidence against the run
-before it. It exits with 1 if there are more of them than lines left out.
+before it. It exits with 1 if there are more of them than lines left out, or if
+a line says that a run has not started which has.
 
 A process that is killed loses its last lines, up to 0.2 s, so that the repeats
 of that time show up here as well.
@@ -38,18 +39,35 @@
     Attributes:
         unexplained: Runs that are not the first ones of their task, and whose
             predecessor has no line with evidence.
+        after_started: Those of them whose predecessor had started, so that the
+            line would be a failure.
+        contradicted: Runs that have started although a line says that they have
+            not.
         repeated_lines: Attempts with more than one line `task repeated`.
         not_shown: Number of lines left out that could have explained a run.
+        failures_not_shown: The same for those in `after_started`.
     """
 
     unexplained: tuple[RunKey, ...]
+    after_started: tuple[RunKey, ...]
+    contradicted: tuple[RunKey, ...]
     repeated_lines: tuple[RunKey, ...]
     not_shown: int
+    failures_not_shown: int
 
     @property
     def certain(self) -> int:
-        """Number of unexplained runs that no left out line can explain."""
-        return max(0, len(self.unexplained) - self.not_shown)
+        """Least number of unexplained runs that no left out line explains."""
+        return max(
+            0,
+            len(self.unexplained) - self.not_shown,
+            len(self.after_started) - self.failures_not_shown,
+        )
+
+    @property
+    def faulty(self) -> bool:
+        """Whether the logs are certainly incomplete or wrong."""
+        return bool(self.certain or self.contradicted or self.repeated_lines)
 
 
 def find_unexplained(lines: Iterable[str], runs: Iterable[Mapping]) -> Findings:
@@ -66,19 +84,24 @@
     firsts: dict[str, set[int]] = collections.defaultdict(set)
     explained: set[RunKey] = set()
     repeats: collections.Counter[RunKey] = collections.Counter()
-    not_shown = 0
+    not_started: set[RunKey] = set()
+    not_shown = failures_not_shown = 0
     for line in lines:
         row = job_timeline.parse_fields(line) or {}
         event = row.get("message")
         if event == bounded.LINES_DROPPED_EVENT:
-            not_shown += row["lines"].get(ADMITTED_EVENT, 0)
-            not_shown += row["lines"].get(REPEATED_EVENT, 0)
+            admissions = row["lines"].get(ADMITTED_EVENT, 0)
+            not_shown += admissions + row["lines"].get(REPEATED_EVENT, 0)
+            failures = row["failures"].get(REPEATED_EVENT, 0)
+            failures_not_shown += admissions + failures
         elif event == ADMITTED_EVENT:
             firsts[row["job"]].add(row["first_run"])
         elif event == REPEATED_EVENT:
             repeats[row["task"], row["run"]] += 1
             if row["evidence"] != work.Evidence.NONE:
                 explained.add((row["task"], _next_run(row)))
+            if row["evidence"] == work.Evidence.NOT_RUN:
+                not_started.add((row["task"], row["run"]))
     numbers: dict[str, set[int]] = collections.defaultdict(set)
     for run in runs:
         numbers[run["task"]].add(run["run"])
@@ -89,10 +112,18 @@
         - (firsts.get(task.partition(".")[0]) or {min(recorded)})
         if (task, number) not in explained
     ]
+    started = {
+        (task, number)
+        for task, recorded in numbers.items()
+        for number in recorded
+    }
     return Findings(
         tuple(sorted(unexplained)),
+        tuple(sorted(x for x in unexplained if (x[0], x[1] - 1) in started)),
+        tuple(sorted(not_started & started)),
         tuple(sorted(key for key, count in repeats.items() if count > 1)),
         not_shown,
+        failures_not_shown,
     )
 
 
@@ -103,7 +134,7 @@
 
 
 def main() -> int:
-    """Prints the findings; returns 1 if a repeat is certainly unexplained."""
+    """Prints the findings; returns 1 if the logs are incomplete or wrong."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--logs", type=pathlib.Path, nargs="+", required=True)
     parser.add_argument(
@@ -116,10 +147,12 @@
     )
     for task, run in found.unexplained:
         print(f"no evidence: {task} run {run}")
+    for task, run in found.contradicted:
+        print(f"started, but logged as not run: {task} run {run}")
     for task, run in found.repeated_lines:
         print(f"more than one line: {task} run {run}")
     print(f"{found.not_shown} lines not shown")
-    return 1 if found.certain or found.repeated_lines else 0
+    return int(found.faulty)
 
 
 def _read_lines(paths: Iterable[pathlib.Path]) -> list[str]:
--- a/tools/tests/test_repeats.py
+++ b/tools/tests/test_repeats.py
@@ -32,9 +32,9 @@
     )
 
 
-def left_out(**lines):
+def left_out(failures=None, **lines):
     counts = {name.replace("_", " "): count for name, count in lines.items()}
-    return line("lines left out", lines=counts)
+    return line("lines left out", lines=counts, failures=failures or {})
 
 
 def run(number, task=TASK):
@@ -95,7 +95,7 @@
         lines = [
             admitted(),
             "not a line",
-            left_out(task_repeated=2, tasks_sent=50),
+            left_out({"task repeated": 1}, task_repeated=2, tasks_sent=50),
             left_out(job_admitted=1),
         ]
         found = repeats.find_unexplained(lines, map(run, (10, 11, 12)))
@@ -105,6 +105,29 @@
         found = repeats.find_unexplained(lines[:2], map(run, (10, 11, 12)))
         self.assertEqual(2, found.certain)
 
+    def test_refusals_left_out_hide_no_run_that_has_started(self):
+        """They come in floods; the line of such a run would be a failure."""
+        for failures, certain in ((0, 1), (1, 0)):
+            hidden = left_out({"task repeated": failures}, task_repeated=9)
+            found = repeats.find_unexplained(
+                [admitted(), hidden], map(run, (10, 11))
+            )
+            with self.subTest(failures=failures):
+                self.assertEqual(((TASK, 11),), found.after_started)
+                self.assertEqual(certain, found.certain)
+        found = repeats.find_unexplained([admitted(), hidden], [run(11)])
+        self.assertEqual((), found.after_started)
+        self.assertEqual(0, found.certain)
+
+    def test_run_that_started_although_it_is_logged_as_not_run(self):
+        """Such a run may work beside the next one."""
+        lines = [admitted(), repeated(10, "not_run")]
+        found = repeats.find_unexplained(lines, map(run, (10, 11)))
+        self.assertEqual(((TASK, 10),), found.contradicted)
+        self.assertTrue(found.faulty)
+        found = repeats.find_unexplained(lines, [run(11)])
+        self.assertFalse(found.faulty)
+
     def test_two_lines_of_one_repeat(self):
         """Each repeat has exactly one."""
         lines = [admitted(), repeated(10), repeated(10, "not_run")]
--- a/trefoilgw/logs/bounded.py
+++ b/trefoilgw/logs/bounded.py
@@ -34,7 +34,7 @@
         failure = record.levelno >= logging.WARNING
         event = str(record.msg)
         if not self.writer.can_queue(failure):
-            self.rate_limiter.dropped[event] += 1
+            self.rate_limiter.drop(event, failure)
         elif self.rate_limiter.try_acquire(event, failure):
             try:
                 self.writer.enqueue(self.format(record))
@@ -66,4 +66,5 @@
             __name__, logging.WARNING, "", 0, LINES_DROPPED_EVENT, (), None
         )
         record.lines = dropped
+        record.failures = self.rate_limiter.take_dropped_failures()
         self.writer.enqueue(self.format(record))
--- a/trefoilgw/logs/rate_limits.py
+++ b/trefoilgw/logs/rate_limits.py
@@ -27,12 +27,17 @@
             failure.
         max_lines: Maximum number of lines per window.
         dropped: Number of lines dropped in this window, by event.
+        dropped_failures: Number of those that report a failure, by event, until
+            they are taken.
     """
 
     max_event_lines: int = MAX_EVENT_LINES
     max_success_lines: int = MAX_SUCCESS_LINES
     max_lines: int = MAX_LINES
     dropped: collections.Counter = attrs.field(factory=collections.Counter)
+    dropped_failures: collections.Counter = attrs.field(
+        factory=collections.Counter
+    )
     _window: int = -1
     _written: collections.Counter = attrs.field(factory=collections.Counter)
     _successes: int = 0
@@ -54,7 +59,7 @@
             and (failure or self._successes < self.max_success_lines)
         )
         if not allowed:
-            self.dropped[event] += 1
+            self.drop(event, failure)
             return False
         self._written[event, failure] += 1
         self._total += 1
@@ -62,6 +67,18 @@
             self._successes += 1
         return True
 
+    def drop(self, event: str, failure: bool) -> None:
+        """Counts a line that is not written."""
+        self.dropped[event] += 1
+        if failure:
+            self.dropped_failures[event] += 1
+
+    def take_dropped_failures(self) -> dict[str, int]:
+        """Returns the number of dropped failures and starts anew."""
+        taken = dict(self.dropped_failures)
+        self.dropped_failures.clear()
+        return taken
+
     def advance_window(self, now_s: float) -> dict[str, int]:
         """Starts a new window if the current one has ended.
 
--- a/trefoilgw/logs/tests/test_bounded.py
+++ b/trefoilgw/logs/tests/test_bounded.py
@@ -4,6 +4,7 @@
 import logging
 import os
 import unittest
+from unittest import mock
 
 from trefoilgw.logs import bounded
 from trefoilgw.logs import core as logs
@@ -116,6 +117,24 @@
         self.assertGreater(len(numbers), 100)
         self.assertLessEqual(20_000, len(numbers) + dropped + not_reported + 1)
 
+    def test_dropped_failures_are_reported_apart(self):
+        """A flood of refusals must not look like a flood of lost runs."""
+        self.handler.rate_limiter.max_event_lines = 2
+        self.handler.rate_limiter.advance_window(-10.0)
+        with mock.patch.object(bounded.time, "monotonic") as monotonic:
+            monotonic.return_value = 100.0
+            for _ in range(5):
+                self.log.info("task repeated")
+            for _ in range(3):
+                self.log.warning("task repeated")
+            monotonic.return_value = 101.0
+            found = self.read_all()
+            monotonic.return_value = 102.0
+            self.handler.poll()
+        self.assertEqual({"task repeated": 4}, found[-1]["lines"])
+        self.assertEqual({"task repeated": 1}, found[-1]["failures"])
+        self.assertEqual({}, self.handler.rate_limiter.take_dropped_failures())
+
     def test_long_lines_arrive_complete(self):
         """A line truncated at the chunk size could not be parsed."""
         for size in (1, 4000, 4096, 9000):
--- a/trefoilgw/room/tests/test_recent_ends.py
+++ b/trefoilgw/room/tests/test_recent_ends.py
@@ -8,6 +8,7 @@
 from trefoilgw.room.tests import fixtures
 from trefoilgw.room.tests.fixtures import A
 from trefoilgw.room.tests.fixtures import B
+from trefoilgw.scheduler import clients
 from trefoilgw.scheduling import runners
 from trefoilgw.work import core as work
 
@@ -46,8 +47,13 @@
         self.assertEqual([end(0)], ends.of(B))
 
     def test_ends_outlast_the_time_to_give_a_runner_up(self):
-        """A scheduler that waits for a lost runner must still get them."""
-        self.assertGreater(messages.ENDS_KEPT_S, runners.RUN_EXPIRY_S)
+        """A scheduler that waits for a lost runner must still get them.
+
+        It notices late that the runner is silent.
+        """
+        self.assertGreater(
+            messages.ENDS_KEPT_S, runners.RUN_EXPIRY_S + clients.MAX_SILENCE_S
+        )
 
 
 class ReconnectTest(unittest.TestCase):
