Count the repeats of lost runners among the runs not done

runs_not_done_total lacked the runs that a scheduler gives up or that a runner has not received: it counted the ends that runners report. It now counts with each repeat, and the last failure of a job as before.

--- a/trefoilgw/scheduler/clients.py
+++ b/trefoilgw/scheduler/clients.py
@@ -39,8 +39,8 @@
         on_peer_message: Called with each message of a peer and its stream.
         runner_greeting: Returns the messages that are sent to a new runner.
         peer_greeting: Returns the messages that are sent to a new peer.
-        on_run_ended: Called with the runner's name, the message and the state
-            of the task whenever an attempt ends that the scheduler waited for.
+        on_run_ended: Called with the runner's name and the message whenever an
+            attempt ends that the scheduler waited for and does not repeat.
         runners: Open streams of runners, by the runner's name.
         ordered_s: Time of the first order to each runner since something was
             received from it.
@@ -54,7 +54,7 @@
     on_peer_message: Callable[[streams.Stream, object], None]
     runner_greeting: Callable[[], list]
     peer_greeting: Callable[[], list]
-    on_run_ended: Callable[[str, runs.RunEnded, jobs.TaskState], None]
+    on_run_ended: Callable[[str, runs.RunEnded], None]
     runners: dict[str, streams.Stream] = attrs.field(factory=dict)
     ordered_s: dict[str, float] = attrs.field(factory=dict)
     peers: set[streams.Stream] = attrs.field(factory=set)
@@ -191,8 +191,8 @@
                 self.scheduler.capacity_offered(name, message, now_s)
             case runs.RunEnded():
                 state = self.scheduler.run_ended(name, message, now_s)
-                if state is not None:
-                    self.on_run_ended(name, message, state)
+                if state in (jobs.TaskState.DONE, jobs.TaskState.FAILED):
+                    self.on_run_ended(name, message)
             case runs.ActiveRuns():
                 self.scheduler.reconcile_runs(name, message, now_s)
             case _:
--- a/trefoilgw/scheduler/metrics.py
+++ b/trefoilgw/scheduler/metrics.py
@@ -81,9 +81,10 @@
         else:
             self.not_done.add(1, ended.ending, ended.reason)
 
-    def task_repeated(self, evidence: work.Evidence) -> None:
-        """Counts a task that is placed again."""
-        self.repeated.add(1, str(evidence))
+    def task_repeated(self, end: jobs.RunEnd) -> None:
+        """Counts a task that is placed again, and the end of its attempt."""
+        self.repeated.add(1, str(end.evidence))
+        self.not_done.add(1, str(end.ending), end.reason)
 
     def register_gauges(self, scheduler: scheduling.Scheduler) -> None:
         """Registers gauges that are read from the scheduler's state."""
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -29,7 +29,6 @@
 from trefoilgw.scheduler import roster as scheduler_roster
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import core as scheduling
-from trefoilgw.scheduling import jobs
 from trefoilgw.streams import redialling
 from trefoilgw.timers import clock
 from trefoilgw.timers import core as timer_service
@@ -380,19 +379,17 @@
                     self.clients.send(runner, message)
                 case actions.Repeated():
                     decision_log.log_task_repeated(action)
-                    self.counts.task_repeated(action.end.evidence)
+                    self.counts.task_repeated(action.end)
                 case actions.Answer(job=job, outcome=outcome):
                     now_s = clock.boottime()
                     decision_log.log_job_ended(job, outcome, now_s)
                     self.counts.job_ended(job, outcome, now_s)
                     self._answer_waiters(job.key, outcome)
 
-    def _record_run_end(
-        self, runner: str, ended: runs.RunEnded, state: jobs.TaskState
-    ) -> None:
-        """Counts the end of an attempt; logs it if its task has failed."""
+    def _record_run_end(self, runner: str, ended: runs.RunEnded) -> None:
+        """Counts the last end of a task; logs it unless the task was done."""
         self.counts.run_ended(ended)
-        if state is jobs.TaskState.FAILED:
+        if ended.ending != work.Ending.DONE:
             decision_log.log_run_not_done(runner, ended)
 
     def _tick(self) -> None:
--- a/trefoilgw/scheduler/tests/test_program.py
+++ b/trefoilgw/scheduler/tests/test_program.py
@@ -138,6 +138,11 @@
                 self.assertEqual("why", line.reason)
                 self.assertGreaterEqual(line.age_s, 0.0)
                 self.assertEqual(1, self.counted()[(evidence,)])
+        not_done = self.parts.counts.not_done.values
+        self.assertEqual(
+            {("failed", "why"): 1, ("lost", "why"): 2, ("not_run", "why"): 1},
+            not_done,
+        )
 
     def test_repeat_without_evidence_is_a_failure(self):
         """It may be the cause of two runs of a task at a time."""
@@ -153,6 +158,8 @@
         (line,) = self.end(1, "failed", "ended")
         self.assertEqual("run not done", line.msg)
         self.assertEqual({}, self.counted())
+        not_done = self.parts.counts.not_done.values
+        self.assertEqual({("failed", "why"): 1}, not_done)
 
     def test_every_evidence_has_a_level(self):
         """A new value must not fail in the midst of the scheduler's actions."""
