--- a/tools/fault_soak.py
+++ b/tools/fault_soak.py
@@ -4,8 +4,9 @@
 and the stand-ins of the platform, submits jobs as callers do, and meanwhile
 plays the faults of `tools.soak.plan.Fault`, of which ``--faults`` chooses some.
 It prints what the checks find, and exits with 1 if a task had two runs at a
-time, a job answered as completed has a task that was not done, or a job that
-was rejected has started. Faults and load follow from the seed; times on the
+time, a job answered as completed has a task that was not done, a job that was
+rejected has started, or a scheduler's log gives a run as not run that has
+started. Faults and load follow from the seed; times on the
 real clock don't, so that a seed that failed once may hold the next time.
 ``--size grown`` plays the size of the larger sites, at a lower load for each
 target.
@@ -26,6 +27,7 @@
 
 from tools import deployments
 from tools import processes
+from tools import repeats
 from tools.soak import checks
 from tools.soak import faults
 from tools.soak import plan as soak_plan
@@ -46,7 +48,7 @@
 SLOW_CLOCK_RATE = 0.98
 TWICE = "TWICE"
 # Findings that are a fault of the product in any case.
-BROKEN = (TWICE, "UNFINISHED", "STARTED")
+BROKEN = (TWICE, "UNFINISHED", "STARTED", "CONTRADICTED")
 
 
 @attrs.define(eq=False)
@@ -218,10 +220,36 @@
             TWICE: checks.overlaps(runs, self.started_s),
             "UNFINISHED": checks.unfinished_jobs(calls, runs),
             "STARTED": checks.started_rejects(calls, runs),
+            **self._repeats(runs),
             "STUCK": checks.stuck_calls(calls, self.calm_s, STUCK_S),
             "UNANSWERED": checks.unanswered_calls(calls),
         }
 
+    def _repeats(self, runs: list[dict]) -> dict[str, list[str]]:
+        """Returns what the schedulers' logs lack or say wrongly of repeats.
+
+        A scheduler that is killed loses the last lines of its log, so that some
+        repeats have no evidence then.
+        """
+        logs = self.deployment.launcher.directory.glob("scheduler-*.out")
+        lines = [
+            line
+            for path in logs
+            for line in path.read_text(errors="replace").splitlines()
+        ]
+        found = repeats.find_unexplained(lines, runs)
+        return {
+            "CONTRADICTED": [
+                f"{task} run {run}"
+                for task, run in found.contradicted + found.repeated_lines
+            ],
+            "UNEXPLAINED": [
+                f"{task} run {run}"
+                for task, run in found.unexplained
+                if found.certain
+            ],
+        }
+
 
 def make_soak(plan: soak_plan.Plan, directory: pathlib.Path) -> Soak:
     """Returns a soak whose deployment is not started yet."""
