--- a/tools/tests/test_platform_faults.py
+++ b/tools/tests/test_platform_faults.py
@@ -2,6 +2,8 @@
 
 import base64
 import contextlib
+import http.client
+import json
 import pathlib
 import tempfile
 import threading
@@ -242,6 +244,28 @@
         thread.start()
         return thread
 
+    def test_caller_whose_end_is_not_seen(self):
+        """Its job went on beside its second submission.
+
+        A caller that is cut off can't close its connection.
+        """
+        deployment, key = self.deployment, deployments.new_key()
+        connection = http.client.HTTPConnection(
+            deployment.scheduler_ip(0), deployment.ports[0]
+        )
+        self.addCleanup(connection.close)
+        body = json.dumps(deployments.job_body(4, 6.0))
+        headers = {"Host": deployments.HOST_NAME, "X-Deadline-Ms": "1500"}
+        connection.request("POST", f"/proof/{key}", body, headers)
+        self.wait_for_runs(key, 4)
+        time.sleep(1.5 + RESEND_DELAY_S)
+        answer = (503, {})
+        deadline_s = time.monotonic() + 5.0
+        while answer[0] == 503 and time.monotonic() < deadline_s:
+            answer = deployment.submit(1, key, deployments.job_body(4, 0.2))
+        self.assertEqual((200, {"state": "completed"}), answer)
+        self.assert_no_overlap()
+
     def test_killed_runner(self):
         """Its runs expire and must be repeated elsewhere without overlap."""
         deployment, key = self.deployment, deployments.new_key()
