--- a/trefoilgw/tests/run_ends_kernel.py
+++ b/trefoilgw/tests/run_ends_kernel.py
@@ -48,7 +48,9 @@
         stuck: Greenlet in which it was stopped, or None.
         readings_left: Readings of the clock until it is stopped in the middle
             of a callback, 0 if it won't be.
-        stop_s: Length of that stop.
+        spawns_left: Greenthreads that it spawns until it is stopped after the
+            present callback, 0 if it won't be.
+        stop_s: Length of these stops.
         stop_after_reading: Whether the stop follows the reading, so that the
             callback goes on with an old time.
     """
@@ -60,6 +62,7 @@
     backlog: list = attrs.field(factory=list)
     stuck: greenlet.greenlet | None = None
     readings_left: int = 0
+    spawns_left: int = 0
     stop_s: float = 0.0
     stop_after_reading: bool = False
 
@@ -188,8 +191,14 @@
 
     def spawn(self, function: Callable, *args) -> None:
         """Runs a function of the current process in the next turn."""
-        if self.current is not None:
-            self.after(0.0, functools.partial(function, *args), self.current)
+        process = self.current
+        if process is None:
+            return
+        self.after(0.0, functools.partial(function, *args), process)
+        if process.spawns_left:
+            process.spawns_left -= 1
+            if not process.spawns_left:
+                self.stop(process, process.stop_s)
 
     def clock(self) -> float:
         """Returns the time on the clock of the current process.
--- a/trefoilgw/tests/run_ends_processes.py
+++ b/trefoilgw/tests/run_ends_processes.py
@@ -483,9 +483,7 @@
         self.schedulers = [
             self._make_scheduler(x, 1) for x in range(scheduler_count)
         ]
-        self.runners = [
-            RunnerProcess(self, x, 1) for x in range(runner_count)
-        ]
+        self.runners = [RunnerProcess(self, x, 1) for x in range(runner_count)]
         self.calls: list[Call] = []
         self._processes = [*self.schedulers, *self.runners]
         self._numbers: dict[str, int] = {}
@@ -574,9 +572,7 @@
             return
         call.closed = True
         scheduler = call.scheduler
-        self.world.note(
-            "{} leaves {}", call.spec.key, scheduler.incarnation
-        )
+        self.world.note("{} leaves {}", call.spec.key, scheduler.incarnation)
         self.world.after(
             0.001,
             lambda: scheduler.caller_left(call),
--- a/trefoilgw/tests/run_ends_walks.py
+++ b/trefoilgw/tests/run_ends_walks.py
@@ -49,13 +49,15 @@
 
     Attributes:
         seed: Seed of the choices that the steps leave open.
-        shape: Choice of the hosts, 0 to 7.
+        shape: Choice of the hosts, 0 to 3.
         steps: The operations.
+        second_address: Whether the runners know a scheduler by two addresses.
     """
 
     seed: int
     shape: int
     steps: tuple[Step, ...]
+    second_address: bool = False
 
 
 def submit(fleet, a, b, c):
@@ -87,13 +89,16 @@
 
 
 def _stop(fleet, process, b, c):
-    """Stops a process."""
-    if c < 5:
+    """Stops a process now, when it has spawned, or when it reads its clock."""
+    if c < 3:
         fleet.world.stop(process, DURATIONS_S[b])
     elif process.alive and not process.stopped:
-        process.readings_left = fleet.world.rng.randint(1, 30)
         process.stop_s = DURATIONS_S[b]
         process.stop_after_reading = c % 2 == 0
+        if c < 6:
+            process.spawns_left = fleet.world.rng.randint(1, 6)
+        else:
+            process.readings_left = fleet.world.rng.randint(1, 30)
 
 
 def restart_runner(fleet, a, b, c):
@@ -131,7 +136,9 @@
 
 def reset_streams(fleet, a, b, c):
     """Resets open streams, for both ends or one of them."""
-    open_streams = [x for x in fleet.streams if not (x[0].closed and x[1].closed)]
+    open_streams = [
+        x for x in fleet.streams if not (x[0].closed and x[1].closed)
+    ]
     if not open_streams:
         return
     near, far = open_streams[a % len(open_streams)]
@@ -145,8 +152,7 @@
 def disturb_target(fleet, a, b, c):
     """Lets calls of a target go wrong for a while."""
     target = fleet.targets[a % len(fleet.targets)]
-    target.mode = targets.MODES[c]
-    target.mode_calls = (
+    calls = (
         targets.CALLS,
         targets.CALLS,
         ("start",),
@@ -154,6 +160,12 @@
         ("hold",),
         ("start", "stop"),
     )[fleet.world.rng.randrange(6)]
+    _disturb(fleet, target, targets.MODES[c], calls, b)
+
+
+def _disturb(fleet, target, mode, calls, b):
+    """Lets some calls of a target go wrong for a while."""
+    target.mode, target.mode_calls = mode, calls
     target.mode_until_s = fleet.world.now_s + DURATIONS_S[b]
     fleet.world.note(
         "{} {} {} for {}",
@@ -180,6 +192,8 @@
     match c:
         case 0 | 1:
             runner.leave(sent.instance, (0, sent.started_ms)[c])
+            if b % 2:
+                _disturb(fleet, target, "refused", targets.CALLS, b)
         case 2:
             runner.report(attrs.evolve(sent, instance="other"))
         case 3:
@@ -214,7 +228,7 @@
     reset_streams: 2,
     disturb_target: 5,
     restart_target: 1,
-    report: 1,
+    report: 2,
     leave: 1,
 }
 OPERATIONS = {x.__name__: x for x in WEIGHTS}
@@ -233,7 +247,7 @@
     weights = [WEIGHTS[OPERATIONS[x]] for x in names]
     return History(
         seed,
-        rng.randrange(8),
+        rng.randrange(4),
         tuple(
             Step(
                 rng.choice((0.0, 0.02, 0.1, 0.3, MAX_GAP_S)),
@@ -261,13 +275,14 @@
         with kernel.active(world):
             shape = history.shape
             fleet = processes.Fleet(
-                world, 1 + (shape & 1), 2 + (shape >> 1 & 1), shape == 7
+                world,
+                1 + (shape & 1),
+                2 + (shape >> 1),
+                history.second_address,
             )
             now_s = WARM_UP_S
             for position in range(3):
-                world.after(
-                    now_s, lambda x=position: submit(fleet, x, x, 0)
-                )
+                world.after(now_s, lambda x=position: submit(fleet, x, x, 0))
             for step in history.steps:
                 now_s += step.gap_s
                 world.after(
@@ -309,15 +324,6 @@
     return history
 
 
-def find(seeds) -> tuple[int, kernel.ViolationError] | None:
-    """Returns the first seed that leads to a violation, and the violation."""
-    for seed in seeds:
-        violation = violation_of(make_history(seed))
-        if violation is not None:
-            return seed, violation
-    return None
-
-
 def main(seed: int) -> int:
     """Prints the result of a seed; returns 1 if it is a violation."""
     history = make_history(seed)
