--- /dev/null
+++ b/trefoilgw/runner/tests/test_run_expiry.py
@@ -0,0 +1,87 @@
+"""Tests that leases end before schedulers count the runs as ended.
+
+A scheduler repeats the runs of an unreachable runner `RUN_EXPIRY_S` after it
+last renewed its authority there. These sequences were found by the histories
+of `trefoilgw.tests.test_runs_end_once`.
+"""
+
+import unittest
+from unittest import mock
+
+import eventlet
+
+from trefoilgw.room import owners
+from trefoilgw.room.tests.fixtures import A
+from trefoilgw.runner import leases
+from trefoilgw.runner.tests import test_driving
+from trefoilgw.scheduling import runners
+
+NO_ANSWER = test_driving.NO_ANSWER
+
+
+class RunExpiryTest(test_driving.DriverTestCase):
+    def setUp(self):
+        super().setUp()
+        self.renewed_s = self.now_s
+        until_s = self.renewed_s + owners.AUTHORITY_S
+        self.allocator.owners[A].authority_until_s = until_s
+
+    def poll_until_expiry(self, running):
+        """Polls a target that lists a run, until its scheduler gives it up."""
+        self.client.holds = [test_driving.listing(running=[running])]
+        while self.now_s < self.renewed_s + runners.RUN_EXPIRY_S:
+            self.allocator.tick(self.now_s)
+            self.extend_lease()
+            self.now_s += 0.05
+
+    def test_run_whose_stop_gets_no_answer_ends_in_time(self):
+        """It worked on while its scheduler had begun it elsewhere.
+
+        The lease is extended for as long as `hold` is answered, also if no
+        stop is.
+        """
+        self.request_start("j.0.0.0")
+        self.driver.start("j.0.0.0", 1, "p")
+        self.poll_until_expiry("j.0.0.0")
+        self.assertLessEqual(
+            self.driver.lease.until_s, self.renewed_s + runners.RUN_EXPIRY_S
+        )
+
+    def test_run_of_an_earlier_process_ends_in_time(self):
+        """It worked on while its scheduler had begun it elsewhere.
+
+        The runner was killed, its next process extended the lease, and its
+        stops got no answer.
+        """
+        with mock.patch.object(eventlet, "spawn_n"):
+            self.poll_until_expiry("old.0.0.0")
+        self.assertLessEqual(
+            self.driver.lease.until_s, self.renewed_s + runners.RUN_EXPIRY_S
+        )
+
+    def test_lease_of_a_start_counts_from_the_check_of_the_authority(self):
+        """A runner that was paused between them started a run when it woke."""
+        self.request_start("j.0.0.0")
+        checked_s = self.now_s
+        check = self.allocator.start_refusal
+
+        def check_and_pause(task, run, now_s):
+            reason = check(task, run, now_s)
+            self.now_s += 3.0
+            return reason
+
+        with mock.patch.object(
+            type(self.allocator),
+            "start_refusal",
+            lambda _, *args: check_and_pause(*args),
+        ):
+            self.driver.start("j.0.0.0", 1, "p")
+        longest_s = self.driver.lease.length_s * (1.0 + leases.MAX_CLOCK_DRIFT)
+        self.assertLessEqual(
+            self.driver.lease.until_s,
+            checked_s + longest_s + leases.LAPSE_MARGIN_S,
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilgw/tests/run_ends_targets.py
+++ b/trefoilgw/tests/run_ends_targets.py
@@ -32,6 +32,12 @@
     "slow",
     "mixed",
 )
+# Results of calls that fail at once.
+FAILURES = {
+    "refused": orders.NoAnswer(False, "refused"),
+    "reset": orders.NoAnswer(True, "reset"),
+    "unhealthy": orders.Refused(orders.RefusalReason.UNHEALTHY),
+}
 CALLS = ("start", "stop", "hold")
 
 RunKey = tuple[str, int]
@@ -334,7 +340,7 @@
 
     def _exchange(self, call: str, timeout_s: float, carry_out: Callable):
         """Sends a call and waits for its answer or the time limit."""
-        world, target = self.target.world, self.target
+        world = self.target.world
         rng = world.rng
         waiter, used = greenlet.getcurrent(), []
         mode = self._mode(call)
@@ -352,25 +358,29 @@
                 back_s = timeout_s * rng.uniform(0.5, 1.05)
             answer(value, back_s)
 
-        if mode == "refused":
-            answer(orders.NoAnswer(False, "refused"), delay_s)
-        elif mode == "unhealthy":
-            refused = orders.Refused(orders.RefusalReason.UNHEALTHY)
-            answer(refused, delay_s)
-        elif mode == "late":
-            world.after(rng.uniform(0.01, LATEST_S), lambda: carry_out(respond))
-        elif mode == "reset":
-            if rng.random() < 0.5:
-                world.after(delay_s, lambda: carry_out(respond))
-            answer(orders.NoAnswer(True, "reset"), delay_s)
-        elif mode != "lost":
-            world.after(delay_s, lambda: carry_out(respond))
+        if mode in FAILURES:
+            answer(FAILURES[mode], delay_s)
+        executed_s = self._execution_delay_s(mode, delay_s)
+        if executed_s is not None:
+            world.after(executed_s, lambda: carry_out(respond))
         timed_out = kernel.Wakeup(
             waiter, orders.NoAnswer(True, "timed out"), used
         )
         world.after(timeout_s, timed_out, self.process)
         return world.block()
 
+    def _execution_delay_s(self, mode: str, delay_s: float) -> float | None:
+        """Returns when a call is carried out, None if it never is."""
+        rng = self.target.world.rng
+        match mode:
+            case "refused" | "unhealthy" | "lost":
+                return None
+            case "late":
+                return rng.uniform(0.01, LATEST_S)
+            case "reset" if rng.random() < 0.5:
+                return None
+        return delay_s
+
     def _mode(self, call: str) -> str:
         """Returns how a call goes wrong, or nothing."""
         target, rng = self.target, self.target.world.rng
--- a/trefoilgw/tests/test_runs_end_once.py
+++ b/trefoilgw/tests/test_runs_end_once.py
@@ -9,13 +9,16 @@
 import os
 import unittest
 
+import attrs
 import hypothesis
 from hypothesis import strategies as st
 
 from trefoilgw.tests import run_ends_mutations as mutations
 from trefoilgw.tests import run_ends_walks as walks
 
-EXAMPLES = int(os.environ.get("TREFOILGW_RUN_END_EXAMPLES", "40"))
+EXAMPLES = int(os.environ.get("TREFOILGW_RUN_END_EXAMPLES", "60"))
+# Histories within which each mutation must be found.
+MUTATION_EXAMPLES = 120
 FIRST_SEED = int(os.environ.get("TREFOILGW_RUN_END_FIRST", "0"))
 SETTINGS = hypothesis.settings(
     max_examples=max(1, EXAMPLES // 4),
@@ -48,15 +51,12 @@
 
 class RunsEndOnceTest(unittest.TestCase):
     def test_seeded_histories(self):
-        """A task ran twice at a time after its first run was given up."""
+        """A run was given up and worked on, or started, after that."""
         starts = 0
         for seed in range(FIRST_SEED, FIRST_SEED + EXAMPLES):
             with self.subTest(seed=seed):
-                violation = walks.violation_of(walks.make_history(seed))
-                if violation is not None:
-                    self.fail(f"seed {seed}: {violation}")
-                starts += 1
-        self.assertGreater(starts, 0)
+                starts += walks.play(walks.make_history(seed)).starts
+        self.assertGreater(starts, EXAMPLES)
 
     @SETTINGS
     @hypothesis.given(HISTORIES)
@@ -64,6 +64,34 @@
         """The same, with steps that hypothesis chooses and shortens."""
         walks.play(history)
 
+    def test_scheduler_with_two_addresses(self):
+        """An order on a replaced stream started a run that was repeated."""
+        for seed in range(FIRST_SEED, FIRST_SEED + EXAMPLES // 4):
+            history = walks.make_history(seed)
+            with self.subTest(seed=seed):
+                walks.play(attrs.evolve(history, second_address=True))
+
+
+class MutationTest(unittest.TestCase):
+    def test_each_mutation_is_found(self):
+        """A check that can't fail guards against nothing.
+
+        The history that shows a mutation must pass without it.
+        """
+        for name in mutations.MUTATIONS:
+            with self.subTest(name):
+                self.assertIsNotNone(self.find(name))
+
+    def find(self, name):
+        """Returns the first seed that shows a mutation, or None."""
+        for seed in range(MUTATION_EXAMPLES):
+            history = walks.make_history(seed)
+            with mutations.applied(name):
+                found = walks.violation_of(history)
+            if found is not None and walks.violation_of(history) is None:
+                return seed
+        return None
+
 
 if __name__ == "__main__":
     unittest.main()
