--- a/trefoilgw/tests/run_ends_processes.py
+++ b/trefoilgw/tests/run_ends_processes.py
@@ -47,6 +47,7 @@
         closed: Whether this process has closed it, or read that the other has.
         received_s: Time of the last read.
         opening: Wakes the greenthread that waits for the welcome, or None.
+        dialed_s: When the runner began to dial.
     """
 
     world: kernel.World
@@ -60,6 +61,7 @@
     closed: bool = False
     received_s: float = 0.0
     opening: kernel.Wakeup | None = None
+    dialed_s: float = 0.0
     on_message: object = None
     on_closed: object = None
     _read_due: bool = False
@@ -168,7 +170,7 @@
         hello = messages.RunnerHello(
             1, self.runner.name, self.runner.incarnation, ""
         )
-        near = StreamEnd(world, self.runner.process)
+        near = StreamEnd(world, self.runner.process, dialed_s=world.now_s)
         used = []
         near.opening = kernel.Wakeup(greenlet.getcurrent(), None, used)
 
