Extend no lease while the target has foreign runs

A task could be repeated while its first run worked on, if a runner was killed and the stops of its successor were lost. The scheduler gives the runs of a lost runner up 2.05 s after the last renewal of the authority, which counts on the end of their lease. But a lease holds for all runs at the target, and each poll of the new runner extended it, also for the run that it was trying to stop.

Change: a poll extends the lease only while no foreign run is listed.

test_lease_of_foreign_runs_is_not_extended failed without the change: three polls beside a foreign run extended the lease.

--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -283,7 +283,9 @@
             idle = not self.allocator.runs
             wait_s = IDLE_HOLD_WAIT_S if idle else HOLD_WAIT_S
             recent = sent_s - self.last_answer_s < EXTEND_TIMEOUT_S
-            if recent and self.allocator.reachable:
+            # The lease is that of all runs at the target. A foreign run must
+            # end even if its stop is lost, as its task is repeated elsewhere.
+            if recent and self.allocator.reachable and not self.foreign_runs:
                 lease_end_s = self.lease.extend()
         answer = self.client.hold(
             target.instance, lease_end_s, self.last_confirmed_end, wait_s
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -398,6 +398,24 @@
         self.extend_lease()
         self.assertTrue(self.allocator.usable)
 
+    def test_lease_of_foreign_runs_is_not_extended(self):
+        """A killed runner's run went on under the lease of its successor.
+
+        Its scheduler repeats it 2.05 s after the last renewal, also while the
+        stops of the new runner are lost.
+        """
+        self.client.holds = [listing(running=["old.0.0.0"])]
+        self.client.stops = [NO_ANSWER]
+        self.extend_lease()
+        for _ in range(3):
+            self.now_s += 0.1
+            self.extend_lease()
+        self.assertEqual([None] * 3, self.client.leases[1:])
+        self.client.holds = [listing()]
+        for _ in range(2):
+            self.extend_lease()
+        self.assertIsNotNone(self.client.leases[-1])
+
     def test_restarted_target_ends_all_runs_as_lost(self):
         """A target that has restarted has none of its earlier runs."""
         self.start_one()
