Close the earlier stream of a scheduler that has two addresses

A runner that reached one scheduler process under two addresses had two streams to it. The scheduler replaces the first one by the second, and places again what the list of active runs on the second lacks. An order that was still unread on the first was carried out after that: the task had two runs at a time. The end of the first stream also shortened the authority under the second one.

Change: the earlier stream is closed before the list is sent, so that nothing more is read from it, and only the last stream of a scheduler that closes shortens its authority.

test_scheduler_with_two_addresses, found by random histories, and test_earlier_stream_of_the_same_scheduler_is_closed failed without the change.

--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -232,6 +232,7 @@
             stream.close("surplus")
             return
         closed = eventlet.event.Event()
+        self._close_replaced(stream.welcome.incarnation)
         link.owner = stream.welcome.incarnation
         link.stream = stream
         link.pinged_s = -math.inf
@@ -251,13 +252,33 @@
         finally:
             link.stream = None
             link.down_since_s = self.now()
-            self.allocator.owner_disconnected(link.owner, self.now())
+            if self._open_link(link.owner) is None:
+                self.allocator.owner_disconnected(link.owner, self.now())
         log.info(
             "scheduler lost",
             extra={"address": link.address, "reason": closed.wait()},
         )
         self.on_change()
 
+    def _open_link(self, owner: str) -> Link | None:
+        """Returns the link with an open stream to a scheduler, if any."""
+        for link in self.links.values():
+            if link.owner == owner and link.stream is not None:
+                return link
+        return None
+
+    def _close_replaced(self, owner: str) -> None:
+        """Closes the earlier stream of a scheduler that has two addresses.
+
+        The scheduler has just replaced it, and places again what the list of
+        active runs on the new stream lacks. An order that is still unread on
+        the earlier one must not be carried out after that.
+        """
+        earlier = self._open_link(owner)
+        if earlier is not None:
+            earlier.stream.close("replaced")
+            earlier.stream = None
+
     def _handle(self, link: Link, message: object) -> None:
         """Handles one message of a scheduler."""
         now_s = self.now()
--- a/trefoilgw/runner/tests/test_links.py
+++ b/trefoilgw/runner/tests/test_links.py
@@ -214,6 +214,30 @@
             self.allocator.owners[fixtures.A].authority_until_s,
         )
 
+    def test_earlier_stream_of_the_same_scheduler_is_closed(self):
+        """An order on it started a run that was repeated elsewhere.
+
+        The end of the earlier stream may not shorten the authority either.
+        """
+        self.now_s = 10.0
+        self.learn("s:1", "s:2")
+        self.links.select()
+        self.open("s:1")
+        earlier = self.links.links["s:1"]
+        stream = FakeStream(earlier.owner)
+        stream.dialed_s = 10.0
+        found = []
+
+        def start(on_message, on_closed, may_yield):
+            found.append((earlier.stream, self.links.links["s:2"].stream))
+            on_closed(stream, "closed by the peer")
+
+        stream.start = start
+        before = earlier.stream
+        self.links._serve(self.links.links["s:2"], stream)
+        self.assertEqual([(None, stream)], found)
+        self.assertEqual("replaced", before.closed)
+
     def test_stream_without_answers_is_closed(self):
         """A cut connection is not closed by the peer."""
         self.open_seed()
