--- a/trefoilgw/tests/run_ends_targets.py
+++ b/trefoilgw/tests/run_ends_targets.py
@@ -20,6 +20,7 @@
 RUN_STOP_S = 0.05
 LATEST_S = 5.0
 CORES = 4
+DURATIONS_S = (0.05, 0.3, 1.0, 3.0, 6.0)
 MAX_DELAY_S = 0.003
 # How calls may go wrong; `lost` ones are not carried out.
 MODES = (
@@ -85,6 +86,7 @@
         world: The world.
         name: Name for the trace.
         life: Its present life.
+        durations_s: Possible lengths of its runs.
         mode: How calls go wrong now, or empty.
         mode_calls: Calls that go wrong.
         mode_until_s: Until when.
@@ -95,6 +97,7 @@
         self.world = world
         self.name = name
         self.on_start = on_start
+        self.durations_s = DURATIONS_S
         self.mode = ""
         self.mode_calls: tuple[str, ...] = ()
         self.mode_until_s = 0.0
@@ -168,7 +171,7 @@
         if len(life.runs) >= CORES:
             return orders.Refused(orders.RefusalReason.ROOM, clock_s)
         self.on_start(self, key)
-        duration_s = self.world.rng.choice((0.05, 0.3, 1.0, 3.0, 6.0))
+        duration_s = self.world.rng.choice(self.durations_s)
         life.runs[key] = (self.world.now_s, duration_s)
         ending = work.Ending.DONE
         if self.world.rng.random() < 0.1:
