Make the histories of run ends independent of string hashes

The order of sets of strings made a history differ from run to run. The handshake of a stream takes as many turns of the event loop as the product's.

--- a/trefoilgw/tests/run_ends_kernel.py
+++ b/trefoilgw/tests/run_ends_kernel.py
@@ -23,6 +23,7 @@
 from trefoilgw.runner import driving
 from trefoilgw.runner import links
 from trefoilgw.runner import program
+from trefoilgw.subsets import core as subsets
 
 START_S = 1000.0
 # Time that each callback takes which became due while the process was stopped.
@@ -35,6 +36,21 @@
     """A run was at work, or started, after it was reported as ended."""
 
 
+class SortedSet(set):
+    """A set whose order doesn't depend on the hashes of strings."""
+
+    def __iter__(self):
+        return iter(sorted(super().__iter__()))
+
+    def __sub__(self, other):
+        return SortedSet(super().__sub__(set(other)))
+
+
+def _select_members(*args) -> SortedSet:
+    """Selects schedulers as the product, in a fixed order."""
+    return SortedSet(subsets.select_members(*args))
+
+
 @attrs.define(eq=False)
 class Process:
     """A process of the product.
@@ -287,10 +303,16 @@
         spawn_n=world.spawn,
         event=types.SimpleNamespace(Event=Event),
     )
+    selection = types.SimpleNamespace(
+        select_members=_select_members,
+        stream_count=subsets.stream_count,
+        Member=subsets.Member,
+    )
     patches = (
         mock.patch.object(driving, "eventlet", fake),
         mock.patch.object(driving, "event", fake.event),
         mock.patch.object(links, "eventlet", fake),
+        mock.patch.object(links, "subsets", selection),
         mock.patch.object(program, "eventlet", fake),
         mock.patch.object(
             program, "clock", types.SimpleNamespace(boottime=world.clock)
--- a/trefoilgw/tests/run_ends_processes.py
+++ b/trefoilgw/tests/run_ends_processes.py
@@ -27,6 +27,9 @@
 QUEUE = work.Queue("queue", "host", "/", "service", 0, 3, 20.0, 5.0)
 SCHEDULER_TICK_S = 0.05
 REPORT_INTERVAL_S = 0.5
+# Items of a stream besides messages.
+CONNECT = object()
+CHALLENGE = object()
 CLOSED = object()
 assert owners.AUTHORITY_S < 1.0
 
@@ -169,21 +172,24 @@
             1, self.runner.name, self.runner.incarnation, ""
         )
         near = StreamEnd(world, self.runner.process)
-        used = []
-        near.opening = kernel.Wakeup(greenlet.getcurrent(), None, used)
 
         def connect(item):
             """Handles what arrives at the scheduler's host."""
-            if item is not hello:
+            if item is CONNECT:
+                far.process = fleet.schedulers[position].process
+                if not far.process.alive:
+                    far.pipe.send(CLOSED)
+                    return
+                fleet.streams.append((near, far))
+                world.after(0.0, challenge, far.process, True)
+            elif item is hello and far.process.alive:
+                world.after(0.0, register, far.process, True)
+            else:
                 far.arrive(item)
-                return
-            scheduler = fleet.schedulers[position]
-            far.process = scheduler.process
-            if not scheduler.process.alive:
-                far.pipe.send(CLOSED)
-                return
-            fleet.streams.append((near, far))
-            world.after(0.0, register, scheduler.process, True)
+
+        def challenge():
+            """Answers a connection that was accepted."""
+            far.pipe.send(CHALLENGE)
 
         def register():
             """Sends the welcome and registers the stream."""
@@ -197,17 +203,31 @@
         far = StreamEnd(world, None)
         near.pipe = kernel.Pipe(world, names, connect, fleet.cuts)
         far.pipe = kernel.Pipe(world, names[::-1], near.arrive, fleet.cuts)
-        near.pipe.send(hello)
-        timed_out = kernel.Wakeup(greenlet.getcurrent(), None, used)
-        world.after(redialling.DIAL_TIMEOUT_S, timed_out, self.runner.process)
-        world.block()
-        if not near.inbox or near.inbox[0] is CLOSED:
+        near.pipe.send(CONNECT)
+        end_s = world.now_s + redialling.DIAL_TIMEOUT_S
+        if self._next(near, end_s) is CHALLENGE:
+            near.inbox.pop(0)
+            near.pipe.send(hello)
+            self._next(near, end_s)
+        if not near.inbox or near.inbox[0] in (CLOSED, CHALLENGE):
             near.closed = True
             near.pipe.send(CLOSED)
             return None
         near.welcome = near.inbox.pop(0)
         return near
 
+    def _next(self, near: StreamEnd, end_s: float) -> object:
+        """Waits for the next item of the handshake; None after its limit."""
+        world, used = self.fleet.world, []
+        waiter = greenlet.getcurrent()
+        near.opening = kernel.Wakeup(waiter, None, used)
+        timed_out = kernel.Wakeup(waiter, None, used)
+        delay_s = max(0.0, end_s - world.now_s)
+        world.after(delay_s, timed_out, self.runner.process)
+        world.block()
+        near.opening = None
+        return near.inbox[0] if near.inbox else None
+
 
 @attrs.define(eq=False)
 class Counts:
--- a/trefoilgw/tests/run_ends_targets.py
+++ b/trefoilgw/tests/run_ends_targets.py
@@ -44,6 +44,14 @@
 RunKey = tuple[str, int]
 
 
+class Running(dict):
+    """Runs that a target lists, in a fixed order."""
+
+    def keys(self):
+        """Returns the runs."""
+        return kernel.SortedSet(self)
+
+
 @attrs.define(eq=False)
 class Life:
     """One life of a target.
@@ -231,7 +239,10 @@
             for key, (begun_s, length_s) in life.runs.items()
         }
         return orders.RunListing(
-            self.clock_s(life), life.started_ms, progress, tuple(life.ended)
+            self.clock_s(life),
+            life.started_ms,
+            Running(progress),
+            tuple(life.ended),
         )
 
     def _extend(self, life: Life, deadline_s: float) -> None:
