--- a/trefoilgw/tests/test_run_end_sequences.py
+++ b/trefoilgw/tests/test_run_end_sequences.py
@@ -12,7 +12,7 @@
 from trefoilgw.tests import run_ends_processes as processes
 from trefoilgw.tests import run_ends_walks as walks
 
-SEEDS = range(6)
+SEEDS = range(12)
 RUNNERS = (0, 1)
 
 
@@ -50,10 +50,12 @@
         def prepare(fleet):
             world = fleet.world
 
-            def reset():
+            def delay_welcome():
                 for runner in RUNNERS:
                     route = ("scheduler0", f"runner{runner}")
                     fleet.cuts[route] = world.now_s + 0.3
+
+            def reset():
                 for ends in fleet.streams:
                     for end in ends:
                         end.reset()
@@ -69,6 +71,7 @@
 
             world.after(0.8, lambda: walks.submit(fleet, 0, 1, 0))
             world.after(1.3, reset)
+            world.after(1.305, delay_welcome)
             world.after(1.31, cut)
             world.after(2.48, kill)
 
