--- a/trefoilgw/tests/test_run_end_sequences.py
+++ b/trefoilgw/tests/test_run_end_sequences.py
@@ -16,6 +16,18 @@
 RUNNERS = (0, 1)
 
 
+def cut_route(fleet, sender, receiver, duration_s):
+    """Holds up all that one host sends to another for a time."""
+    fleet.cuts[sender, receiver] = fleet.world.now_s + duration_s
+
+
+def reset_streams(fleet):
+    """Resets all streams for both of their ends."""
+    for ends in fleet.streams:
+        for end in ends:
+            end.reset()
+
+
 class SequenceTest(unittest.TestCase):
     def setUp(self):
         logging.disable(logging.CRITICAL)
@@ -52,25 +64,18 @@
 
             def delay_welcome():
                 for runner in RUNNERS:
-                    route = ("scheduler0", f"runner{runner}")
-                    fleet.cuts[route] = world.now_s + 0.3
-
-            def reset():
-                for ends in fleet.streams:
-                    for end in ends:
-                        end.reset()
+                    cut_route(fleet, "scheduler0", f"runner{runner}", 0.3)
 
             def cut():
                 for runner in RUNNERS:
-                    route = (f"runner{runner}", "scheduler0")
-                    fleet.cuts[route] = world.now_s + 6.0
+                    cut_route(fleet, f"runner{runner}", "scheduler0", 6.0)
 
             def kill():
                 for runner in RUNNERS:
                     fleet.restart_runner(runner, 9.0, False)
 
             world.after(0.8, lambda: walks.submit(fleet, 0, 1, 0))
-            world.after(1.3, reset)
+            world.after(1.3, lambda: reset_streams(fleet))
             world.after(1.305, delay_welcome)
             world.after(1.31, cut)
             world.after(2.48, kill)
