--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -332,6 +332,19 @@
         self.driver.start(task, 1, "p")
         self.allocator.take_actions()
 
+    def check_runs_are_lost_with_their_leases(self):
+        """Checks that runs are lost once leases given at 100 s are over."""
+        leases_end_s = 100.0 + self.driver.lease.length_s * (
+            1.0 + leases.MAX_CLOCK_DRIFT
+        )
+        while self.now_s < leases_end_s:
+            self.extend_lease()
+            self.assertEqual([], self.endings())
+            self.now_s += 0.05
+        self.now_s = leases_end_s + leases.LAPSE_MARGIN_S + 0.001
+        self.extend_lease()
+        self.assertEqual("lost", self.endings()[0][2])
+
     def test_each_end_is_reported_once(self):
         """The target lists an end repeatedly until it is confirmed."""
         self.start_one()
@@ -424,16 +437,7 @@
         self.client.holds = [orders.NoAnswer(False, "refused")]
         self.extend_lease()
         self.assertFalse(self.allocator.usable)
-        leases_end_s = 100.0 + self.driver.lease.length_s * (
-            1.0 + leases.MAX_CLOCK_DRIFT
-        )
-        while self.now_s < leases_end_s:
-            self.extend_lease()
-            self.assertEqual([], self.endings())
-            self.now_s += 0.05
-        self.now_s = leases_end_s + leases.LAPSE_MARGIN_S + 0.001
-        self.extend_lease()
-        self.assertEqual("lost", self.endings()[0][2])
+        self.check_runs_are_lost_with_their_leases()
 
     def lost_at_s(self, answer):
         """Returns when a run is reported as lost if all calls fail alike.
@@ -598,16 +602,7 @@
         ]
         self.extend_lease()
         self.assertEqual([], self.endings())
-        leases_end_s = 100.0 + self.driver.lease.length_s * (
-            1.0 + leases.MAX_CLOCK_DRIFT
-        )
-        while self.now_s < leases_end_s:
-            self.extend_lease()
-            self.assertEqual([], self.endings())
-            self.now_s += 0.05
-        self.now_s = leases_end_s + leases.LAPSE_MARGIN_S + 0.001
-        self.extend_lease()
-        self.assertEqual("lost", self.endings()[0][2])
+        self.check_runs_are_lost_with_their_leases()
         self.assertIsNone(self.allocator.target)
 
     def test_stalled_runs_are_queued_for_a_stop(self):
