--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -499,7 +499,8 @@
         self.headroom.update(self._cpu_use(), now_s)
         self.freed_cpu_rate.decay(now_s)
         for owner in list(self.owners.values()):
-            owner.expire_reservations(now_s)
+            if owner.reservations:
+                owner.expire_reservations(now_s)
             if now_s >= owner.authority_until_s:
                 self._expire_owner(owner)
 
@@ -580,16 +581,20 @@
         due = reporting.due_owners(connected, usable, suspect, free, now_s)
         if not due:
             return
+        capacity = self.target.capacity if self.target else work.Demand()
+        # What all reports have in common is converted once.
+        rooms = messages.Room.of(capacity), messages.Room.of(free)
         for owner in due:
             owner.run_ended = False
-            report = reporting.make_report(
-                owner,
-                self.owners.values(),
-                self.target,
-                usable,
+            report = messages.CapacityReport(
+                owner.starts_received,
+                usable and not owner.retiring,
                 suspect,
-                free,
+                self.target.service if self.target else "",
+                *rooms,
                 self.freed_cpu_rate.quantized(),
+                reporting.competing_cpu(self.owners.values(), owner.name),
+                len(connected),
             )
             if report != owner.last_report:
                 owner.last_report = report
--- a/trefoilgw/room/reporting.py
+++ b/trefoilgw/room/reporting.py
@@ -5,11 +5,9 @@
 a free target for busy rejects jobs that could be served.
 """
 
-from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Sequence
 
-from trefoilgw.messages import runs as messages
 from trefoilgw.room import owners
 from trefoilgw.work import core as work
 
@@ -51,40 +49,6 @@
     ]
 
 
-def make_report(
-    owner: owners.Owner,
-    known: Collection[owners.Owner],
-    target: work.Target | None,
-    usable: bool,
-    suspect: bool,
-    free: work.Demand,
-    freed_cpu: int,
-) -> messages.CapacityReport:
-    """Returns the report for one scheduler.
-
-    Args:
-        owner: The scheduler.
-        known: All schedulers.
-        target: The target, None if none is registered.
-        usable: Whether the target may be used.
-        suspect: Whether the target is suspect.
-        free: Capacity that is neither in use nor reserved.
-        freed_cpu: Rate at which ended runs free CPU, in millicores per second.
-    """
-    capacity = target.capacity if target else work.Demand()
-    return messages.CapacityReport(
-        owner.starts_received,
-        usable and not owner.retiring,
-        suspect,
-        target.service if target else "",
-        messages.Room.of(capacity),
-        messages.Room.of(free),
-        freed_cpu,
-        competing_cpu(known, owner.name),
-        sum(x.connected for x in known),
-    )
-
-
 def competing_cpu(known: Iterable[owners.Owner], name: str) -> tuple[int, ...]:
     """Returns the CPU that the other schedulers wait for.
 
