Check a configuration of the platform before it is sent

Cause: a configuration was put in force as soon as it could be decoded. Queues that no request matches, missing services and limits that exclude each other showed only when callers were refused, and the decoder stops at the first fault.

Change: `trefoilgw check-config` reads the whole file and reports each fault with file, line and field, checks what can be decoded (package `configcheck`, pure), and compares it with the version in force.

--- a/trefoilgw/cli/main.py
+++ b/trefoilgw/cli/main.py
@@ -7,12 +7,14 @@
 
 from cleo.application import Application
 
+from trefoilgw.cli import configuration_commands
 from trefoilgw.cli import fleet_commands
 from trefoilgw.cli import record_commands
 
 PROJECT_FILE = pathlib.Path(__file__).parents[2] / "pyproject.toml"
 COMMANDS = (
     record_commands.CheckCommand,
+    configuration_commands.CheckConfigCommand,
     record_commands.ApplyCommand,
     record_commands.ShowCommand,
     record_commands.HistoryCommand,
--- a/trefoilgw/cli/report.py
+++ b/trefoilgw/cli/report.py
@@ -80,21 +80,21 @@
             verb = "start" if change.new else "end"
             lines.append(f"draining: {verb} {change.field}")
         elif change.old is None and change.new is not None:
-            text = f"{change.field}={_format_value(change.new)}"
+            text = f"{change.field}={format_value(change.new)}"
             added_or_removed.setdefault(("+", change.record), []).append(text)
         elif change.new is None:
             added_or_removed.setdefault(("-", change.record), [])
         else:
             lines.append(
                 f"{change.record}: {change.field} "
-                f"{_format_value(change.old)} -> {_format_value(change.new)}"
+                f"{format_value(change.old)} -> {format_value(change.new)}"
             )
     for (sign, record), fields in added_or_removed.items():
         lines.append(f"{sign} {record} {' '.join(fields)}".rstrip())
     return lines
 
 
-def _format_value(value: object) -> str:
+def format_value(value: object) -> str:
     """Formats a value in one line, truncated to `_MAX_VALUE_CHARS`."""
     text = ",".join(value) if isinstance(value, list) else str(value)
     if len(text) <= _MAX_VALUE_CHARS:
