Add the set of evacuated failure domains

Cause: the operators write requests to evacuate a failure domain to the store, and nothing in the product represents them. Change: a pure package with the set in force at a process, which the set of the highest store revision replaces, and with the room of a cold target after a domain was taken back.

--- a/trefoilgw/tests/test_layers.py
+++ b/trefoilgw/tests/test_layers.py
@@ -8,6 +8,7 @@
 DECISION_PACKAGES = frozenset(
     {
         "admission",
+        "evacuation",
         "findings",
         "jobs",
         "keys",
