Read evacuations along with the configuration

Cause: only the key of the configuration is read and watched. Change: where the settings ask for evacuations, one list and one watch with the operators' prefix tell of both. Other deployments keep their calls. Reports of targets tell for how long they stay cold.

--- a/trefoilgw/platform/hosting.py
+++ b/trefoilgw/platform/hosting.py
@@ -42,6 +42,7 @@
     unsupported = []
     if body.text("orders", "rpc") != "rpc":
         unsupported.append("orders that travel with heartbeats")
+    zones = body.values.get("zones")
     serves_targets = "side" in body.array("serves")
     return hosting.HostSettings(
         name=body.text("node"),
@@ -64,6 +65,11 @@
         run_stop_s=bounds.number("stopTimeoutMs") / 1000,
         stop_limit_s=bounds.number("graceS"),
         unsupported=tuple(unsupported),
+        # Either one announces that zones, which are failure domains, may be
+        # evacuated.
+        follows_evacuations="places" in body.array("contracts")
+        or "evacuateMs" in bounds.values,
+        domains=frozenset(zones) if isinstance(zones, dict) else frozenset(),
     )
 
 
--- a/trefoilgw/platform/reports.py
+++ b/trefoilgw/platform/reports.py
@@ -44,6 +44,8 @@
         ),
         draining=_DRAINING_BY_STATE[state],
         sequence=body.integer("seq"),
+        # Counted from the report, although its name does not say so.
+        cold_s=body.number("coldRemainingMs", 0.0) / 1000,
     )
 
 
--- a/trefoilgw/platform/store.py
+++ b/trefoilgw/platform/store.py
@@ -14,9 +14,11 @@
 
 import attrs
 
+from trefoilgw.evacuation import core as evacuation
 from trefoilgw.keyvalue import values
 from trefoilgw.platform import configurations
 from trefoilgw.platform import connections
+from trefoilgw.platform import evacuations
 from trefoilgw.platform import fields
 from trefoilgw.work import core as work
 
@@ -24,6 +26,8 @@
 # Time that a watch may take in addition to its requested wait.
 WATCH_MARGIN_S = 0.7
 MAX_CONNECTIONS = 4
+# Prefix of the keys that the operators write.
+OPERATORS_PREFIX = "op/"
 
 _HEADERS = {"Content-Type": "application/json"}
 
@@ -50,6 +54,36 @@
     """The store has dropped the requested history; read the keys again."""
 
 
+@attrs.frozen
+class OperatorsState:
+    """What the operators have written.
+
+    Attributes:
+        document: The configuration, empty if there is none.
+        domains: All evacuated failure domains.
+        revision: Revision of the store at which this is known.
+    """
+
+    document: bytes
+    domains: frozenset[str]
+    revision: int
+
+
+@attrs.frozen
+class OperatorsChanges:
+    """What the operators have written since an earlier revision.
+
+    Attributes:
+        document: The configuration, empty if it has not changed.
+        domain_changes: Failure domains that were evacuated or taken back.
+        revision: Revision from which the next watch continues.
+    """
+
+    document: bytes
+    domain_changes: tuple[evacuation.DomainChange, ...]
+    revision: int
+
+
 @attrs.define(eq=False)
 class Store:
     """Client of the store; several greenthreads may use it concurrently.
@@ -86,11 +120,85 @@
     def list_stale(self, prefix: str) -> values.Page | values.Failure:
         """Lists keys by prefix; the answer may be seconds out of date."""
         query = {"prefix": prefix, "allowStale": "1"}
+        return self._list(query, _decode_value)
+
+    def read_operators(self) -> OperatorsState | values.Failure:
+        """Reads the configuration and the evacuations.
+
+        The revision is that of the first page. Changes after it are returned
+        by the next watch, even if a later page has shown them already.
+        """
+        query = {"prefix": OPERATORS_PREFIX}
+        document = b""
+        domains = set()
+        revision = 0
+        while True:
+            page = self._list(query, _decode_operators_item)
+            if not isinstance(page, values.Page):
+                return page
+            revision = revision or page.revision
+            for item in page.items:
+                if item.key == configurations.KEY:
+                    document = item.data
+                elif item.key.startswith(evacuations.KEY_PREFIX):
+                    domain = evacuations.decode_key(item.key)
+                    if domain is not None:
+                        domains.add(domain)
+            if not page.more or not page.items:
+                return OperatorsState(document, frozenset(domains), revision)
+            query["after"] = max(x.key for x in page.items)
+
+    def watch_operators(
+        self, after_revision: int, wait_s: float
+    ) -> OperatorsChanges | HistoryGone | values.Failure:
+        """Waits for changes of the configuration and of the evacuations.
+
+        Args:
+            after_revision: Only changes after this revision are returned.
+            wait_s: Seconds after which the store answers even without changes.
+        """
+
+        def convert(events: tuple, revision: int) -> OperatorsChanges:
+            newest = max(
+                (
+                    x
+                    for x in events
+                    if isinstance(x, values.KeyValue)
+                    and x.key == configurations.KEY
+                ),
+                key=lambda x: x.mod_revision,
+                default=None,
+            )
+            return OperatorsChanges(
+                newest.data if newest else b"",
+                tuple(
+                    x for x in events if isinstance(x, evacuation.DomainChange)
+                ),
+                revision,
+            )
+
+        return self._watch(
+            OPERATORS_PREFIX,
+            after_revision,
+            wait_s,
+            _decode_operators_event,
+            convert,
+        )
+
+    def _list(
+        self, query: dict[str, str], decode: Callable[[fields.Fields], object]
+    ) -> values.Page | values.Failure:
+        """Reads one page of keys.
+
+        Args:
+            query: Parameters of the call.
+            decode: Decodes an item.
+        """
         path = "/kv-range?" + urllib.parse.urlencode(query)
 
         def convert(status: int, body: fields.Fields) -> values.Page:
             return values.Page(
-                _decode_readable(body, "items", _decode_value),
+                _decode_readable(body, "items", decode),
                 body.integer("storeRevision", 0),
                 body.boolean("hasMore"),
             )
@@ -107,6 +215,36 @@
             after_revision: Only changes after this revision are returned.
             wait_s: Seconds after which the store answers even without changes.
         """
+
+        def convert(events: tuple, revision: int) -> Changes:
+            return Changes(
+                tuple(x for x in events if isinstance(x, values.KeyValue)),
+                tuple(x for x in events if isinstance(x, str)),
+                revision,
+            )
+
+        return self._watch(
+            prefix, after_revision, wait_s, _decode_event, convert
+        )
+
+    def _watch(
+        self,
+        prefix: str,
+        after_revision: int,
+        wait_s: float,
+        decode: Callable[[fields.Fields], object],
+        convert_events: Callable,
+    ):
+        """Waits for changes to keys with a prefix and converts them.
+
+        Args:
+            prefix: Prefix of the keys.
+            after_revision: Only changes after this revision are returned.
+            wait_s: Seconds after which the store answers even without changes.
+            decode: Decodes a change.
+            convert_events: Converts the decoded changes and the revision from
+                which the next watch continues.
+        """
         query = {
             "prefix": prefix,
             "after": after_revision,
@@ -117,12 +255,8 @@
         def convert(status: int, body: fields.Fields):
             if status == 410:
                 return HistoryGone()
-            events = _decode_readable(body, "events", _decode_event)
-            return Changes(
-                tuple(x for x in events if isinstance(x, values.KeyValue)),
-                tuple(x for x in events if isinstance(x, str)),
-                body.integer("storeRevision"),
-            )
+            events = _decode_readable(body, "events", decode)
+            return convert_events(events, body.integer("storeRevision"))
 
         timeout_s = wait_s + WATCH_MARGIN_S
         return self._call(
@@ -286,6 +420,21 @@
             return str(error)
 
 
+@attrs.define(eq=False)
+class OperatorsSource(ConfigurationSource):
+    """Reads the configuration and the evacuations, with one watch for both."""
+
+    def read(self) -> OperatorsState | values.Failure:
+        """Returns all that the operators have written."""
+        return self.store.read_operators()
+
+    def watch(
+        self, after_revision: int, wait_s: float
+    ) -> OperatorsChanges | HistoryGone | values.Failure:
+        """Waits for changes; returns none of them on timeout."""
+        return self.store.watch_operators(after_revision, wait_s)
+
+
 def _decode_readable(
     body: fields.Fields, name: str, decode: Callable[[fields.Fields], object]
 ) -> tuple:
@@ -309,6 +458,33 @@
     return _decode_value(event)
 
 
+def _decode_operators_item(item: fields.Fields) -> values.KeyValue:
+    """Decodes an item of the operators; evacuations have no data."""
+    key = item.text("key")
+    if not key.startswith(evacuations.KEY_PREFIX):
+        return _decode_value(item)
+    evacuations.check_value(key, item)
+    return values.KeyValue(b"", item.integer("revision", 0), key)
+
+
+def _decode_operators_event(
+    event: fields.Fields,
+) -> evacuation.DomainChange | values.KeyValue | None:
+    """Decodes a change by the operators, None if it means nothing here."""
+    key = event.text("key")
+    deleted = event.boolean("tombstone")
+    if not key.startswith(evacuations.KEY_PREFIX):
+        return None if deleted else _decode_value(event)
+    domain = evacuations.decode_key(key)
+    if domain is None:
+        return None
+    if not deleted:
+        evacuations.check_value(key, event)
+    return evacuation.DomainChange(
+        domain, not deleted, event.integer("revision")
+    )
+
+
 def _decode_value(item: fields.Fields) -> values.KeyValue:
     """Decodes an item of the store's answer."""
     try:
--- a/trefoilgw/scheduler/configuration.py
+++ b/trefoilgw/scheduler/configuration.py
@@ -2,7 +2,7 @@
 
 The newest version takes effect, whether it comes from the store or from a peer
 that can still reach the store. The version never decreases while the process
-runs.
+runs. Where failure domains may be evacuated, the same watch tells of that.
 """
 
 import logging
@@ -33,6 +33,8 @@
     Attributes:
         source: Reads and decodes the configuration in the store.
         on_adopted: Called with each new document and its version.
+        on_evacuations: Called with what the store tells of the evacuations,
+            before a configuration from the same answer takes effect.
         rng: Random source of the retry jitter.
         current: The configuration in force, None before one is known.
         document: The text of `current` as the operators wrote it.
@@ -41,6 +43,9 @@
 
     source: platform_store.ConfigurationSource
     on_adopted: Callable[[bytes, int], None]
+    on_evacuations: Callable[
+        [platform_store.OperatorsState | platform_store.OperatorsChanges], None
+    ] = lambda answer: None
     rng: random.Random = attrs.field(factory=random.Random)
     current: work.Configuration | None = None
     document: bytes = b""
@@ -80,6 +85,7 @@
             try:
                 answer = self._fetch(revision)
                 self._update_store_reached(answer)
+                answer = self._take_evacuations(answer)
                 match answer:
                     case (data, new_revision):
                         pause_s = MIN_RETRY_S
@@ -107,6 +113,17 @@
             return self.source.read()
         return self.source.watch(revision, WATCH_WAIT_S)
 
+    def _take_evacuations(self, answer: object) -> object:
+        """Passes the evacuations on; returns the rest of the answer."""
+        match answer:
+            case (
+                platform_store.OperatorsState()
+                | platform_store.OperatorsChanges()
+            ):
+                self.on_evacuations(answer)
+                return answer.document, answer.revision
+        return answer
+
     def _update_store_reached(self, answer: object) -> None:
         """Updates `store_reached`, and logs when it changes."""
         reached = not isinstance(answer, values.Unavailable)
--- a/trefoilgw/tests/test_wire_names.py
+++ b/trefoilgw/tests/test_wire_names.py
@@ -15,7 +15,7 @@
     r"|requiredLabels|longRunning|antiAffinity|heartbeatUrl"
     r"|maxHoldMs|graceS\b|portRange|machineClass|TREFOILGW_BOOT"
     r"|/kv-|/run-st|/hold\b|/advise|Instances\.|X-Expect|X-Deadline"
-    r"|op/config|\bkv-txn"
+    r"|op/config|op/evacuate|evacuateMs|\bkv-txn"
 )
 
 
--- a/trefoilgw/work/core.py
+++ b/trefoilgw/work/core.py
@@ -202,6 +202,7 @@
         draining: Whether the target is about to leave.
         sequence: Number that increases with each report, so that reports that
             arrive out of order are recognized.
+        cold_s: Seconds for which the target stays slow after its start.
     """
 
     instance: str
@@ -210,6 +211,7 @@
     capacity: Demand
     draining: bool
     sequence: int
+    cold_s: float = 0.0
 
     def is_same_life(self, report: "Target") -> bool:
         """Returns whether a later report comes from the same process.
--- a/trefoilgw/work/hosting.py
+++ b/trefoilgw/work/hosting.py
@@ -24,6 +24,8 @@
         run_stop_s: Longest time that a target takes to stop a run.
         stop_limit_s: Seconds from SIGTERM to SIGKILL.
         unsupported: Features in the settings that are not implemented.
+        follows_evacuations: Whether the operators may evacuate failure domains.
+        domains: All failure domains, empty if the settings don't list them.
     """
 
     name: str
@@ -40,6 +42,8 @@
     run_stop_s: float
     stop_limit_s: float
     unsupported: tuple[str, ...] = ()
+    follows_evacuations: bool = False
+    domains: frozenset[str] = frozenset()
 
     @property
     def stream_address(self) -> str:
