Start nothing in evacuated failure domains

Cause: tasks started in domains that the operators had evacuated. Change: schedulers learn the evacuations from the store or from peers, pass them on to runners and peers before they act, and leave the runners of these domains out of placing, offers, bids and forecasts. A runner refuses orders and drops starts that it has not sent. Jobs of a service without any other domain are rejected at once. Message 69 carries the set.

--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -365,3 +365,20 @@
     domain: str
     incarnation: str
     sequence: int
+
+
+@core.message(69)
+class EvacuationPush:
+    """Sends the set of evacuated domains to peers and runners.
+
+    It is the first message on a new stream of a scheduler that follows
+    evacuations. The set with the highest revision applies.
+
+    Attributes:
+        revision: Revision of the store at which the set is known, 0 if the
+            sender knows none.
+        domains: The evacuated failure domains.
+    """
+
+    revision: int
+    domains: tuple[str, ...] = ()
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -16,6 +16,7 @@
 
 import attrs
 
+from trefoilgw.evacuation import warming
 from trefoilgw.messages import runs as messages
 from trefoilgw.room import actions
 from trefoilgw.room import freed_cpu
@@ -41,6 +42,9 @@
         reachable: Whether the target answers requests.
         runs_reconciled: Whether all runs that the target lists are in `runs`.
         shutting_down: True once the runner shuts down.
+        evacuated: Whether the failure domain of the target is evacuated.
+        warm_up: Warm-up of the target after an evacuation.
+        usable_share: Share of the target's CPU that runs may use, 0 to 1.
         runs: Attempts that use capacity, by task and number.
         owners: Schedulers by incarnation.
         target_health: Health of the target, derived from its runs.
@@ -57,6 +61,9 @@
     reachable: bool = True
     runs_reconciled: bool = False
     shutting_down: bool = False
+    evacuated: bool = False
+    warm_up: warming.WarmUp = attrs.field(factory=warming.WarmUp)
+    usable_share: float = 1.0
     runs: dict[tuple[str, int], room_runs.Run] = attrs.field(factory=dict)
     owners: dict[str, room_owners.Owner] = attrs.field(factory=dict)
     target_health: health.TargetHealth = attrs.field(
@@ -84,6 +91,7 @@
             and not self.leaving
             and not self.target.draining
             and not self.shutting_down
+            and not self.evacuated
         )
 
     def take_actions(self) -> list:
@@ -99,7 +107,22 @@
         reserved = work.total(
             x.reserved() for x in self.owners.values() if x.reservations
         )
-        return self.target.capacity.minus(used).minus(reserved)
+        return self._usable_capacity().minus(used).minus(reserved)
+
+    def _usable_capacity(self) -> work.Demand:
+        """Returns what runs may use of the target's capacity."""
+        capacity = self.target.capacity
+        if self.usable_share >= 1.0:
+            return capacity
+        millicores = int(self.usable_share * capacity.cpu_millicores)
+        return attrs.evolve(capacity, cpu_millicores=millicores)
+
+    def set_evacuated(self, evacuated: bool, now_s: float) -> None:
+        """Stops or resumes to start runs; those that have started go on."""
+        if self.evacuated and not evacuated:
+            self.warm_up.domain_taken_back(now_s)
+            self.usable_share = self.warm_up.share(now_s)
+        self.evacuated = evacuated
 
     # The target.
 
@@ -194,13 +217,15 @@
         """Returns why an accepted attempt must not be sent, or nothing.
 
         Time may have passed since it was accepted, in which its scheduler has
-        given it up, or it has ended.
+        given it up, it has ended, or the domain was evacuated.
         """
         known = self.runs.get((task, run))
         if known is None:
             return "ended"
         if known.state is not room_runs.RunState.STARTING:
             return "stopped"
+        if self.evacuated:
+            return "evacuated"
         if not self.reachable:
             return "unreachable"
         owner = self.owners.get(known.owner)
@@ -450,6 +475,8 @@
         If other attempts at the same task still use capacity, they are stopped
         and this one is refused.
         """
+        if self.evacuated:
+            return "evacuated"
         if not self.usable:
             return "unusable"
         if now_s >= owner.authority_until_s:
@@ -492,9 +519,10 @@
     def tick(self, now_s: float) -> None:
         """Removes expired offers and stops runs whose scheduler lost authority.
 
-        Also updates the average CPU use and the rate of freed CPU, and forgets
-        old ends.
+        Also updates the average CPU use, the rate of freed CPU and the usable
+        share of the target, and forgets old ends.
         """
+        self.usable_share = self.warm_up.share(now_s)
         self.reported_ends.expire(now_s)
         self.headroom.update(self._cpu_use(), now_s)
         self.freed_cpu_rate.decay(now_s)
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -81,6 +81,8 @@
         seeds: Addresses to dial while too few schedulers are known.
         known: Known schedulers.
         links: Links by address.
+        on_evacuations: Called with the address of a scheduler and its set of
+            evacuated domains.
     """
 
     own: subsets.Member
@@ -93,6 +95,9 @@
         factory=schedulers.KnownSchedulers
     )
     links: dict[str, Link] = attrs.field(factory=dict)
+    on_evacuations: Callable[[str, runs.EvacuationPush], None] = (
+        lambda address, message: None
+    )
 
     def select(self) -> None:
         """Dials newly selected schedulers and retires the surplus ones.
@@ -294,6 +299,8 @@
                 self.allocator.stop_runs(link.owner, message)
             case runs.Bid():
                 self.allocator.update_bid(link.owner, message, now_s)
+            case runs.EvacuationPush():
+                self.on_evacuations(link.address, message)
             case runs.SchedulerRecords(records=records):
                 self.known.merge_records(records, now_s)
                 return
--- a/trefoilgw/runner/metrics.py
+++ b/trefoilgw/runner/metrics.py
@@ -60,6 +60,16 @@
             "Schedulers with authority or runs",
             metrics.unlabeled(lambda: len(allocator.owners)),
         )
+        registry.observable_gauge(
+            "evacuated",
+            "Whether the failure domain is evacuated",
+            metrics.unlabeled(lambda: allocator.evacuated),
+        )
+        registry.observable_gauge(
+            "target_usable_share",
+            "Share of the target's CPU that may be used, below 1 in a warm-up",
+            metrics.unlabeled(lambda: allocator.usable_share),
+        )
         registry.observable_gauge(
             "target_usable",
             "Whether the target takes work, by why it is in doubt",
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -7,6 +7,8 @@
 import eventlet
 
 from trefoilgw.callers import server
+from trefoilgw.evacuation import core as evacuation
+from trefoilgw.evacuation import log_lines
 from trefoilgw.messages import runs
 from trefoilgw.metrics import core as metrics
 from trefoilgw.platform import reports
@@ -43,6 +45,7 @@
         allocator: Allocates the capacity of the target.
         driver: Starts, stops and polls the runs of the target.
         links: Streams to the schedulers.
+        evacuations: Evacuated failure domains.
         timers: Timer service.
         counts: Metrics for operators.
         suspect_reason: Why the target was suspect at the last tick.
@@ -55,6 +58,9 @@
     )
     driver: driving.TargetDriver = attrs.field(init=False)
     links: runner_links.Links = attrs.field(init=False)
+    evacuations: evacuation.EvacuatedDomains = attrs.field(
+        factory=evacuation.EvacuatedDomains
+    )
     timers: timer_service.TimerService = attrs.field(init=False)
     counts: runner_metrics.RunnerMetrics = attrs.field(
         factory=runner_metrics.RunnerMetrics
@@ -83,6 +89,7 @@
             clock.boottime,
             self.flush,
             frozenset(settings.seed_streams()),
+            on_evacuations=self._evacuations_pushed,
         )
         self.counts.register_gauges(self.allocator)
 
@@ -210,8 +217,26 @@
                 )
         elif not before.draining and self.allocator.target.draining:
             log.info("target drains", extra={"instance": target.instance})
+        if self.allocator.target is target:
+            self.allocator.warm_up.reported(target.cold_s, clock.boottime())
         self.flush()
 
+    def _evacuations_pushed(
+        self, origin: str, message: runs.EvacuationPush
+    ) -> None:
+        """Obeys a scheduler's set of evacuated domains unless it is older.
+
+        Args:
+            origin: Address of the scheduler.
+            message: The set.
+        """
+        result = self.evacuations.offer(message.revision, message.domains)
+        if isinstance(result, evacuation.Ignored):
+            return
+        log_lines.log_changes(result, origin, self.settings.domains)
+        evacuated = self.settings.domain in self.evacuations.domains
+        self.allocator.set_evacuated(evacuated, clock.boottime())
+
     def _target_left(self, instance: str, started_ms: int) -> None:
         """Handles the deregistration of the target.
 
--- a/trefoilgw/scheduler/peer_exchange.py
+++ b/trefoilgw/scheduler/peer_exchange.py
@@ -12,6 +12,7 @@
 
 from trefoilgw.messages import runs
 from trefoilgw.scheduler import configuration as scheduler_configuration
+from trefoilgw.scheduler import evacuations as scheduler_evacuations
 from trefoilgw.scheduler import membership as scheduler_membership
 from trefoilgw.streams import core as streams
 
@@ -27,12 +28,14 @@
         watcher: Keeps the configuration in force.
         membership: Keeps the known schedulers.
         broadcast: Sends a message to the peers that have opened a stream.
+        evacuations: Keeps the evacuated domains.
         requested_version: Version that was last requested.
     """
 
     watcher: scheduler_configuration.ConfigurationWatcher
     membership: scheduler_membership.Membership
     broadcast: Callable[[object], None]
+    evacuations: scheduler_evacuations.Evacuations
     requested_version: int = 0
 
     def _version(self) -> int:
@@ -52,7 +55,11 @@
     def greeting(self) -> list:
         """Returns the messages for a peer that has just connected."""
         known = self.membership.known.messages()
-        return [*known, runs.PeerPong(self._version())]
+        return [
+            *self.evacuations.greeting(),
+            *known,
+            runs.PeerPong(self._version()),
+        ]
 
     def handle(self, stream: streams.Stream, message: object) -> None:
         """Handles one message of a peer."""
@@ -62,6 +69,8 @@
                 self._request_newer(stream, version)
             case runs.PeerPong(configuration=version):
                 self._request_newer(stream, version)
+            case runs.EvacuationPush():
+                self.evacuations.peer_pushed(stream, message)
             case runs.ConfigurationRequest():
                 self._send_configuration(stream)
             case runs.ConfigurationPush(version=version, document=document):
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -22,6 +22,7 @@
 from trefoilgw.scheduler import clients as scheduler_clients
 from trefoilgw.scheduler import configuration as scheduler_configuration
 from trefoilgw.scheduler import decision_log
+from trefoilgw.scheduler import evacuations as scheduler_evacuations
 from trefoilgw.scheduler import membership as scheduler_membership
 from trefoilgw.scheduler import metrics as scheduler_metrics
 from trefoilgw.scheduler import peer_exchange
@@ -83,6 +84,7 @@
     configuration_watcher: scheduler_configuration.ConfigurationWatcher = (
         attrs.field(init=False)
     )
+    evacuations: scheduler_evacuations.Evacuations = attrs.field(init=False)
     roster: scheduler_roster.Roster = attrs.field(init=False)
     peers: scheduler_peers.Peers = attrs.field(init=False)
     membership: scheduler_membership.Membership = attrs.field(init=False)
@@ -102,10 +104,20 @@
         self.scheduler = scheduling.Scheduler(settings.domain)
         self.timers = timer_service.TimerService(now=clock.boottime)
         self.store = platform_store.Store(settings.store_address)
+        self.evacuations = scheduler_evacuations.Evacuations(
+            settings.follows_evacuations,
+            lambda: self.settings.domains,
+            self._broadcast,
+            self._evacuations_changed,
+        )
+        source = platform_store.ConfigurationSource
+        if settings.follows_evacuations:
+            source = platform_store.OperatorsSource
         self.configuration_watcher = (
             scheduler_configuration.ConfigurationWatcher(
-                platform_store.ConfigurationSource(self.store),
+                source(self.store),
                 lambda document, version: self.exchange.notify(),
+                self.evacuations.store_told,
             )
         )
         record = runs.SchedulerRecord(
@@ -132,6 +144,7 @@
             self.configuration_watcher,
             self.membership,
             lambda message: self.clients.broadcast(message, runners=False),
+            self.evacuations,
         )
         self.roster = scheduler_roster.Roster(
             self.store,
@@ -146,12 +159,15 @@
             clock.boottime,
             self.flush,
             self.exchange.handle,
-            self.membership.known.messages,
+            lambda: [
+                *self.evacuations.greeting(),
+                *self.membership.known.messages(),
+            ],
             self.exchange.greeting,
             self._record_run_end,
         )
         application = platform_callers.Application(
-            lambda: self.configuration_watcher.current,
+            self._configuration,
             self.submit,
             lambda key: key in self.scheduler.admitted,
             self._cancel,
@@ -170,6 +186,7 @@
     def _add_gauges(self) -> None:
         """Registers gauges that are read from the state of the components."""
         self.counts.register_gauges(self.scheduler)
+        self.evacuations.register_gauges(self.registry)
         gauges = (
             (
                 "configuration_version",
@@ -233,7 +250,16 @@
     def _can_serve(self) -> bool:
         """Returns whether there is a usable runner and a configuration."""
         usable = any(x.usable for x in self.scheduler.runner_views.values())
-        return usable and self.configuration_watcher.current is not None
+        return usable and self._configuration() is not None
+
+    def _configuration(self) -> work.Configuration | None:
+        """Returns the configuration by which jobs may be served, if any.
+
+        Without the evacuations, jobs could be sent to an evacuated domain.
+        """
+        if self.evacuations.awaited:
+            return None
+        return self.configuration_watcher.current
 
     def reload(self, settings: hosting.HostSettings) -> None:
         """Applies changed settings that take effect without a restart."""
@@ -356,10 +382,7 @@
         self, environ: dict, start_response
     ) -> list[bytes]:
         """Answers the readiness probe of the load balancer."""
-        ready = (
-            not self.shutting_down
-            and self.configuration_watcher.current is not None
-        )
+        ready = not self.shutting_down and self._configuration() is not None
         status = "200 OK" if ready else "503 Service Unavailable"
         start_response(status, [("Content-Length", "0")])
         return [b""]
@@ -397,6 +420,11 @@
         self.scheduler.tick(clock.boottime())
         self.flush()
 
+    def _evacuations_changed(self, domains: frozenset[str]) -> None:
+        """Stops or resumes placing tasks in failure domains."""
+        self.scheduler.set_evacuated(domains, clock.boottime())
+        self.flush()
+
     def _broadcast(self, message: object) -> None:
         """Sends a message to all connected peers and runners."""
         self.clients.broadcast(message)
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -18,6 +18,7 @@
 from trefoilgw.scheduling import admission
 from trefoilgw.scheduling import bidding
 from trefoilgw.scheduling import capacities
+from trefoilgw.scheduling import evacuating
 from trefoilgw.scheduling import forecasts
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import placing
@@ -69,6 +70,7 @@
         runner_views: Runners by name.
         run_times: Run time estimation.
         arrivals: Arrival rates of admitted jobs by queue.
+        evacuated: Evacuated failure domains.
         lost_runners: Time of the last renewal of the authority at each
             disconnected runner whose runs may still go on, by its name and
             incarnation.
@@ -89,6 +91,7 @@
     runner_views: dict[str, runners.RunnerView] = attrs.field(factory=dict)
     run_times: runtimes.RunTimes = attrs.field(factory=runtimes.RunTimes)
     arrivals: dict[str, admission.ArrivalRate] = attrs.field(factory=dict)
+    evacuated: frozenset[str] = frozenset()
     lost_runners: dict[tuple[str, str], float] = attrs.field(factory=dict)
     largest_targets: capacities.LargestTargets = attrs.field(
         factory=capacities.LargestTargets
@@ -145,6 +148,8 @@
         if not any(
             x.serves(spec.queue.service) for x in self.runner_views.values()
         ):
+            if self._is_evacuated(spec.queue.service):
+                return evacuating.REJECTED
             return actions.Rejected("no_target", 1.0)
         forecast = self.forecaster.predict(job, self.admitted.values(), now_s)
         if forecast.wait_s > slack_s:
@@ -232,6 +237,7 @@
             view = runners.RunnerView(name, incarnation, domain)
             self.runner_views[name] = view
         view.connect(incarnation, now_s)
+        view.evacuated = domain in self.evacuated
         self.lost_runners.pop((name, incarnation), None)
 
     def runner_disconnected(self, name: str) -> None:
@@ -311,11 +317,46 @@
         self.largest_targets.record(
             report.service, name, report.capacity.demand, now_s
         )
+        self._update_left_bid(view)
+        # No waiting task fitted in what was known of the other runners.
+        self._place(now_s, (view,))
+
+    def _update_left_bid(self, view: runners.RunnerView) -> None:
+        """Makes the bids be updated if a runner kept one while not usable."""
         if view.bid.demands and self.bid_urgency is None:
             # It was not usable when the other bids were withdrawn.
             self.bid_urgency = view.bid.demands[0].urgency
-        # No waiting task fitted in what was known of the other runners.
-        self._place(now_s, (view,))
+
+    def set_evacuated(self, domains: frozenset[str], now_s: float) -> None:
+        """Stops or resumes the use of the runners of failure domains.
+
+        Runs that have started there go on.
+        """
+        self.evacuated = domains
+        for view in self.runner_views.values():
+            view.evacuated = view.domain in domains
+            if not view.evacuated:
+                self._update_left_bid(view)
+        for job in self.waiting_jobs:
+            for task in job.waiting():
+                self._end_exclusions(task)
+        self._reject_evacuated()
+        self._place(now_s)
+
+    def _is_evacuated(self, service: str) -> bool:
+        """Returns whether a service has runners in evacuated domains only."""
+        return evacuating.is_evacuated(self.runner_views.values(), service)
+
+    def _reject_evacuated(self) -> None:
+        """Rejects the jobs that have not run and can't while it lasts."""
+        if not self.evacuated:
+            return
+        services = {x.spec.queue.service for x in self.waiting_jobs}
+        evacuated = {x for x in services if self._is_evacuated(x)}
+        for job in list(self.waiting_jobs) if evacuated else ():
+            service = job.spec.queue.service
+            if service in evacuated and job.has_certainly_not_run():
+                self._answer(job, evacuating.REJECTED)
 
     def run_ended(
         self, name: str, message: messages.RunEnded, now_s: float
@@ -431,11 +472,20 @@
         )
         task.state = jobs.TaskState.WAITING
         task.run += 1
-        if len(task.excluded_runners) >= len(self.runner_views):
-            task.excluded_runners.clear()
+        if end.evidence is not work.Evidence.NOT_RUN:
+            job.may_have_run = True
+        self._end_exclusions(task)
         if job not in self.waiting_jobs:
             bisect.insort(self.waiting_jobs, job, key=lambda x: x.rank)
 
+    def _end_exclusions(self, task: jobs.Task) -> None:
+        """Ends a task's exclusions of runners once they cover all of them."""
+        if task.excluded_runners and all(
+            x.evacuated or x.name in task.excluded_runners
+            for x in self.runner_views.values()
+        ):
+            task.excluded_runners.clear()
+
     # Placement.
 
     def _place(
@@ -607,6 +657,7 @@
         """
         self._expire_lost_runners(now_s)
         self._end_abandoned(now_s)
+        self._reject_evacuated()
         self._reject_overdue(now_s)
         self._place(now_s)
         self.handled_s = self._ticked_s
--- a/trefoilgw/scheduling/forecasts.py
+++ b/trefoilgw/scheduling/forecasts.py
@@ -101,7 +101,10 @@
             now_s: Current time.
         """
         joining = sum(
-            x.connected and not x.usable and now_s - x.joined_s < MAX_JOINING_S
+            x.connected
+            and not x.evacuated
+            and not x.usable
+            and now_s - x.joined_s < MAX_JOINING_S
             for x in self.runner_views.values()
         )
         if not known or not joining:
--- a/trefoilgw/scheduling/jobs.py
+++ b/trefoilgw/scheduling/jobs.py
@@ -106,6 +106,7 @@
         urgency: Urgency class of the job.
         abandoned_after_s: Time after which no caller waits for it any more.
         started: Whether any attempt was ever sent.
+        may_have_run: Whether any attempt may have run that is over.
     """
 
     spec: work.JobSpec
@@ -119,6 +120,7 @@
     predicted_wait_s: float = 0.0
     abandoned_after_s: float = math.inf
     started: bool = False
+    may_have_run: bool = False
 
     @property
     def key(self) -> str:
@@ -138,6 +140,15 @@
         """Returns the tasks whose latest attempt is at a runner."""
         return [x for x in self.tasks if x.state is TaskState.SENT]
 
+    def has_certainly_not_run(self) -> bool:
+        """Returns whether no attempt has run or may still run.
+
+        In contrast to `started`, attempts that their runners refused or never
+        received do not count.
+        """
+        waiting = all(x.state is TaskState.WAITING for x in self.tasks)
+        return waiting and not self.may_have_run
+
     def waiting_millicores(self) -> int:
         """Returns the capacity needed by the waiting tasks."""
         return sum(x.millicores for x in self.waiting())
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -29,6 +29,7 @@
         incarnation: Current incarnation of the runner.
         domain: Failure domain.
         connected: Whether its stream is open.
+        evacuated: Whether its failure domain is evacuated.
         report: Latest capacity report, None before the first one.
         blocked: Whether it has refused a task since the latest report, other
             than for its headroom.
@@ -57,6 +58,7 @@
     incarnation: str
     domain: str
     connected: bool = True
+    evacuated: bool = False
     report: messages.CapacityReport | None = None
     blocked: bool = False
     starts_sent: int = 0
@@ -78,7 +80,12 @@
     @property
     def usable(self) -> bool:
         """Whether tasks may be sent to the runner."""
-        return self.connected and self.report is not None and self.report.usable
+        return (
+            self.connected
+            and not self.evacuated
+            and self.report is not None
+            and self.report.usable
+        )
 
     @property
     def suspect(self) -> bool:
--- a/trefoilgw/tests/test_log_events.py
+++ b/trefoilgw/tests/test_log_events.py
@@ -10,6 +10,7 @@
 # Packages of the scheduler and the runner.
 PACKAGES = (
     "callers",
+    "evacuation",
     "logs",
     "platform",
     "processes",
