Test evacuations with real processes

Cause: no test covered an evacuation end to end. Change: the stand-in of the store removes keys and forgets its history, and deployments may ask for evacuations.

--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -32,6 +32,8 @@
 SMALL_HOSTS = 20
 MAX_WARMUP_TASKS = 60
 LEASE_LIMIT_MS = 1000
+# Time after the acknowledgement of an evacuation from which nothing may start.
+EVACUATION_LIMIT_MS = 5000
 POLL_INTERVAL_S = 0.02
 HOSTS_PER_RELAY_PROCESS = 8
 
@@ -84,6 +86,7 @@
             began, with the number of the cut.
         moves: Number of moves to another address, by runner.
         instances: Instance of each target that does not have the usual one.
+        evacuations: Whether the settings ask for evacuations.
         clock_rate: Seconds of the steady clocks of every third target in a
             second; the others' clocks are exact.
     """
@@ -103,6 +106,7 @@
     moves: dict[int, int] = attrs.field(factory=dict)
     instances: dict[int, str] = attrs.field(factory=dict)
     clock_rate: float = 1.0
+    evacuations: bool = False
     _cut_count: int = 0
     _lock: threading.Lock = attrs.field(factory=threading.Lock)
 
@@ -376,11 +380,11 @@
         """
         stream_port = self.ports[2]
         seeds = [f"{self.scheduler_ip(x)}:1" for x in range(self.schedulers)]
-        return {
+        settings = {
             "node": name,
             "serves": serves,
             "ip": ip,
-            "zone": f"zone-{name[-1]}",
+            "zone": self.domain(name),
             "listen": listen,
             "portRange": [stream_port, stream_port],
             "seeds": seeds,
@@ -392,6 +396,20 @@
             "orders": "rpc",
             "platform": {"address": self.store},
         }
+        if self.evacuations:
+            settings["contracts"] = ["base", "places"]
+            settings["bounds"]["evacuateMs"] = EVACUATION_LIMIT_MS
+            settings["zones"] = dict.fromkeys(self.domains(), "region")
+        return settings
+
+    def domain(self, name: str) -> str:
+        """Returns the failure domain of a process."""
+        return f"zone-{name[-1]}"
+
+    def domains(self) -> list[str]:
+        """Returns the failure domains of all runners."""
+        runners = range(self.runners)
+        return sorted({self.domain(f"runner-{x}") for x in runners})
 
     def _launch(
         self, name: str, module: str, settings: dict
@@ -504,6 +522,16 @@
         body = {"key": "op/config", "value": document}
         self.call_control(self.store, "put", body)
 
+    def evacuate(self, domain: str, value: object = None) -> None:
+        """Requests that nothing more starts in a failure domain."""
+        body = {"key": f"op/evacuate/{domain}", "value": value or {}}
+        self.call_control(self.store, "put", body)
+
+    def take_back(self, domain: str) -> None:
+        """Ends the evacuation of a failure domain."""
+        body = {"key": f"op/evacuate/{domain}"}
+        self.call_control(self.store, "remove", body)
+
     def call_control(self, address: str, action: str, body: dict | None = None):
         """Calls the control interface of a stand-in.
 
--- a/tools/standins/platform_store.py
+++ b/tools/standins/platform_store.py
@@ -6,6 +6,8 @@
 
 - ``POST /control/put``: writes `value`, or the bytes whose base64 text is
   `data`, to `key` as the operator.
+- ``POST /control/remove``: removes `key` as the operator.
+- ``POST /control/compact``: forgets the history of changes.
 - ``POST /control/faults``: fields of `Faults`; omitted fields are reset.
 - ``GET /control/calls``: calls so far by path.
 """
@@ -121,6 +123,14 @@
         previous, self.changed = self.changed, event.Event()
         previous.send()
 
+    def compact(self) -> None:
+        """Forgets the history; waiting watches end with status 410."""
+        self.revision += 1
+        self.compacted_revision = self.revision
+        self.events.clear()
+        previous, self.changed = self.changed, event.Event()
+        previous.send()
+
     def expire_leases(self) -> None:
         """Ends the expired leases and removes their keys."""
         now_s = time.monotonic()
@@ -299,6 +309,13 @@
                     data = base64.b64encode(value).decode()
                 store.write(body["key"], data)
                 return 200, {"revision": store.revision}
+            case "/control/remove":
+                store.revision += 1
+                store.remove(body["key"])
+                return 200, {"revision": store.revision}
+            case "/control/compact":
+                store.compact()
+                return 200, {}
             case "/control/faults":
                 store.faults = Faults(**body)
                 return 200, {}
--- a/tools/tests/test_platform_faults.py
+++ b/tools/tests/test_platform_faults.py
@@ -25,15 +25,19 @@
 
     Attributes:
         relayed: Whether runners reach their targets through relays.
+        evacuations: Whether the settings ask for evacuations.
     """
 
     relayed = False
+    evacuations = False
 
     def setUp(self):
         directory = tempfile.TemporaryDirectory()
         self.addCleanup(directory.cleanup)
         self.deployment = deployments.make_deployment(
-            pathlib.Path(directory.name), relayed=self.relayed
+            pathlib.Path(directory.name),
+            relayed=self.relayed,
+            evacuations=self.evacuations,
         )
         self.addCleanup(self.deployment.close)
         self.deployment.start()
