Test evacuations without processes

Cause: stale sets, orders under way, odd requests and draining targets are not reached reliably with real processes.

--- a/trefoilgw/platform/tests/test_decoding.py
+++ b/trefoilgw/platform/tests/test_decoding.py
@@ -195,6 +195,11 @@
         draining = reports.decode("i-7", encode_json(REPORT, state="draining"))
         self.assertTrue(draining.draining)
 
+    def test_decodes_how_long_a_target_stays_cold(self):
+        """Full load on a cold target makes all of its runs late."""
+        found = reports.decode("i-1", encode_json(REPORT, coldRemainingMs=1500))
+        self.assertEqual(1.5, found.cold_s)
+
     def test_malformed_reports_raise_field_error(self):
         """Another program may send reports that are not valid."""
         for changes in (
@@ -229,6 +234,23 @@
         self.assertEqual("10.1.0.14:8166", found.reports_address)
         self.assertEqual((), found.unsupported)
 
+    def test_evacuations_only_where_the_settings_ask_for_them(self):
+        """Other deployments keep their calls and messages."""
+        self.assertFalse(
+            hosting.decode(encode_json(SETTINGS)).follows_evacuations
+        )
+        bounds = {**SETTINGS["bounds"], "evacuateMs": 5000}
+        for changes in ({"bounds": bounds}, {"contracts": ["base", "places"]}):
+            with self.subTest(changes=changes):
+                found = hosting.decode(encode_json(SETTINGS, **changes))
+                self.assertTrue(found.follows_evacuations)
+
+    def test_decodes_the_failure_domains(self):
+        """An evacuation of another one is most likely misspelled."""
+        zones = {"scl-a": "scl", "scl-b": "scl"}
+        found = hosting.decode(encode_json(SETTINGS, zones=zones))
+        self.assertEqual({"scl-a", "scl-b"}, found.domains)
+
     def test_lists_unsupported_settings(self):
         """A process must not start with settings that it can't honor."""
         found = hosting.decode(encode_json(SETTINGS, orders="heartbeat"))
--- a/trefoilgw/runner/tests/test_program.py
+++ b/trefoilgw/runner/tests/test_program.py
@@ -2,12 +2,19 @@
 
 import json
 import unittest
+from unittest import mock
 
+import attrs
+
+from trefoilgw.evacuation import log_lines
+from trefoilgw.messages import runs
 from trefoilgw.platform import hosting
 from trefoilgw.platform.tests import test_decoding
 from trefoilgw.room.tests import fixtures
 from trefoilgw.room.tests.fixtures import A
+from trefoilgw.runner import links
 from trefoilgw.runner import program
+from trefoilgw.timers import clock
 from trefoilgw.work import core as work
 
 
@@ -27,5 +34,69 @@
         self.assertEqual(1, sum(runner.counts.ended.values.values()))
 
 
+class EvacuationTest(unittest.TestCase):
+    def setUp(self):
+        document = json.dumps(test_decoding.SETTINGS).encode()
+        self.runner = program.Runner(hosting.decode(document))
+        self.allocator = self.runner.allocator = fixtures.make_allocator(A)
+        self.own = self.runner.settings.domain
+
+    def push(self, revision, *domains, origin="10.1.0.13:7720"):
+        """Has a scheduler push a set of evacuated domains."""
+        link = links.Link(origin, 0.0, A)
+        message = runs.EvacuationPush(revision, domains)
+        self.runner.links._handle(link, message)
+
+    def test_obeys_the_set_of_the_highest_revision(self):
+        """A scheduler that was cut off would undo the evacuation."""
+        with self.assertLogs(log_lines.log) as logged:
+            self.push(7, self.own, "other")
+            self.push(5)
+            self.assertTrue(self.allocator.evacuated)
+            self.push(7)
+            self.assertTrue(self.allocator.evacuated)
+            self.push(8, "other")
+        self.assertFalse(self.allocator.evacuated)
+        self.assertEqual(
+            [
+                ("domain evacuated", "other", 7),
+                ("domain evacuated", self.own, 7),
+                ("domain taken back", self.own, 8),
+            ],
+            [(x.msg, x.domain, x.revision) for x in logged.records],
+        )
+        self.assertEqual({"10.1.0.13:7720"}, {x.origin for x in logged.records})
+
+    def test_another_domain_changes_nothing(self):
+        """Only the target's own domain decides."""
+        self.push(7, "other")
+        self.assertFalse(self.allocator.evacuated)
+        self.assertTrue(self.allocator.usable)
+
+    def test_schedulers_learn_at_once(self):
+        """Until then they send orders that are refused."""
+        with mock.patch.object(links.Links, "send") as send:
+            self.runner.flush()
+            send.reset_mock()
+            self.push(7, self.own)
+        reports = [call.args[1] for call in send.call_args_list]
+        self.assertEqual([False], [x.usable for x in reports])
+
+    def test_report_of_a_cold_target_limits_it_after_an_evacuation(self):
+        """Its report arrives before or while the domain is evacuated."""
+        self.push(7, self.own)
+        target = fixtures.make_target(sequence=2)
+        self.runner._target_reported(attrs.evolve(target, cold_s=60.0))
+        self.push(8)
+        self.assertLess(self.allocator.free().cpu_millicores, 2000)
+        # A late report of an earlier sequence does not count.
+        self.runner._target_reported(fixtures.make_target(sequence=1))
+        self.allocator.tick(clock.boottime())
+        self.assertLess(self.allocator.free().cpu_millicores, 2000)
+        self.runner._target_reported(fixtures.make_target(sequence=3))
+        self.allocator.tick(clock.boottime())
+        self.assertEqual(4000, self.allocator.free().cpu_millicores)
+
+
 if __name__ == "__main__":
     unittest.main()
