Play evacuations in the fault soak

Cause: no soak showed whether a start slips into an evacuated domain beside other faults. Change: the fault domain-evacuate, and a check for runs that start there over 5 s after the request, or after the store was back if that is later.

--- a/tools/fault_soak.py
+++ b/tools/fault_soak.py
@@ -5,7 +5,8 @@
 plays the faults of `tools.soak.plan.Fault`, of which ``--faults`` chooses some.
 It prints what the checks find, and exits with 1 if a task had two runs at a
 time, a job answered as completed has a task that was not done, a job that was
-rejected has started, or a scheduler's log gives a run as not run that has
+rejected has started, a run has started in an evacuated domain later than all
+processes must know of it, or a scheduler's log gives a run as not run that has
 started. Faults and load follow from the seed; times on the
 real clock don't, so that a seed that failed once may hold the next time.
 ``--size grown`` plays the size of the larger sites, at a lower load for each
@@ -48,7 +49,8 @@
 SLOW_CLOCK_RATE = 0.98
 TWICE = "TWICE"
 # Findings that are a fault of the product in any case.
-BROKEN = (TWICE, "UNFINISHED", "STARTED", "CONTRADICTED")
+EVACUATED = "EVACUATED"
+BROKEN = (TWICE, "UNFINISHED", "STARTED", EVACUATED, "CONTRADICTED")
 
 
 @attrs.define(eq=False)
@@ -220,11 +222,23 @@
             TWICE: checks.overlaps(runs, self.started_s),
             "UNFINISHED": checks.unfinished_jobs(calls, runs),
             "STARTED": checks.started_rejects(calls, runs),
+            EVACUATED: self._evacuated_starts(runs),
             **self._repeats(runs),
             "STUCK": checks.stuck_calls(calls, self.calm_s, STUCK_S),
             "UNANSWERED": checks.unanswered_calls(calls),
         }
 
+    def _evacuated_starts(self, runs: list[dict]) -> list[str]:
+        """Returns the runs that started in an evacuated domain."""
+        domain = self.deployment.domain
+        return checks.evacuated_starts(
+            runs,
+            self.injector.evacuations,
+            {x: domain(f"runner-{x}") for x in range(self.plan.runners)},
+            deployments.EVACUATION_LIMIT_MS / 1000,
+            self.injector.store_faults,
+        )
+
     def _repeats(self, runs: list[dict]) -> dict[str, list[str]]:
         """Returns what the schedulers' logs lack or say wrongly of repeats.
 
@@ -261,6 +275,7 @@
         relayed=not soak_plan.CUTS.isdisjoint(plan.faults),
         linked=not soak_plan.LINKED.isdisjoint(plan.faults),
         clock_rate=SLOW_CLOCK_RATE,
+        evacuations=soak_plan.Fault.DOMAIN_EVACUATE in plan.faults,
     )
     return Soak(
         plan,
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -3,6 +3,7 @@
 import collections
 import json
 import pathlib
+from collections.abc import Iterable
 
 import attrs
 
@@ -60,6 +61,39 @@
         return self.submissions[-1]
 
 
+@attrs.frozen
+class Evacuation:
+    """An evacuation of a failure domain.
+
+    Attributes:
+        domain: The domain.
+        written_s: When the store had acknowledged it.
+        ended_s: When it was about to be taken back.
+    """
+
+    domain: str
+    written_s: float
+    ended_s: float
+
+    def obeyed_from_s(
+        self, limit_s: float, store_faults: Iterable[tuple[float, float]]
+    ) -> float:
+        """Returns from when on nothing may start in the domain.
+
+        While the store is hidden from all schedulers, and for as long after,
+        nobody can be expected to know.
+
+        Args:
+            limit_s: Time in which the evacuation must be obeyed, in seconds.
+            store_faults: Begin and end of the faults that hide the store.
+        """
+        from_s = self.written_s + limit_s
+        for begin_s, end_s in sorted(store_faults):
+            if begin_s < from_s and end_s > self.written_s:
+                from_s = max(from_s, end_s + limit_s)
+        return from_s
+
+
 def read_runs(
     paths: dict[int, pathlib.Path], killed_s: dict[int, list[float]]
 ) -> list[dict]:
@@ -134,6 +168,36 @@
     return found
 
 
+def evacuated_starts(
+    runs: list[dict],
+    evacuations: list[Evacuation],
+    target_domains: dict[int, str],
+    limit_s: float,
+    store_faults: list[tuple[float, float]],
+) -> list[str]:
+    """Returns the runs that started in an evacuated domain too late.
+
+    Args:
+        runs: All runs.
+        evacuations: All evacuations.
+        target_domains: Failure domain of each target, by its number.
+        limit_s: Time in which an evacuation must be obeyed, in seconds.
+        store_faults: Begin and end of the faults that hide the store.
+    """
+    found = []
+    for evacuation in evacuations:
+        from_s = evacuation.obeyed_from_s(limit_s, store_faults)
+        found += [
+            f"{x['task']} run {x['run']} at target-{x['target']}, "
+            f"{x['started_s'] - evacuation.written_s:.3f} s after the "
+            f"evacuation of {evacuation.domain}"
+            for x in runs
+            if target_domains[x["target"]] == evacuation.domain
+            and from_s < x["started_s"] < evacuation.ended_s
+        ]
+    return found
+
+
 def stuck_calls(calls: list[Call], calm_s: float, limit_s: float) -> list[str]:
     """Returns submissions without an answer for a time without any fault.
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from tools import deployments
+from tools.soak import checks
 from tools.soak import plan as soak_plan
 from tools.soak.plan import Fault
 
@@ -55,12 +56,17 @@
     Attributes:
         deployment: The processes.
         killed_s: Times at which targets had been killed, by number.
+        evacuations: Evacuations so far.
+        store_faults: Begin and end of the faults that hide the store from all
+            schedulers.
         busy: Processes and connections that a fault holds at the moment.
         started_s: Start of the load.
     """
 
     deployment: deployments.Deployment
     killed_s: dict[int, list[float]] = attrs.field(factory=dict)
+    evacuations: list[checks.Evacuation] = attrs.field(factory=list)
+    store_faults: list[tuple[float, float]] = attrs.field(factory=list)
     busy: set[str] = attrs.field(factory=set)
     started_s: float = 0.0
     _restarts: int = 0
@@ -95,6 +101,7 @@
             "host": self._disturb_host,
             "link": self._cut_link,
             "store": self._disturb_store,
+            "domain": self._evacuate,
         }
         return handlers[fault.part]
 
@@ -318,9 +325,25 @@
             case Fault.STORE_DOWN:
                 faults = {"down": True}
         self._log(step, str(faults))
+        begin_s = time.monotonic()
         self.deployment.set_store_faults(**faults)
         time.sleep(step.duration_s)
         self.deployment.set_store_faults()
+        if step.fault is not Fault.STORE_LOSE:
+            self.store_faults.append((begin_s, time.monotonic()))
+
+    def _evacuate(self, step: soak_plan.Step, rng) -> None:
+        """Evacuates a domain until well after all processes must obey."""
+        deployment = self.deployment
+        domain = deployment.domain(f"runner-{step.number}")
+        self._log(step, domain)
+        deployment.evacuate(domain)
+        written_s = time.monotonic()
+        time.sleep(deployments.EVACUATION_LIMIT_MS / 1000 + step.duration_s)
+        self.evacuations.append(
+            checks.Evacuation(domain, written_s, time.monotonic())
+        )
+        deployment.take_back(domain)
 
 
 def held_names(step: soak_plan.Step) -> set[str]:
@@ -335,6 +358,9 @@
         return {f"{fault}-{number}"}
     if fault.part == "store":
         return {"store"}
+    if fault.part == "domain":
+        # Runners share the domains of ten numbers.
+        return {f"domain-{number % 10}"}
     cuts = soak_plan.CUTS | {Fault.SCHEDULER_CUT, Fault.SCHEDULER_CLOCK}
     if fault in cuts or fault.part in ("host", "link"):
         return {f"{fault}-{number}"}
--- a/tools/soak/plan.py
+++ b/tools/soak/plan.py
@@ -61,6 +61,8 @@
         STORE_SLOW: The store is slow.
         STORE_LOSE: The store carries out some writes without an answer.
         STORE_DOWN: The store refuses every call with status 503.
+        DOMAIN_EVACUATE: The operators evacuate the failure domain of a runner,
+            and take it back.
     """
 
     RUNNER_KILL = "runner-kill"
@@ -92,6 +94,7 @@
     STORE_SLOW = "store-slow"
     STORE_LOSE = "store-lose"
     STORE_DOWN = "store-down"
+    DOMAIN_EVACUATE = "domain-evacuate"
 
     @property
     def part(self) -> str:
--- a/tools/tests/test_fault_soak.py
+++ b/tools/tests/test_fault_soak.py
@@ -106,6 +106,31 @@
         self.assertEqual([], checks.stuck_calls([answered], 3.0, 8.0))
         self.assertEqual([], checks.unanswered_calls([answered]))
 
+    def evacuated_starts(self, started_s, store_faults=(), target=1):
+        """Checks a run beside an evacuation of target 1 from 10 to 25 s."""
+        run = {"task": "a", "run": 1, "target": target, "started_s": started_s}
+        return checks.evacuated_starts(
+            [run],
+            [checks.Evacuation("zone-1", 10.0, 25.0)],
+            {1: "zone-1", 2: "zone-2"},
+            5.0,
+            list(store_faults),
+        )
+
+    def test_run_in_an_evacuated_domain_is_found(self):
+        """A start that the operators have forbidden."""
+        for started_s in (9.0, 14.0, 26.0):
+            self.assertEqual([], self.evacuated_starts(started_s))
+        self.assertEqual(1, len(self.evacuated_starts(16.0)))
+        self.assertEqual([], self.evacuated_starts(16.0, target=2))
+
+    def test_hidden_store_delays_an_evacuation(self):
+        """Nobody can know of it meanwhile; each later fault counts anew."""
+        faults_s = ((8.0, 11.0), (15.5, 17.0))
+        self.assertEqual([], self.evacuated_starts(21.0, faults_s))
+        self.assertEqual(1, len(self.evacuated_starts(22.5, faults_s)))
+        self.assertEqual(1, len(self.evacuated_starts(16.0, [(2.0, 9.0)])))
+
     def test_caller_that_leaves_is_not_stuck(self):
         """It gave up before any answer was due."""
         call = self.call((0, "", 12.0))
