Read the operators' keys again after an incomplete list

Cause: a page with more to follow and no readable item ended the list, so that evacuations on later pages would have been taken for removed. Change: such a read fails and is repeated. Result: OperatorsTest.test_incomplete_list_is_no_state passes, as do the others of trefoilgw.platform.tests.test_store.

--- a/trefoilgw/platform/store.py
+++ b/trefoilgw/platform/store.py
@@ -144,8 +144,11 @@
                     domain = evacuations.decode_key(item.key)
                     if domain is not None:
                         domains.add(domain)
-            if not page.more or not page.items:
+            if not page.more:
                 return OperatorsState(document, frozenset(domains), revision)
+            if not page.items:
+                # A part of the set would end the other evacuations.
+                return values.Unavailable("page without items", False)
             query["after"] = max(x.key for x in page.items)
 
     def watch_operators(
--- a/trefoilgw/platform/tests/test_store.py
+++ b/trefoilgw/platform/tests/test_store.py
@@ -6,6 +6,7 @@
 from unittest import mock
 
 from trefoilgw.evacuation import core as evacuation
+from trefoilgw.keyvalue import values as keyvalue
 from trefoilgw.platform import connections
 from trefoilgw.platform import evacuations
 from trefoilgw.platform import store
@@ -111,6 +112,13 @@
             paths,
         )
 
+    def test_incomplete_list_is_no_state(self):
+        """The evacuations that it lacks would end."""
+        body = {"items": [{}], "hasMore": True, "storeRevision": 9}
+        with self.assertLogs(store.log):
+            answer = answer_with(body).read_operators()
+        self.assertIsInstance(answer, keyvalue.Unavailable)
+
     def test_watch_returns_changes_of_both(self):
         """A removal has no value, and other keys mean nothing here."""
         events = [
