--- a/trefoilgw/tests/test_layers.py
+++ b/trefoilgw/tests/test_layers.py
@@ -9,6 +9,7 @@
     {
         "admission",
         "configcheck",
+        "evacuation",
         "findings",
         "jobs",
         "keys",
