Close idle connections of a pool after one has timed out

Cause: after a call on a silent connection had timed out, the next call took the next idle connection of the pool, which was just as silent. Each one cost a further time limit, so that a configuration came into force 4.6 s after its confirmation. Change: a time-out closes all idle connections of the pool, for the target's and the store's calls, the agent's calls and the key-value client. Connections in use that answer later are kept. Other failures close their own only.

--- a/trefoilgw/keyvalue/core.py
+++ b/trefoilgw/keyvalue/core.py
@@ -50,10 +50,23 @@
     _pool: urllib3.HTTPConnectionPool = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        self._pool = urllib3.connection_from_url(
+        self._pool = self._make_pool()
+
+    def _make_pool(self) -> urllib3.HTTPConnectionPool:
+        """Returns a pool without connections."""
+        return urllib3.connection_from_url(
             f"http://{self.address}", maxsize=MAX_IDLE_CONNECTIONS
         )
 
+    def _discard_connections(self) -> None:
+        """Closes all idle connections after a time-out.
+
+        They may have gone silent as well. Each would cost its caller one more
+        time limit.
+        """
+        self._pool.close()
+        self._pool = self._make_pool()
+
     def get(
         self, key: str
     ) -> values.KeyValue | values.Missing | values.Failure:
@@ -220,6 +233,8 @@
                 _describe_error(error), may_have_taken_effect=False
             )
         except (urllib3.exceptions.HTTPError, OSError, _ResponseError) as error:
+            if isinstance(error, urllib3.exceptions.ReadTimeoutError):
+                self._discard_connections()
             return values.Unavailable(
                 _describe_error(error), may_have_taken_effect=is_write
             )
--- a/trefoilgw/keyvalue/tests/test_core.py
+++ b/trefoilgw/keyvalue/tests/test_core.py
@@ -154,6 +154,41 @@
         self.assertTrue(result.may_have_taken_effect)
         self.assertEqual(1, self.client.failures)
 
+    def test_idle_connections_are_not_reused_after_a_time_out(self):
+        """Each connection that had gone silent cost one time limit."""
+        silent = set()
+        accepted = []
+
+        def serve(sock):
+            while sock.recv(65536):
+                eventlet.sleep(TIMEOUT_S if sock in silent else 0.02)
+                sock.sendall(HEAD + b"Content-Length: 2\r\n\r\n{}")
+
+        def accept():
+            while True:
+                sock, _ = listener.accept()
+                accepted.append(sock)
+                eventlet.spawn_n(serve, sock)
+
+        listener = eventlet.listen(("127.0.0.1", 0))
+        self.addCleanup(listener.close)
+        self.addCleanup(eventlet.spawn(accept).kill)
+        host, port = listener.getsockname()
+        client = keyvalue.Client(f"{host}:{port}", 0.5)
+        calls = [eventlet.spawn(client.get, "/a") for _ in range(2)]
+        for call in calls:
+            call.wait()
+        client.get("/a")
+        self.assertEqual(2, len(accepted))
+        silent.update(accepted)
+        client.timeout_s = 0.05
+        self.assertIn("Timeout", client.get("/a").detail)
+        # Concurrent calls, as the pool opens a connection for the next one.
+        calls = [eventlet.spawn(client.get, "/a") for _ in range(2)]
+        for call in calls:
+            self.assertIn("invalid response", call.wait().detail)
+        self.assertEqual(4, len(accepted))
+
     def test_connection_refused(self):
         self.server.close()
         client = keyvalue.Client(self.server.address, TIMEOUT_S)
--- a/trefoilgw/platform/connections.py
+++ b/trefoilgw/platform/connections.py
@@ -95,6 +95,10 @@
                     data = response.read()
             except (OSError, http.client.HTTPException) as error:
                 connection.close()
+                if isinstance(error, TimeoutError):
+                    # The idle connections may have gone silent as well. Each
+                    # would cost its caller one more time limit.
+                    self.close()
                 reached = connected or isinstance(error, TimeoutError)
                 return Failure(reached, f"{type(error).__name__}: {error}")
             if response.will_close:
--- a/trefoilgw/platform/tests/test_connections.py
+++ b/trefoilgw/platform/tests/test_connections.py
@@ -22,6 +22,7 @@
             string resets the connection.
         requests: The requests so far.
         accepted: Number of connections so far.
+        silent: Number of the first connections on which nothing is answered.
     """
 
     def __init__(self):
@@ -30,6 +31,7 @@
         self.answers = collections.deque()
         self.requests = []
         self.accepted = 0
+        self.silent = 0
         self.open = []
         eventlet.spawn_n(self.accept)
 
@@ -39,12 +41,14 @@
                 sock, _ = self.sock.accept()
                 self.accepted += 1
                 self.open.append(sock)
-                eventlet.spawn_n(self.serve, sock)
+                eventlet.spawn_n(self.serve, sock, self.accepted)
 
-    def serve(self, sock):
+    def serve(self, sock, number):
         while data := sock.recv(65536):
             self.requests.append(data)
             answer = self.answers.popleft() if self.answers else ANSWER
+            if number <= self.silent:
+                answer = None
             if answer == b"":
                 sock.setsockopt(
                     socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
@@ -115,6 +119,42 @@
         self.assertEqual(connections.Response(200, b"ok"), self.call())
         self.assertEqual(2, self.server.accepted)
 
+    def open_connections(self, count):
+        """Opens connections by concurrent calls; then they are idle."""
+        calls = [eventlet.spawn(self.call) for _ in range(count)]
+        for call in calls:
+            call.wait()
+        self.assertEqual(count, self.server.accepted)
+
+    def test_idle_connections_are_not_reused_after_a_time_out(self):
+        """Each connection that had gone silent cost one time limit.
+
+        A configuration was in force 4.6 s after its confirmation.
+        """
+        self.open_connections(2)
+        self.server.silent = 2
+        self.assertIsInstance(self.call(0.05), connections.Failure)
+        self.assertEqual(connections.Response(200, b"ok"), self.call(0.05))
+        self.assertEqual(3, self.server.accepted)
+
+    def test_other_failures_keep_idle_connections(self):
+        """Only a silent connection shows nothing of itself when it is taken."""
+        self.open_connections(2)
+        self.server.answers.append(b"")
+        self.assertIsInstance(self.call(), connections.Failure)
+        self.assertEqual(connections.Response(200, b"ok"), self.call())
+        self.assertEqual(2, self.server.accepted)
+
+    def test_connection_that_answers_after_a_time_out_is_reused(self):
+        """It works, and new connections cost time at both ends."""
+        self.server.answers.extend([None, None])
+        calls = [eventlet.spawn(self.call, x) for x in (0.05, 0.5)]
+        calls[0].wait()
+        self.server.open[1].sendall(ANSWER)
+        self.assertEqual(connections.Response(200, b"ok"), calls[1].wait())
+        self.assertEqual(connections.Response(200, b"ok"), self.call())
+        self.assertEqual(2, self.server.accepted)
+
     def test_calls_beyond_the_limit_wait(self):
         """A target accepts a limited number of connections."""
         self.server.answers.extend([None, None])
--- a/trefoilgw/targets/core.py
+++ b/trefoilgw/targets/core.py
@@ -163,8 +163,9 @@
                 if _read_body(answer) is None or answer.will_close:
                     _close(connection)
                 return True
-        except _ERRORS:
+        except _ERRORS as error:
             _close(connection)
+            self._close_idle_after(error)
             return False
         finally:
             self.busy_connections -= 1
@@ -180,6 +181,14 @@
         while self._idle and (everything or self._idle[0][0] < oldest_s):
             _close(self._idle.popleft()[1])
 
+    def _close_idle_after(self, error: Exception) -> None:
+        """Closes all idle connections after a time-out.
+
+        They may have gone silent as well. Each would cost one more time limit.
+        """
+        if isinstance(error, TimeoutError):
+            self.close_idle(everything=True)
+
     def _acquire_connection(
         self, reuse: bool
     ) -> urllib3.connection.HTTPConnection:
@@ -242,6 +251,7 @@
                 body = _read_body(answer)
         except _ERRORS as error:
             _close(connection)
+            self._close_idle_after(error)
             self.counters.broken += 1
             return outcomes.Unknown(
                 outcomes.Reason.TARGET_UNREACHABLE, _truncate_detail(str(error))
--- a/trefoilgw/targets/tests/test_core.py
+++ b/trefoilgw/targets/tests/test_core.py
@@ -1,6 +1,7 @@
 """Tests for the target client against a small HTTP server."""
 
 import unittest
+from unittest import mock
 
 import eventlet
 from eventlet import event
@@ -289,6 +290,39 @@
         self.assertEqual(0, client.open_connections)
         silent.send()
 
+    def test_idle_connections_are_not_reused_after_a_time_out(self):
+        """Each connection that had gone silent cost one time limit."""
+        for fail in (
+            lambda client: self.run_one(client, deadline_s=client.now()),
+            lambda client: client.stop("job", 0),
+        ):
+            with self.subTest(fail=fail):
+                self.check_silent_connections(fail)
+
+    def check_silent_connections(self, fail):
+        """Checks that a call that fails on one of two rules out the other.
+
+        Args:
+            fail: Makes that call.
+        """
+        opened, silent = set(), set()
+
+        def reply(sock, head):
+            opened.add(sock)
+            eventlet.sleep(TIMEOUT_S if sock in silent else 0.02)
+            return answer()
+
+        server, client = self.serve(reply, answer_timeout_s=0.1)
+        calls = [eventlet.spawn(self.run_one, client) for _ in range(2)]
+        for call in calls:
+            call.wait()
+        silent |= opened
+        with mock.patch.object(targets, "STOP_TIMEOUT_S", 0.1):
+            fail(client)
+        self.assertEqual(0, client.open_connections)
+        self.assertIsInstance(self.run_one(client), outcomes.Completed)
+        self.assertEqual(3, server.accepted)
+
     def test_stop(self):
         """A stop request must name the task in the same way as its start."""
         server, client = self.serve(lambda sock, head: answer())
