Keep runs of a new life when another writer reports an instance

Cause: a report that names another instance was taken for the successor of a target that had restarted as the same instance. Its calls were answered by another instance, which ended the runs that the new life had started. Change: if the new life has runs, it is the successor itself, unless a report has told more of it.

--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -478,6 +478,17 @@
         kept = reply.running.keys() | {
             key for key, at_s in self.confirmed_s.items() if at_s > sent_s
         }
+        life = attrs.evolve(
+            self.allocator.target,
+            started_ms=reply.started_ms,
+            draining=False,
+            sequence=0,
+        )
+        successor = self.allocator.successor
+        if successor is None or not successor.is_same_life(life):
+            # Another writer's report may name an instance that does not exist.
+            # Its refusal of a call would end the runs that are kept.
+            self.allocator.successor = life if kept else None
         self._discard_target(
             "the target has restarted",
             kept,
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -568,6 +568,24 @@
         self.extend_lease()
         self.assertEqual("stopped", self.endings()[0][2])
 
+    def test_foreign_report_does_not_end_runs_that_are_kept(self):
+        """They were given up while they worked on.
+
+        The report of another writer named an instance that does not exist. It
+        was taken for the successor, and refused calls in its name.
+        """
+        self.start_one("new.0.0.0")
+        foreign = fixtures.make_target(started_ms=2)
+        foreign = attrs.evolve(foreign, instance="other")
+        self.allocator.target_reported(foreign)
+        self.client.holds = [listing(running=["new.0.0.0"], started_ms=2)]
+        self.extend_lease()
+        self.assertEqual("i-1", self.allocator.target.instance)
+        self.now_s += 0.1
+        self.extend_lease()
+        self.assertEqual([], self.endings())
+        self.assertTrue(self.allocator.usable)
+
     def test_restart_counts_once_all_starts_are_answered(self):
         """The new life may have taken a start that is not answered yet."""
         self.request_start("j.0.0.0")
