--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -326,8 +326,8 @@
             What the end has made of the task: it is done, has failed or waits
             for its next attempt. None if the end is ignored.
         """
-        found = jobs.find_sent(self.admitted, message.task, message.run)
-        if found is None or found[1].runner != name:
+        found = jobs.find_sent(self.admitted, message.task, message.run, name)
+        if found is None:
             return None
         job, task = found
         end = jobs.RunEnd.of(message)
--- a/trefoilgw/scheduling/jobs.py
+++ b/trefoilgw/scheduling/jobs.py
@@ -144,7 +144,7 @@
 
 
 def find_sent(
-    admitted: dict[str, Job], name: str, run: int
+    admitted: dict[str, Job], name: str, run: int, runner: str
 ) -> tuple[Job, Task] | None:
     """Returns the job and task of a run that is at a runner, or None.
 
@@ -152,12 +152,13 @@
         admitted: Jobs by key.
         name: Name of the task.
         run: Number of its latest attempt.
+        runner: Name of the runner.
     """
     job = admitted.get(name.partition(".")[0])
     if job is None:
         return None
     for task in job.sent():
-        if task.spec.name == name and task.run == run:
+        if (task.spec.name, task.run, task.runner) == (name, run, runner):
             return job, task
     return None
 
