Move the relays' addresses and cuts out of the deployments tool

The relays are a module of their own, and the call of a stand-in's control interface is a function of tools/processes.py. No change of behaviour; tests call the relays where they are now.

--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -8,7 +8,6 @@
 import json
 import pathlib
 import socket
-import threading
 import time
 import uuid
 
@@ -16,6 +15,7 @@
 import urllib3
 
 from tools import processes
+from tools import relays as host_relays
 from tools.standins import platform_target
 
 # Name, priority, most attempts and stretch of each route.
@@ -33,7 +33,6 @@
 MAX_WARMUP_TASKS = 60
 LEASE_LIMIT_MS = 1000
 POLL_INTERVAL_S = 0.02
-HOSTS_PER_RELAY_PROCESS = 8
 
 
 def reserve_ports(count: int) -> list[socket.socket]:
@@ -75,17 +74,14 @@
         store: Address of the store; empty until `start` was called.
         target_cores: Cores of each target.
         relayed: Whether runners call their targets through relays, which
-            `cut_target` can cut.
+            `relays` can cut.
         linked: Whether all other connections between hosts, those to the store
             and the targets' reports lead through relays as well.
-        controls: Control address of each relay, by the address that it listens
-            on.
-        cuts: Modes that are in force at each relay, in the order in which they
-            began, with the number of the cut.
         moves: Number of moves to another address, by runner.
         instances: Instance of each target that does not have the usual one.
         clock_rate: Seconds of the steady clocks of every third target in a
             second; the others' clocks are exact.
+        relays: The relays, if any.
     """
 
     launcher: processes.Launcher
@@ -98,13 +94,15 @@
     target_cores: int = 4
     relayed: bool = False
     linked: bool = False
-    controls: dict[str, str] = attrs.field(factory=dict)
-    cuts: dict[str, dict[int, dict]] = attrs.field(factory=dict)
     moves: dict[int, int] = attrs.field(factory=dict)
     instances: dict[int, str] = attrs.field(factory=dict)
     clock_rate: float = 1.0
-    _cut_count: int = 0
-    _lock: threading.Lock = attrs.field(factory=threading.Lock)
+    relays: host_relays.Relays = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.relays = host_relays.Relays(
+            self.launcher, self.schedulers, self.runners, self.ports
+        )
 
     @property
     def ports(self) -> list[int]:
@@ -162,8 +160,8 @@
         listen = {"control": f"{ip}:{reports}"}
         name = f"runner-{number}"
         settings = self._make_settings(name, ip, ["side"], listen)
-        address = self.relay_address(number)
-        settings["app"] = address if address in self.controls else f"{ip}:{app}"
+        address = self.relays.target_link(number)
+        settings["app"] = self.relays.either(address, f"{ip}:{app}")
         return self._launch(name, "trefoilgw.runner.main", settings)
 
     def start_target(self, number: int) -> processes.Process:
@@ -175,9 +173,9 @@
     def launch_target(self, number: int) -> processes.Process:
         """Starts a target without waiting for it."""
         app = self.app_address(number)
-        reports = self.report_relay_address(number)
-        if reports not in self.controls:
-            reports = self.reports_address(number)
+        reports = self.relays.either(
+            self.relays.report_link(number), self.reports_address(number)
+        )
         clock_rate = self.clock_rate if number % 3 == 0 else 1.0
         return self.launcher.start(
             f"target-{number}",
@@ -215,45 +213,6 @@
 
     # Relays.
 
-    def relay_address(self, number: int) -> str:
-        """Returns the address at which a runner reaches its target."""
-        return f"127.0.3.{number + 1}:{self.ports[4]}"
-
-    def report_relay_address(self, number: int) -> str:
-        """Returns the address at which a target reaches its runner."""
-        return f"127.0.4.{number + 1}:{self.ports[3]}"
-
-    def store_link(self, scheduler: int) -> str:
-        """Returns the address at which a scheduler reaches the store."""
-        return f"127.0.5.{scheduler + 1}:{self.ports[2]}"
-
-    def stream_link(self, source: str, number: int, scheduler: int) -> str:
-        """Returns the address at which a program reaches a scheduler.
-
-        Args:
-            source: Kind of the program, ``runner`` or ``scheduler``.
-            number: Its number.
-            scheduler: Number of the scheduler.
-        """
-        subnet = 1 if source == "scheduler" else 2
-        return f"127.{100 + scheduler}.{subnet}.{number + 1}:{self.ports[2]}"
-
-    def runner_links(self, number: int) -> list[str]:
-        """Returns the relays of a runner to the schedulers."""
-        schedulers = range(self.schedulers)
-        return [self.stream_link("runner", number, x) for x in schedulers]
-
-    def scheduler_links(self, number: int) -> list[str]:
-        """Returns all relays from and to a scheduler."""
-        found = [self.store_link(number)]
-        for other in range(self.schedulers):
-            if other != number:
-                found.append(self.stream_link("scheduler", number, other))
-                found.append(self.stream_link("scheduler", other, number))
-        for runner in range(self.runners):
-            found.append(self.stream_link("runner", runner, number))
-        return found
-
     def stream_address(self, scheduler: int) -> str:
         """Returns the address at which a scheduler accepts streams."""
         return f"{self.scheduler_ip(scheduler)}:{self.ports[2]}"
@@ -263,105 +222,38 @@
         schedulers = range(self.schedulers)
         hosts = []
         for number in range(self.runners):
-            relays = {self.relay_address(number): self.app_address(number)}
+            address = self.relays.target_link(number)
+            relays = {address: self.app_address(number)}
             if self.linked:
-                address = self.report_relay_address(number)
+                address = self.relays.report_link(number)
                 relays[address] = self.reports_address(number)
                 for scheduler in schedulers:
-                    address = self.stream_link("runner", number, scheduler)
+                    address = self.relays.stream_link(
+                        "runner", number, scheduler
+                    )
                     relays[address] = self.stream_address(scheduler)
             hosts.append(relays)
         for number in schedulers if self.linked else ():
-            relays = {self.store_link(number): self.store}
+            relays = {self.relays.store_link(number): self.store}
             for other in schedulers:
-                address = self.stream_link("scheduler", number, other)
+                address = self.relays.stream_link("scheduler", number, other)
                 relays[address] = self.stream_address(other)
             hosts.append(relays)
         return hosts
 
     def start_relays(self) -> None:
-        """Starts the relays, in one process for every few hosts."""
-        hosts = self._host_relays()
-        for first in range(0, len(hosts), HOSTS_PER_RELAY_PROCESS):
-            relays = {}
-            for host in hosts[first : first + HOSTS_PER_RELAY_PROCESS]:
-                relays |= host
-            number = first // HOSTS_PER_RELAY_PROCESS
-            process = self.launcher.start(
-                f"relay-{number}",
-                "tools.standins.relay",
-                "--listen",
-                f"127.0.6.{number + 1}:{self.ports[5]}",
-                *(f"{x}={y}" for x, y in relays.items()),
-            )
-            control = process.wait_ready()["http"]
-            self.controls |= dict.fromkeys(relays, control)
-
-    def cut(self, addresses: list[str], how: str, **options) -> int:
-        """Cuts relays; returns the number of the cut for `mend`.
-
-        Args:
-            addresses: Addresses of the relays.
-            how: Mode of the relays.
-            **options: Further fields of the relays' control interface.
-        """
-        with self._lock:
-            self._cut_count += 1
-            for address in addresses:
-                modes = self.cuts.setdefault(address, {})
-                modes[self._cut_count] = {"how": how, **options}
-            self._apply_cuts(addresses)
-            return self._cut_count
-
-    def mend(self, cut: int, abandon: bool = False) -> None:
-        """Ends a cut; its relays stay in the mode of the newest other one.
-
-        Args:
-            cut: Number of the cut.
-            abandon: Whether the open connections stay silent for good.
-        """
-        with self._lock:
-            found = [x for x, modes in self.cuts.items() if cut in modes]
-            for address in found:
-                del self.cuts[address][cut]
-            self._apply_cuts(found, abandon=abandon)
-
-    def _mode(self, address: str) -> dict:
-        """Returns the mode of a relay's newest cut."""
-        modes = self.cuts.get(address)
-        return modes[max(modes)] if modes else {"how": "open"}
-
-    def _apply_cuts(self, addresses: list[str], **options) -> None:
-        """Sets the relays to the modes of their newest cuts."""
-        bodies: dict[tuple[str, str], list[str]] = {}
-        for address in addresses:
-            body = json.dumps(self._mode(address) | options)
-            key = (self.controls[address], body)
-            bodies.setdefault(key, []).append(address)
-        for (control, body), listen in bodies.items():
-            changes = json.loads(body) | {"listen": listen}
-            self.call_control(control, "cut", changes)
+        """Starts the relays."""
+        self.relays.start(self._host_relays())
 
     def move_runner(self, number: int) -> None:
         """Gives a runner's host another IP address, before it is restarted."""
-        with self._lock:
-            self.moves[number] = self.moves.get(number, 0) + 1
-            for address, target in (
-                (self.relay_address(number), self.app_address(number)),
-                (
-                    self.report_relay_address(number),
-                    self.reports_address(number),
-                ),
-            ):
-                change = {"listen": [address], "target": target}
-                body = self._mode(address) | change
-                self.call_control(self.controls[address], "cut", body)
-
-    def cut_target(self, number: int, how: str) -> None:
-        """Cuts a relayed target from its runner; `open` ends the cut."""
-        address = self.relay_address(number)
-        body = {"listen": [address], "how": how}
-        self.call_control(self.controls[address], "cut", body)
+        self.moves[number] = self.moves.get(number, 0) + 1
+        self.relays.redirect(
+            {
+                self.relays.target_link(number): self.app_address(number),
+                self.relays.report_link(number): self.reports_address(number),
+            }
+        )
 
     def _make_settings(
         self, name: str, ip: str, serves: list[str], listen: dict
@@ -416,11 +308,13 @@
         """Returns the relays of a program by their destination."""
         kind, _, number = name.partition("-")
         found = {
-            self.stream_address(x): self.stream_link(kind, int(number), x)
+            self.stream_address(x): self.relays.stream_link(
+                kind, int(number), x
+            )
             for x in range(self.schedulers)
         }
         if kind == "scheduler":
-            found[self.store] = self.store_link(int(number))
+            found[self.store] = self.relays.store_link(int(number))
         return found
 
     def metrics(self, ip: str) -> str:
@@ -502,32 +396,16 @@
             **changes,
         }
         body = {"key": "op/config", "value": document}
-        self.call_control(self.store, "put", body)
-
-    def call_control(self, address: str, action: str, body: dict | None = None):
-        """Calls the control interface of a stand-in.
-
-        Args:
-            address: Address of the stand-in.
-            action: Last part of the path.
-            body: Sent as JSON with POST; the request is a GET if None.
-
-        Returns:
-            The decoded response.
-        """
-        method = "GET" if body is None else "POST"
-        data = None if body is None else json.dumps(body)
-        url = f"http://{address}/control/{action}"
-        return json.loads(urllib3.request(method, url, body=data).data)
+        processes.call_control(self.store, "put", body)
 
     def set_target_faults(self, number: int, **faults) -> None:
         """Sets the faults of a target."""
         address = f"{self.runner_ip(number)}:{self.ports[4]}"
-        self.call_control(address, "faults", faults)
+        processes.call_control(address, "faults", faults)
 
     def set_store_faults(self, **faults) -> None:
         """Sets the faults of the store."""
-        self.call_control(self.store, "faults", faults)
+        processes.call_control(self.store, "faults", faults)
 
     def runs(self) -> list[dict]:
         """Returns the runs of all targets that respond."""
@@ -535,7 +413,7 @@
         for number in range(self.runners):
             address = f"{self.runner_ip(number)}:{self.ports[4]}"
             try:
-                found += self.call_control(address, "runs")["runs"]
+                found += processes.call_control(address, "runs")["runs"]
             except urllib3.exceptions.HTTPError:
                 continue
         return found
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -15,6 +15,7 @@
 import time
 
 import attrs
+import urllib3
 
 READY_TIMEOUT_S = 30.0
 POLL_INTERVAL_S = 0.02
@@ -195,3 +196,20 @@
         raise SystemExit(128 + signal_number)
 
     signal.signal(signal.SIGTERM, handle_sigterm)
+
+
+def call_control(address: str, action: str, body: dict | None = None):
+    """Calls the control interface of a stand-in.
+
+    Args:
+        address: Address of the stand-in.
+        action: Last part of the path.
+        body: Sent as JSON with POST; the request is a GET if None.
+
+    Returns:
+        The decoded response.
+    """
+    method = "GET" if body is None else "POST"
+    data = None if body is None else json.dumps(body)
+    url = f"http://{address}/control/{action}"
+    return json.loads(urllib3.request(method, url, body=data).data)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -164,7 +164,7 @@
             case fault if fault in soak_plan.CUTS:
                 self._log(step)
                 how = step.fault.partition("-")[2]
-                self._cut([deployment.relay_address(number)], step, how)
+                self._cut([deployment.relays.target_link(number)], step, how)
                 return
             case Fault.TARGET_LATE:
                 self._log(step)
@@ -186,7 +186,7 @@
     def _replace_target(self, step: soak_plan.Step, rng) -> None:
         """Replaces a target that is cut off, or has deregistered."""
         deployment, number = self.deployment, step.number
-        link = [deployment.relay_address(number)]
+        link = [deployment.relays.target_link(number)]
         leaves = step.fault is Fault.TARGET_LEAVE
         how = rng.choice(("open", *CUT_MODES)) if leaves else "refuse"
         anew = leaves or rng.random() < 0.5
@@ -196,7 +196,7 @@
             # Another fault may hold the runner.
             with contextlib.suppress(urllib3.exceptions.HTTPError):
                 deployment.deregister(number)
-        cut = deployment.cut(link, how)
+        cut = deployment.relays.cut(link, how)
         try:
             time.sleep(step.duration_s * rng.random())
             self._kill(f"target-{number}", number)
@@ -205,7 +205,7 @@
             self._restart(f"target-{number}", number)
             time.sleep(step.duration_s * 0.3 * rng.random())
         finally:
-            deployment.mend(cut)
+            deployment.relays.mend(cut)
 
     def _report_oddly(self, step: soak_plan.Step, rng) -> None:
         """Sends reports of another writer to a runner."""
@@ -223,16 +223,16 @@
         self, links: list[str], step: soak_plan.Step, how: str, **options
     ) -> None:
         """Cuts relays for the duration of a fault."""
-        cut = self.deployment.cut(links, how, **options)
+        cut = self.deployment.relays.cut(links, how, **options)
         time.sleep(step.duration_s)
-        self.deployment.mend(cut)
+        self.deployment.relays.mend(cut)
 
     def _host_links(self, step: soak_plan.Step, rng) -> list[str]:
         """Returns a host's relays, with the ones to its target or not."""
-        links = self.deployment.runner_links(step.number)
+        links = self.deployment.relays.runner_links(step.number)
         if rng.random() < 0.5:
-            links.append(self.deployment.relay_address(step.number))
-            links.append(self.deployment.report_relay_address(step.number))
+            links.append(self.deployment.relays.target_link(step.number))
+            links.append(self.deployment.relays.report_link(step.number))
         return links
 
     def _disturb_host(self, step: soak_plan.Step, rng) -> None:
@@ -250,7 +250,7 @@
             case Fault.HOST_RESET:
                 self._log(step, f"{len(links)} links")
                 deployment = self.deployment
-                deployment.mend(deployment.cut(links, "reset"))
+                deployment.relays.mend(deployment.relays.cut(links, "reset"))
             case Fault.HOST_POWER | Fault.HOST_MOVE:
                 self._log(step)
                 self._power_cycle(step)
@@ -258,10 +258,10 @@
     def _power_cycle(self, step: soak_plan.Step) -> None:
         """Ends the processes of a host without a sign to the schedulers."""
         deployment, number = self.deployment, step.number
-        links = deployment.runner_links(number)
-        links.append(deployment.relay_address(number))
-        links.append(deployment.report_relay_address(number))
-        cut = deployment.cut(links, "silent")
+        links = deployment.relays.runner_links(number)
+        links.append(deployment.relays.target_link(number))
+        links.append(deployment.relays.report_link(number))
+        cut = deployment.relays.cut(links, "silent")
         try:
             for name in (f"runner-{number}", f"target-{number}"):
                 self._kill(name, number)
@@ -269,7 +269,7 @@
             if step.fault is Fault.HOST_MOVE:
                 deployment.move_runner(number)
         finally:
-            deployment.mend(cut, abandon=True)
+            deployment.relays.mend(cut, abandon=True)
         self._restart(f"target-{number}", number)
         self._restart(f"runner-{number}", number)
 
@@ -278,7 +278,9 @@
         how = rng.choice(CUT_MODES)
         scheduler = rng.randrange(self.deployment.schedulers)
         self._log(step, f"{how}, scheduler {scheduler}")
-        link = self.deployment.stream_link("runner", step.number, scheduler)
+        link = self.deployment.relays.stream_link(
+            "runner", step.number, scheduler
+        )
         self._cut([link], step, how)
 
     # Schedulers and the store.
@@ -289,7 +291,7 @@
             case Fault.SCHEDULER_CUT:
                 how = rng.choice(CUT_MODES)
                 self._log(step, how)
-                links = self.deployment.scheduler_links(step.number)
+                links = self.deployment.relays.scheduler_links(step.number)
                 self._cut(links, step, how)
             case Fault.SCHEDULER_CLOCK:
                 shift_s = rng.choice(CLOCK_STEPS_S)
@@ -308,7 +310,7 @@
             case Fault.STORE_CUT:
                 how = rng.choice(CUT_MODES)
                 self._log(step, how)
-                link = self.deployment.store_link(step.number)
+                link = self.deployment.relays.store_link(step.number)
                 self._cut([link], step, how)
                 return
             case Fault.STORE_SLOW:
--- a/tools/tests/test_platform_faults.py
+++ b/tools/tests/test_platform_faults.py
@@ -13,6 +13,7 @@
 import urllib3
 
 from tools import deployments
+from tools import processes
 
 # Delay after which a caller without an answer submits its job again.
 RESEND_DELAY_S = 1.3
@@ -171,7 +172,7 @@
                 "key": f"trefoilgw/schedulers/{name}",
                 "data": base64.b64encode(data).decode(),
             }
-            deployment.call_control(deployment.store, "put", body)
+            processes.call_control(deployment.store, "put", body)
         deployment.process("scheduler-1").kill()
         deployment.process("scheduler-1").wait(5.0)
         deployment.start_scheduler(1)
@@ -369,7 +370,7 @@
         self.assertGreater(len(deployment.runs()), before)
         address = f"{deployment.runner_ip(0)}:{deployment.ports[4]}"
         tasks = [
-            x["task"] for x in deployment.call_control(address, "runs")["runs"]
+            x["task"] for x in processes.call_control(address, "runs")["runs"]
         ]
         self.assertFalse(any(x.startswith(key) for x in tasks))
 
@@ -390,9 +391,9 @@
         for _ in range(3):
             if deregistered:
                 deployment.deregister(0)
-            deployment.cut_target(0, how)
+            deployment.relays.cut_target(0, how)
             time.sleep(0.3)
-            deployment.cut_target(0, "open")
+            deployment.relays.cut_target(0, "open")
             time.sleep(0.2)
         thread.join()
         self.assertEqual(200, self.answers[key][0])
--- a/tools/tests/test_relays.py
+++ b/tools/tests/test_relays.py
@@ -42,7 +42,7 @@
         self.deployment = make_deployment(self, runners=1, relayed=True)
         self.deployment.start_target(0)
         self.deployment.start_relays()
-        self.links = [self.deployment.relay_address(0)]
+        self.links = [self.deployment.relays.target_link(0)]
 
     def test_relay_cuts_and_opens_again(self):
         """A cut that leaves connections open would show nothing."""
@@ -54,7 +54,7 @@
         }
         for how in ("open", "silent", "reset", "refuse", "open"):
             with self.subTest(how=how):
-                self.deployment.cut_target(0, how)
+                self.deployment.relays.cut_target(0, how)
                 error = self.call()
                 # eventlet may take a reset for an orderly end, which is a
                 # subclass.
@@ -65,11 +65,11 @@
         for how, carried_out in (("silent-in", True), ("silent-out", False)):
             with self.subTest(how=how):
                 before = self.deployment.runs()
-                cut = self.deployment.cut(self.links, how)
+                cut = self.deployment.relays.cut(self.links, how)
                 error = self.call("/run-start", self.start(how))
                 self.assertIsInstance(error, TimeoutError)
                 time.sleep(0.2)
-                self.deployment.mend(cut)
+                self.deployment.relays.mend(cut)
                 new = len(self.deployment.runs()) - len(before)
                 self.assertEqual(carried_out, bool(new))
 
@@ -77,8 +77,10 @@
         """TCP delivers what was sent during a short cut."""
         for how in ("stall", "stall-out", "stall-in"):
             with self.subTest(how=how):
-                cut = self.deployment.cut(self.links, how)
-                timer = threading.Timer(0.5, self.deployment.mend, (cut,))
+                cut = self.deployment.relays.cut(self.links, how)
+                timer = threading.Timer(
+                    0.5, self.deployment.relays.mend, (cut,)
+                )
                 timer.start()
                 self.addCleanup(timer.join)
                 sent_s = time.monotonic()
@@ -87,29 +89,29 @@
 
     def test_delay_applies_to_each_direction(self):
         """The time of a call shows twice the delay."""
-        self.deployment.cut(self.links, "open", delay_s=0.25)
+        self.deployment.relays.cut(self.links, "open", delay_s=0.25)
         sent_s = time.monotonic()
         self.assertIsNone(self.call(timeout_s=5.0))
         self.assertGreaterEqual(time.monotonic() - sent_s, 0.5)
 
     def test_relay_stays_cut_until_the_last_of_several_cuts_ends(self):
         """Overlapping faults must not end each other."""
-        first = self.deployment.cut(self.links, "refuse")
-        second = self.deployment.cut(self.links, "silent")
+        first = self.deployment.relays.cut(self.links, "refuse")
+        second = self.deployment.relays.cut(self.links, "silent")
         self.assertIsInstance(self.call(), TimeoutError)
-        self.deployment.mend(second)
+        self.deployment.relays.mend(second)
         self.assertIsInstance(self.call(), ConnectionRefusedError)
-        self.deployment.mend(first)
+        self.deployment.relays.mend(first)
         self.assertIsNone(self.call())
 
     def test_abandoned_connection_stays_silent(self):
         """A peer that lost its power closes no connection, also later."""
         connection = self.connect()
         self.assertIsNone(self.call(connection=connection))
-        cut = self.deployment.cut(self.links, "silent")
+        cut = self.deployment.relays.cut(self.links, "silent")
         self.deployment.process("target-0").kill()
         self.deployment.start_target(0)
-        self.deployment.mend(cut, abandon=True)
+        self.deployment.relays.mend(cut, abandon=True)
         self.assertIsInstance(self.call(connection=connection), TimeoutError)
         self.assertIsNone(self.call())
 
@@ -126,7 +128,7 @@
         deployment.move_runner(0)
         self.assertNotEqual(before, deployment.app_address(0))
         deployment.start_target(0)
-        self.links = [deployment.relay_address(0)]
+        self.links = [deployment.relays.target_link(0)]
         self.assertIsNone(self.call())
 
     def connect(self, timeout_s=0.3):
@@ -224,18 +226,22 @@
     def test_store_is_cut_from_its_scheduler(self):
         """Faults of the store must reach the scheduler."""
         self.wait_for_metric("store_reached", 1.0)
-        cut = self.deployment.cut([self.deployment.store_link(0)], "refuse")
+        cut = self.deployment.relays.cut(
+            [self.deployment.relays.store_link(0)], "refuse"
+        )
         self.wait_for_metric("store_reached", 0.0)
-        self.deployment.mend(cut)
+        self.deployment.relays.mend(cut)
         self.wait_for_metric("store_reached", 1.0)
 
     def test_runner_is_cut_from_its_scheduler(self):
         """No job runs without the stream, and jobs run once it is back."""
-        cut = self.deployment.cut(self.deployment.runner_links(0), "refuse")
+        cut = self.deployment.relays.cut(
+            self.deployment.relays.runner_links(0), "refuse"
+        )
         body = deployments.job_body(1, 0.05)
         with self.assertRaises(TimeoutError):
             self.deployment.wait_serving(3.0)
-        self.deployment.mend(cut)
+        self.deployment.relays.mend(cut)
         self.deployment.wait_serving()
         key = deployments.new_key()
         self.assertEqual(200, self.deployment.submit(0, key, body)[0])
