Tell why runs have not started in the fault tests

Neither a stale report after the warm-up nor a delayed scheduler led to a rejection. Change: the wait fails as soon as the job is answered, and prints its answer, its runs and the log lines on its targets.

--- a/tools/tests/test_platform_faults.py
+++ b/tools/tests/test_platform_faults.py
@@ -19,6 +19,8 @@
 RESEND_DELAY_S = 1.3
 # So many that reading their requests takes longer than a scheduler's tick.
 LEAVING_CALLERS = 200
+# Log lines that tell why a runner starts nothing.
+TARGET_EVENTS = ("target in doubt", "target lost", "target gone", "paused")
 
 
 class PlatformTestCase(unittest.TestCase):
@@ -62,9 +64,21 @@
         """Waits until a number of runs of a job have started."""
         deadline_s = time.monotonic() + 5.0
         while len(self.runs_of(key)) < count:
-            self.assertLess(time.monotonic(), deadline_s, "runs not started")
+            if time.monotonic() >= deadline_s or key in self.answers:
+                self.fail(f"runs not started\n{self.story(key)}")
             time.sleep(0.02)
 
+    def story(self, key):
+        """Returns the answer to a job, its runs and the lines that tell why."""
+        lines = [str(self.answers.get(key)), *map(str, self.runs_of(key))]
+        for name in self.deployment.launcher.processes:
+            lines += [
+                f"{name} {x}"
+                for x in self.deployment.log_lines(name)
+                if key in x or any(y in x for y in TARGET_EVENTS)
+            ]
+        return "\n".join(lines)
+
     def assert_no_overlap(self):
         """Asserts that no task ran at two targets at the same time."""
         self.assertEqual(
