--- a/tools/tests/test_evacuation.py
+++ b/tools/tests/test_evacuation.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from tools import deployments
+from tools import processes
 from tools.tests import test_platform_faults
 
 # Every process knows of an evacuation within this time after its
@@ -22,7 +23,7 @@
     def runs_at(self, number, after_s=0.0):
         """Returns the runs at a target that began after a time."""
         address = self.deployment.app_address(number)
-        runs = self.deployment.call_control(address, "runs")["runs"]
+        runs = processes.call_control(address, "runs")["runs"]
         return [x for x in runs if x["started_s"] > after_s]
 
     def submit_everywhere(self, tasks=2, run_s=0.1):
@@ -120,14 +121,14 @@
         deployment.set_store_faults(down=True)
         time.sleep(2.0)
         deployment.evacuate(EVACUATED)
-        deployment.call_control(deployment.store, "compact", {})
+        processes.call_control(deployment.store, "compact", {})
         deployment.set_store_faults()
         time.sleep(2.0)
         known_s = time.monotonic()
         self.load_for(0.5)
         self.assertEqual([], self.runs_at(0, known_s))
         deployment.take_back(EVACUATED)
-        deployment.call_control(deployment.store, "compact", {})
+        processes.call_control(deployment.store, "compact", {})
         self.wait_for_runs_at(0)
 
     def test_all_domains(self):
@@ -152,7 +153,7 @@
         """One of them must not hide the others or a configuration."""
         deployment = self.deployment
         put = {"key": "op/evacuate/zone-0", "data": "not base64"}
-        deployment.call_control(deployment.store, "put", put)
+        processes.call_control(deployment.store, "put", put)
         for domain in ("", "zone-1/x", "nowhere"):
             deployment.evacuate(domain)
         deployment.evacuate("zone-2", ["odd"])
--- a/tools/tests/test_platform_faults.py
+++ b/tools/tests/test_platform_faults.py
@@ -13,11 +13,14 @@
 import urllib3
 
 from tools import deployments
+from tools import processes
 
 # Delay after which a caller without an answer submits its job again.
 RESEND_DELAY_S = 1.3
 # So many that reading their requests takes longer than a scheduler's tick.
 LEAVING_CALLERS = 200
+# Log lines that tell why a runner starts nothing.
+TARGET_EVENTS = ("target in doubt", "target lost", "target gone", "paused")
 
 
 class PlatformTestCase(unittest.TestCase):
@@ -65,9 +68,21 @@
         """Waits until a number of runs of a job have started."""
         deadline_s = time.monotonic() + 5.0
         while len(self.runs_of(key)) < count:
-            self.assertLess(time.monotonic(), deadline_s, "runs not started")
+            if time.monotonic() >= deadline_s or key in self.answers:
+                self.fail(f"runs not started\n{self.story(key)}")
             time.sleep(0.02)
 
+    def story(self, key):
+        """Returns the answer to a job, its runs and the lines that tell why."""
+        lines = [str(self.answers.get(key)), *map(str, self.runs_of(key))]
+        for name in self.deployment.launcher.processes:
+            lines += [
+                f"{name} {x}"
+                for x in self.deployment.log_lines(name)
+                if key in x or any(y in x for y in TARGET_EVENTS)
+            ]
+        return "\n".join(lines)
+
     def assert_no_overlap(self):
         """Asserts that no task ran at two targets at the same time."""
         self.assertEqual(
@@ -175,7 +190,7 @@
                 "key": f"trefoilgw/schedulers/{name}",
                 "data": base64.b64encode(data).decode(),
             }
-            deployment.call_control(deployment.store, "put", body)
+            processes.call_control(deployment.store, "put", body)
         deployment.process("scheduler-1").kill()
         deployment.process("scheduler-1").wait(5.0)
         deployment.start_scheduler(1)
@@ -373,7 +388,7 @@
         self.assertGreater(len(deployment.runs()), before)
         address = f"{deployment.runner_ip(0)}:{deployment.ports[4]}"
         tasks = [
-            x["task"] for x in deployment.call_control(address, "runs")["runs"]
+            x["task"] for x in processes.call_control(address, "runs")["runs"]
         ]
         self.assertFalse(any(x.startswith(key) for x in tasks))
 
@@ -394,9 +409,9 @@
         for _ in range(3):
             if deregistered:
                 deployment.deregister(0)
-            deployment.cut_target(0, how)
+            deployment.relays.cut_target(0, how)
             time.sleep(0.3)
-            deployment.cut_target(0, "open")
+            deployment.relays.cut_target(0, "open")
             time.sleep(0.2)
         thread.join()
         self.assertEqual(200, self.answers[key][0])
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -19,6 +19,8 @@
 
 from trefoilgw.platform import targets
 from trefoilgw.room import core as room
+from trefoilgw.room import owners
+from trefoilgw.runner import fences
 from trefoilgw.runner import leases
 from trefoilgw.work import core as work
 from trefoilgw.work import orders
@@ -38,6 +40,10 @@
 # extends the leases, so that they would never expire.
 START_TIMEOUT_S = 2 * EXTEND_TIMEOUT_S
 RETRY_INTERVAL_S = 0.05
+# Time from the request to stop a run to the end of its lease if the target does
+# not confirm the stop. As for the runs of a lost scheduler, the caller may then
+# submit its job again.
+UNCONFIRMED_STOP_S = owners.AUTHORITY_S + owners.STOP_ALLOWANCE_S
 
 log = logging.getLogger(__name__)
 
@@ -58,6 +64,7 @@
         on_change: Called after each change of the allocator.
         on_started: Called with the task, the number of the run and the seconds
             that the start took, once it is confirmed.
+        fence: Fencing token of the calls.
         last_answer_s: Time of the last answer to `hold`, or of the last reset.
         last_unanswered_s: Time at which a `hold` last got no valid answer
             although the target was reached.
@@ -67,6 +74,7 @@
             by run.
         pending_stops: Attempts that are being stopped, with an event for other
             callers that wait for the same stop.
+        stop_requested_s: Time of the first request of each pending stop.
         starting: Attempts whose start is being sent, or stopped for want of an
             answer.
         foreign_runs: Attempts that the target lists and this process has not
@@ -80,17 +88,25 @@
     now: Callable[[], float]
     on_change: Callable[[], None]
     on_started: Callable[[str, int, float], None] = lambda task, run, s: None
+    fence: fences.Fence = attrs.field(factory=fences.Fence)
     last_answer_s: float = -math.inf
     last_unanswered_s: float = -math.inf
     last_confirmed_end: int = 0
     confirmed_s: dict[RunKey, float] = attrs.field(factory=dict)
     pending_stops: dict[RunKey, event.Event] = attrs.field(factory=dict)
+    stop_requested_s: dict[RunKey, float] = attrs.field(factory=dict)
     starting: set[RunKey] = attrs.field(factory=set)
     foreign_runs: set[RunKey] = attrs.field(factory=set)
 
     def reset_target_state(self) -> None:
-        """Resets the state that belongs to an earlier target instance."""
+        """Resets the state that belongs to an earlier life of the target.
+
+        The fence rises before anything is placed at the new life: capacity is
+        offered only after it has answered a `hold`. Calls to the earlier life
+        that arrive late then have no effect.
+        """
         self.last_answer_s = self.now()
+        self.fence.advance()
         self.lease.forget_clock()
         self.last_confirmed_end = 0
         self.confirmed_s.clear()
@@ -124,10 +140,11 @@
     def _start(self, task: str, run: int, payload: str) -> None:
         """Sends a start and reports the outcome to the allocator."""
         target = self.allocator.target
-        if target is None or not self.lease.clock_known:
-            self._refuse(task, run, "target_unknown")
+        reason = self._lease_refusal(task, run)
+        if reason:
+            self._refuse(task, run, reason)
             return
-        lease_end_s = self.lease.extend(self.allocator.lease_limit_s())
+        lease_end_s = self.lease.extend(self._lease_limit_s())
         if lease_end_s is None:
             self._refuse(task, run, "lease")
             return
@@ -150,6 +167,9 @@
                     "start not answered",
                     extra={"task": task, "run": run, "detail": detail},
                 )
+                # Also a next life of the target, whose clock begins anew,
+                # rejects the start after any later call.
+                self.fence.advance()
                 if self.stop(task, run):
                     evidence = self._wait_until_stopped(target, (task, run))
                     if evidence is not None:
@@ -157,6 +177,26 @@
                             task, run, "not_answered", evidence=evidence
                         )
 
+    def _lease_limit_s(self) -> float:
+        """Returns when the lease of all runs must end at the latest.
+
+        A run whose stop is not confirmed is stopped by the end of the lease.
+        """
+        oldest_s = min(self.stop_requested_s.values(), default=math.inf)
+        return min(
+            self.allocator.lease_limit_s(), oldest_s + UNCONFIRMED_STOP_S
+        )
+
+    def _lease_refusal(self, task: str, run: int) -> str:
+        """Returns why an attempt can't have the lease it needs, or nothing."""
+        if self.allocator.target is None or not self.lease.clock_known:
+            return "target_unknown"
+        # A lease never shortens. If this process is paused after the start,
+        # only its end stops the run.
+        if self.lease.end_s > self.allocator.run_limit_s(task, run):
+            return "lease"
+        return ""
+
     def _send_start(
         self,
         target: work.Target,
@@ -166,14 +206,17 @@
         lease_end_s: float,
     ):
         """Returns the target's answer to a start."""
+        fence = self.fence.token
         try:
-            return self.client.start(
-                target.instance, task, run, payload, lease_end_s
+            answer = self.client.start(
+                target.instance, fence, task, run, payload, lease_end_s
             )
         except Exception as error:
             # The order may have been sent, so it is handled like a lost answer.
             log.exception("start failed", extra={"task": task, "run": run})
             return orders.NoAnswer(True, repr(error))
+        self.fence.check(answer, fence)
+        return answer
 
     def _refuse(self, task: str, run: int, reason: str) -> None:
         """Ends an attempt that was not sent, or that the target refused."""
@@ -196,11 +239,13 @@
         if pending is not None:
             return pending.wait()
         pending = self.pending_stops[key] = event.Event()
+        self.stop_requested_s[key] = self.now()
         confirmed = False
         try:
             confirmed = self._stop_until_confirmed(key)
         finally:
             del self.pending_stops[key]
+            del self.stop_requested_s[key]
             pending.send(confirmed)
         return confirmed
 
@@ -216,7 +261,11 @@
             the next poll reports.
         """
         answer = self.client.hold(
-            target.instance, None, self.last_confirmed_end, 0.0
+            target.instance,
+            self.fence.token,
+            None,
+            self.last_confirmed_end,
+            0.0,
         )
         listed = isinstance(answer, orders.RunListing)
         if not listed or key in answer.running:
@@ -231,13 +280,15 @@
         """Repeats the stop request until it is confirmed; see `stop`."""
         target = self.allocator.target
         while target is not None and target is self._if_current(target):
+            fence = self.fence.token
             try:
-                answer = self.client.stop(target.instance, *key)
+                answer = self.client.stop(target.instance, fence, *key)
             except Exception as error:
                 log.exception(
                     "stop failed", extra={"task": key[0], "run": key[1]}
                 )
                 answer = orders.NoAnswer(True, repr(error))
+            self.fence.check(answer, fence)
             match answer:
                 case orders.Accepted(clock_s=clock_s):
                     self.lease.learn_clock(clock_s)
@@ -306,11 +357,27 @@
         if not answered:
             eventlet.sleep(RETRY_INTERVAL_S)
 
-    def _extend_lease(self, target: work.Target) -> bool:
+    def check_life(self) -> None:
+        """Polls the target after a report that another life of it has begun.
+
+        The other polls may wait in `hold` for an answer of the earlier life. A
+        start that arrives late has no effect once the new one has seen the
+        fence of this call. Spawn it as a greenthread.
+        """
+        target = self.allocator.target
+        if target is not None:
+            self._extend_lease(target, may_wait=False)
+            self.on_change()
+
+    def _extend_lease(self, target: work.Target, may_wait: bool = True) -> bool:
         """Calls `hold`, extending the lease if that is allowed.
 
         The answer is processed.
 
+        Args:
+            target: The target.
+            may_wait: Whether the answer may wait for the end of a run.
+
         Returns:
             False if the caller should wait before the next call: the target is
             gone, has restarted, can't be reached or refuses the call.
@@ -320,15 +387,18 @@
         wait_s = 0.0
         if self.lease.clock_known:
             idle = not self.allocator.runs
-            wait_s = IDLE_HOLD_WAIT_S if idle else HOLD_WAIT_S
+            if may_wait:
+                wait_s = IDLE_HOLD_WAIT_S if idle else HOLD_WAIT_S
             recent = sent_s - self.last_answer_s < EXTEND_TIMEOUT_S
             # The lease is that of all runs at the target. A foreign run must
             # end even if its stop is lost, as its task is repeated elsewhere.
             if recent and self.allocator.reachable and not self.foreign_runs:
-                lease_end_s = self.lease.extend(self.allocator.lease_limit_s())
+                lease_end_s = self.lease.extend(self._lease_limit_s())
+        fence = self.fence.token
         answer = self.client.hold(
-            target.instance, lease_end_s, self.last_confirmed_end, wait_s
+            target.instance, fence, lease_end_s, self.last_confirmed_end, wait_s
         )
+        self.fence.check(answer, fence)
         if self._if_current(target) is None:
             return True
         match answer:
@@ -407,6 +477,17 @@
         kept = reply.running.keys() | {
             key for key, at_s in self.confirmed_s.items() if at_s > sent_s
         }
+        life = attrs.evolve(
+            self.allocator.target,
+            started_ms=reply.started_ms,
+            draining=False,
+            sequence=0,
+        )
+        successor = self.allocator.successor
+        if successor is None or not successor.is_same_life(life):
+            # Another writer's report may name an instance that does not exist.
+            # Its refusal of a call would end the runs that are kept.
+            self.allocator.successor = life if kept else None
         self._discard_target(
             "the target has restarted",
             kept,
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import time
 
 import attrs
 import eventlet
@@ -18,6 +19,7 @@
 from trefoilgw.room import core as room
 from trefoilgw.room import health
 from trefoilgw.runner import driving
+from trefoilgw.runner import fences
 from trefoilgw.runner import leases
 from trefoilgw.runner import links as runner_links
 from trefoilgw.runner import metrics as runner_metrics
@@ -78,6 +80,7 @@
             clock.boottime,
             self.flush,
             self._run_started,
+            fence=fences.Fence(int(time.time() * 1000)),
         )
         hello = runner_links.make_hello(
             settings.name, self.incarnation, settings.domain
@@ -215,6 +218,7 @@
                         "born": target.started_ms,
                     },
                 )
+                eventlet.spawn_n(self.driver.check_life)
         elif not before.draining and self.allocator.target.draining:
             log.info("target drains", extra={"instance": target.instance})
         if self.allocator.target is target:
--- a/trefoilgw/runner/tests/test_driving.py
+++ b/trefoilgw/runner/tests/test_driving.py
@@ -31,6 +31,7 @@
     leases: list = attrs.field(factory=list)
     started: list = attrs.field(factory=list)
     stopped: list = attrs.field(factory=list)
+    fences: list = attrs.field(factory=list)
 
     def _next(self, answers):
         answer = answers.pop(0) if len(answers) > 1 else answers[0]
@@ -38,15 +39,18 @@
             raise answer
         return answer
 
-    def start(self, instance, task, run, payload, lease_end_s):
+    def start(self, instance, fence, task, run, payload, lease_end_s):
+        self.fences.append(fence)
         self.started.append(task)
         return self._next(self.starts)
 
-    def stop(self, instance, task, run):
+    def stop(self, instance, fence, task, run):
+        self.fences.append(fence)
         self.stopped.append(task)
         return self._next(self.stops)
 
-    def hold(self, instance, lease_end_s, confirmed, wait_s):
+    def hold(self, instance, fence, lease_end_s, confirmed, wait_s):
+        self.fences.append(fence)
         self.leases.append(lease_end_s)
         return self._next(self.holds)
 
@@ -76,6 +80,8 @@
         )
         self.driver.reset_target_state()
         self.driver.lease.clock_offset_s = -95.0
+        # Leases of an earlier process are over.
+        self.driver.lease.end_s = self.now_s
 
     def request_start(self, task):
         fixtures.start_runs(self.allocator, A, task, now_s=self.now_s)
@@ -562,6 +568,24 @@
         self.extend_lease()
         self.assertEqual("stopped", self.endings()[0][2])
 
+    def test_foreign_report_does_not_end_runs_that_are_kept(self):
+        """They were given up while they worked on.
+
+        The report of another writer named an instance that does not exist. It
+        was taken for the successor, and refused calls in its name.
+        """
+        self.start_one("new.0.0.0")
+        foreign = fixtures.make_target(started_ms=2)
+        foreign = attrs.evolve(foreign, instance="other")
+        self.allocator.target_reported(foreign)
+        self.client.holds = [listing(running=["new.0.0.0"], started_ms=2)]
+        self.extend_lease()
+        self.assertEqual("i-1", self.allocator.target.instance)
+        self.now_s += 0.1
+        self.extend_lease()
+        self.assertEqual([], self.endings())
+        self.assertTrue(self.allocator.usable)
+
     def test_restart_counts_once_all_starts_are_answered(self):
         """The new life may have taken a start that is not answered yet."""
         self.request_start("j.0.0.0")
