Wait for a fresher authority before a start is refused for its lease

Cause: a start whose order was read 0.15 s late or more was refused if other runs had a longer lease. Change: the start waits up to 0.5 s for the next answer to a ping, which renews the authority, and is refused only then. Result: the new test fails first.

--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -40,6 +40,9 @@
 # extends the leases, so that they would never expire.
 START_TIMEOUT_S = 2 * EXTEND_TIMEOUT_S
 RETRY_INTERVAL_S = 0.05
+# Checks whether the authority for a start outlives the leases in force. All of
+# them take longer than the interval of the pings that renew it.
+AUTHORITY_CHECKS = 10
 # Time from the request to stop a run to the end of its lease if the target does
 # not confirm the stop. As for the runs of a lost scheduler, the caller may then
 # submit its job again.
@@ -121,7 +124,7 @@
 
         Blocks, so spawn it as a greenthread.
         """
-        reason = self.allocator.start_refusal(task, run, self.now())
+        reason = self._await_authority(task, run)
         if reason:
             log.info(
                 "start dropped",
@@ -140,9 +143,8 @@
     def _start(self, task: str, run: int, payload: str) -> None:
         """Sends a start and reports the outcome to the allocator."""
         target = self.allocator.target
-        reason = self._lease_refusal(task, run)
-        if reason:
-            self._refuse(task, run, reason)
+        if target is None or not self.lease.clock_known:
+            self._refuse(task, run, "target_unknown")
             return
         lease_end_s = self.lease.extend(self._lease_limit_s())
         if lease_end_s is None:
@@ -187,15 +189,24 @@
             self.allocator.lease_limit_s(), oldest_s + UNCONFIRMED_STOP_S
         )
 
-    def _lease_refusal(self, task: str, run: int) -> str:
-        """Returns why an attempt can't have the lease it needs, or nothing."""
-        if self.allocator.target is None or not self.lease.clock_known:
-            return "target_unknown"
-        # A lease never shortens. If this process is paused after the start,
-        # only its end stops the run.
-        if self.lease.end_s > self.allocator.run_limit_s(task, run):
-            return "lease"
-        return ""
+    def _await_authority(self, task: str, run: int) -> str:
+        """Waits until no lease in force outlives the authority for a start.
+
+        A lease never shortens. If this process is paused after the start, only
+        its end stops the run. An order that was long under way renews the
+        authority for a short time only; the answer to the next ping does for
+        the whole one.
+
+        Returns:
+            Why the attempt must not be sent, or nothing.
+        """
+        for _ in range(AUTHORITY_CHECKS):
+            reason = self.allocator.start_refusal(task, run, self.now())
+            limit_s = self.allocator.run_limit_s(task, run)
+            if reason or self.lease.end_s <= limit_s:
+                return reason
+            eventlet.sleep(RETRY_INTERVAL_S)
+        return "lease"
 
     def _send_start(
         self,
--- a/trefoilgw/runner/tests/test_run_expiry.py
+++ b/trefoilgw/runner/tests/test_run_expiry.py
@@ -93,7 +93,8 @@
         self.driver.lease.extend(self.allocator.lease_limit_s())
         self.allocator.owners[A].authority_until_s -= 0.4
         self.request_start("j.0.0.0")
-        self.driver.start("j.0.0.0", 1, "p")
+        with mock.patch.object(driving.eventlet, "sleep"):
+            self.driver.start("j.0.0.0", 1, "p")
         self.assertEqual([], self.client.started)
         self.assertEqual("lease", self.endings()[0][3])
 
@@ -102,9 +103,29 @@
         self.allocator.owners[A].authority_until_s -= 0.2
         self.driver.lease = leases.TargetLease(1.0, lambda: self.now_s, -95.0)
         self.request_start("j.0.0.0")
-        self.driver.start("j.0.0.0", 1, "p")
+        with mock.patch.object(driving.eventlet, "sleep"):
+            self.driver.start("j.0.0.0", 1, "p")
+        self.assertEqual([], self.client.started)
         self.assertEqual("lease", self.endings()[0][3])
 
+    def test_start_waits_for_the_next_answer_to_a_ping(self):
+        """Orders that were read 0.2 s late were refused.
+
+        Their scheduler sent them again at once, to no avail.
+        """
+        self.driver.lease.end_s = self.now_s + 1.0
+        self.allocator.owners[A].authority_until_s = self.now_s + 0.7
+
+        def renew(pause_s):
+            self.now_s += pause_s
+            self.allocator.renew_authority(A, self.now_s)
+
+        self.request_start("j.0.0.0")
+        with mock.patch.object(driving.eventlet, "sleep", renew):
+            self.driver.start("j.0.0.0", 1, "p")
+        self.assertEqual(["j.0.0.0"], self.client.started)
+        self.assertEqual([], self.endings())
+
     def test_run_of_an_earlier_process_ends_in_time(self):
         """It worked on while its scheduler had begun it elsewhere.
 
