--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -86,6 +86,8 @@
         instances: Instance of each target that does not have the usual one.
         clock_rate: Seconds of the steady clocks of every third target in a
             second; the others' clocks are exact.
+        limits: Limits of each host as they stand in the settings, none if
+            empty.
     """
 
     launcher: processes.Launcher
@@ -103,6 +105,7 @@
     moves: dict[int, int] = attrs.field(factory=dict)
     instances: dict[int, str] = attrs.field(factory=dict)
     clock_rate: float = 1.0
+    limits: dict[str, float] = attrs.field(factory=dict)
     _cut_count: int = 0
     _lock: threading.Lock = attrs.field(factory=threading.Lock)
 
@@ -391,6 +394,7 @@
             },
             "orders": "rpc",
             "platform": {"address": self.store},
+            "limits": self.limits,
         }
 
     def _launch(
