Bound the memory that a decoded body takes

Cause: the decoded form of a JSON body can be forty times as large as the body: `{}` and a comma are three bytes, and an empty object takes 72.

Change: fields.parse takes a limit and refuses a body whose decoded form may exceed it, by an upper bound from the counts of the characters that begin or separate values. An unknown state of a report is cut in the log line.

--- a/trefoilgw/platform/fields.py
+++ b/trefoilgw/platform/fields.py
@@ -13,18 +13,59 @@
 # Larger integers lose digits in other JSON implementations, and messages
 # between processes hold 64 bits.
 MAX_INTEGER = 2**53
+# Bytes of memory of the decoder, and for each occurrence of a character in JSON: for an object and
+# an array with their references, for a key beside its text, for half of a short
+# string, and for a number with its reference.
+_DECODED_BASE_BYTES = 4096
+_DECODED_BYTES = {b"{": 208, b"[": 104, b":": 90, b'"': 44, b",": 44}
 
 
 class FieldError(Exception):
     """A body has a missing or invalid field; the message says where."""
 
 
-def parse(data: bytes) -> dict:
+def estimate_decoded_bytes(data: bytes) -> int:
+    """Returns an upper bound of the memory that a decoded JSON body takes.
+
+    The decoded form of a body can be forty times as large as the body: `{}` and
+    a comma are three bytes, and an empty object is 72 with its reference.
+
+    Notes:
+        It counts the characters that begin or separate values, also those in
+        strings. A character of a string takes up to four bytes if another one
+        needs them, and escapes can stand for such a character.
+    """
+    if not data.isascii():
+        text_factor = 8
+    elif b"\\u" in data:
+        text_factor = 5
+    else:
+        text_factor = 2
+    value_bytes = sum(
+        data.count(character) * size_bytes
+        for character, size_bytes in _DECODED_BYTES.items()
+    )
+    return _DECODED_BASE_BYTES + text_factor * len(data) + value_bytes
+
+
+def parse(data: bytes, decoded_limit_bytes: int | None = None) -> dict:
     """Decodes a body that must be a JSON object.
 
+    Args:
+        data: The body.
+        decoded_limit_bytes: Memory that the decoded form may take, None for
+            any.
+
     Raises:
-        FieldError: The body is not JSON or not an object.
+        FieldError: The body is not JSON, not an object, or has too many values.
     """
+    if decoded_limit_bytes is not None:
+        size_bytes = estimate_decoded_bytes(data)
+        if size_bytes > decoded_limit_bytes:
+            raise FieldError(
+                f"its values may take {size_bytes} bytes of memory, the limit "
+                f"is {decoded_limit_bytes}"
+            )
     try:
         body = json.loads(data)
     except (ValueError, RecursionError) as error:
--- a/trefoilgw/platform/reports.py
+++ b/trefoilgw/platform/reports.py
@@ -16,20 +16,24 @@
 log = logging.getLogger(__name__)
 
 
-def decode(instance: str, data: bytes) -> work.Target:
+def decode(
+    instance: str, data: bytes, decoded_limit_bytes: int | None = None
+) -> work.Target:
     """Decodes a report.
 
     Args:
         instance: Name of the instance, from the path of the request.
         data: Body of the request.
+        decoded_limit_bytes: Memory that its values may take while it is
+            decoded, None for any.
 
     Raises:
         fields.FieldError: The report is malformed.
     """
-    body = fields.Fields(fields.parse(data))
+    body = fields.Fields(fields.parse(data, decoded_limit_bytes))
     state = body.text("state")
     if state not in _DRAINING_BY_STATE:
-        raise fields.FieldError(f"state {state!r} is unknown")
+        raise fields.FieldError(f"state {state[:40]!r} is unknown")
     capacity = body.object("capacity")
     return work.Target(
         instance=instance,
@@ -47,7 +51,7 @@
     )
 
 
-def decode_leave(data: bytes) -> int:
+def decode_leave(data: bytes, decoded_limit_bytes: int | None = None) -> int:
     """Decodes the body of a deregistration, which may be empty.
 
     Returns:
@@ -56,7 +60,8 @@
     Raises:
         fields.FieldError: The body is malformed.
     """
-    return fields.Fields(fields.parse(data or b"{}")).integer("born", 0)
+    body = fields.parse(data or b"{}", decoded_limit_bytes)
+    return fields.Fields(body).integer("born", 0)
 
 
 @attrs.define(eq=False)
@@ -67,10 +72,13 @@
         on_report: Called with the `work.Target` of each valid report.
         on_leave: Called with the instance and its start in milliseconds, 0 if
             it does not say, when it deregisters.
+        decoded_limit_bytes: Memory that the values of one body may take while
+            it is decoded, None for any.
     """
 
     on_report: Callable[[work.Target], None]
     on_leave: Callable[[str, int], None]
+    decoded_limit_bytes: int | None = None
 
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
         """Answers one report."""
@@ -94,10 +102,12 @@
         try:
             if path.startswith(_LEAVE_PATH):
                 instance = path.removeprefix(_LEAVE_PATH)
-                self.on_leave(instance, decode_leave(data))
+                started_ms = decode_leave(data, self.decoded_limit_bytes)
+                self.on_leave(instance, started_ms)
             elif path.startswith(_REPORT_PATH):
                 instance = path.removeprefix(_REPORT_PATH)
-                self.on_report(decode(instance, data))
+                limit_bytes = self.decoded_limit_bytes
+                self.on_report(decode(instance, data, limit_bytes))
             else:
                 return "404 Not Found"
         except fields.FieldError as error:
--- a/trefoilgw/platform/submissions.py
+++ b/trefoilgw/platform/submissions.py
@@ -8,6 +8,9 @@
 # a scheduler.
 MAX_TASKS = 1024
 MAX_PAYLOAD_BYTES = 4000
+# Memory of a task from its submission to the answer, in the job and in the
+# state of the scheduler.
+TASK_BYTES = 640
 # Unsupported properties of a job and of a step. Each changes how the work must
 # run, so such a job is refused.
 _JOB_UNSUPPORTED = ("repeats",)
@@ -27,6 +30,7 @@
     queue: work.Queue,
     data: bytes,
     caller_wait_s: float | None = None,
+    decoded_limit_bytes: int | None = None,
 ) -> requests.Request:
     """Decodes the body of a submission.
 
@@ -36,18 +40,25 @@
         data: The body.
         caller_wait_s: Seconds for which the caller waits, None if it does not
             state this.
+        decoded_limit_bytes: Memory that the values of the body may take while
+            it is decoded, None for any.
 
     Returns:
         `Submit`, or the refusal of a body that is malformed, too large or
         needs an unsupported property.
     """
     try:
-        body = fields.Fields(fields.parse(data))
+        body = fields.Fields(fields.parse(data, decoded_limit_bytes))
         return _decode(key, queue, body, caller_wait_s)
     except fields.FieldError as error:
         return requests.Malformed("bad_request", str(error))
 
 
+def job_bytes(job: work.JobSpec) -> int:
+    """Returns the memory that a job takes until it has ended."""
+    return len(job.payload) * 4 + len(job.tasks) * TASK_BYTES
+
+
 def _decode(
     key: str,
     queue: work.Queue,
--- a/trefoilgw/platform/tests/test_decoding.py
+++ b/trefoilgw/platform/tests/test_decoding.py
@@ -1,6 +1,7 @@
 """Tests for decoding the platform's JSON bodies."""
 
 import json
+import tracemalloc
 import unittest
 
 from trefoilgw.platform import configurations
@@ -263,5 +264,88 @@
                 targets.decode_hold(fields.Fields(body))
 
 
+class DecodedSizeTest(unittest.TestCase):
+    def test_estimate_is_an_upper_bound(self):
+        """A body of 1 MB took up to 40 MB while it was decoded."""
+        count = 20_000
+        values = {
+            "objects": b"{}",
+            "objects in objects": b'{"":{}}',
+            "keys": b'{"a":0,"b":1}',
+            "arrays": b"[]",
+            "arrays of one": b"[0]",
+            "numbers": b"-6",
+            "large numbers": b"257",
+            "floats": b"1e9",
+            "wide texts": b'"\xc4\x81"',
+            "very wide texts": b'"\xf0\x9f\x98\x80"',
+            "escaped texts": b'"\\ud83d\\ude00aaaaaaaaaaaa"',
+        }
+        bodies = {
+            name: b'{"a":[' + b",".join([value] * count) + b"]}"
+            for name, value in values.items()
+        }
+        bodies["different keys"] = json.dumps(
+            {f"{x:x}": -x for x in range(count)}
+        ).encode()
+        bodies["one text"] = b'{"a":"' + b"a" * 500_000 + b'"}'
+        bodies["one wide text"] = (
+            b'{"a":"\xf0\x9f\x98\x80' + b"a" * 500_000 + b'"}'
+        )
+        for name, data in bodies.items():
+            with self.subTest(name):
+                tracemalloc.start()
+                fields.parse(data)
+                _, peak_bytes = tracemalloc.get_traced_memory()
+                tracemalloc.stop()
+                estimate_bytes = fields.estimate_decoded_bytes(data)
+                self.assertGreaterEqual(estimate_bytes, peak_bytes)
+                with self.assertRaises(fields.FieldError):
+                    fields.parse(data, estimate_bytes - 1)
+
+    def test_large_legal_body_is_decoded(self):
+        """The bound must not refuse a job that the pages allow."""
+        steps = [
+            {
+                "count": 1,
+                "cpu": 500,
+                "memMb": 256,
+                "gpu": 1,
+                "estimateMs": 900,
+                "checkpointing": True,
+                "image": "some-image-name",
+                "allowDuplicates": True,
+                "other": list(range(200)),
+            }
+            for _ in range(submissions.MAX_TASKS)
+        ]
+        body = {"spec": "{" * 4000, "steps": steps, "bestEffort": True}
+        data = json.dumps(body).encode()
+        self.assertGreater(len(data), 1_000_000)
+        configuration = configurations.decode(encode_json(CONFIGURATION))
+        queue = configuration.queues[0]
+        found = submissions.decode(KEY, queue, data, None, 33 * 1024 * 1024)
+        self.assertIsInstance(found, requests.Submit)
+        self.assertGreater(submissions.job_bytes(found.job), 600_000)
+
+    def test_body_with_too_many_values_is_malformed(self):
+        """A refusal must name the cause, and nothing may be decoded."""
+        configuration = configurations.decode(encode_json(CONFIGURATION))
+        queue = configuration.queues[0]
+        data = b'{"spec":"a","steps":[' + b"{}," * 10_000 + b"{}]}"
+        found = submissions.decode(KEY, queue, data, None, 1_000_000)
+        self.assertIsInstance(found, requests.Malformed)
+        self.assertIn("bytes of memory", found.detail)
+
+    def test_reports_are_bounded_as_well(self):
+        """A report may have 4 MiB, which took 160 MB decoded."""
+        data = encode_json(REPORT, labels=[{}] * 10_000)
+        with self.assertRaises(fields.FieldError):
+            reports.decode("i", data, 1_000_000)
+        with self.assertRaises(fields.FieldError):
+            reports.decode_leave(data, 1_000_000)
+        self.assertEqual("i", reports.decode("i", data, 10**8).instance)
+
+
 if __name__ == "__main__":
     unittest.main()
