Bound the memory and the connections of callers

Cause: each request had limits of its own, all of them together had none. Many bodies of legal size at once ended a process; bodies above the configured limit were read up to 4 MB before they were refused, and refused ones were kept while the rest was discarded. A process without descriptors ended its accept loop, and its port stayed closed.

Change: callers.budget decides what the connections of a server may hold, from the memory and descriptor limits of the host's settings: an announced body is charged before it is read, a chunked one as it arrives, a decoded job by its tasks until its end. Beyond the budget, slow and large incomplete requests are closed or the request is refused with 503 and Retry-After; small requests have a reserve. Readiness, metrics and reports have servers with limits that fit. What was limited is logged at most once a second and counted by reason.

--- a/trefoilgw/platform/callers.py
+++ b/trefoilgw/platform/callers.py
@@ -49,6 +49,8 @@
             started.
         rejected: Called with the path and the reason of each request that is
             not served; the path is empty if no configuration is known.
+        decoded_limit_bytes: Memory that the values of one body may take while
+            it is decoded, None for any.
     """
 
     configuration: Callable[[], work.Configuration | None]
@@ -57,6 +59,7 @@
     cancel: Callable[[str], bool]
     count_waiting: Callable[[str], int]
     rejected: Callable[[str, str], None]
+    decoded_limit_bytes: int | None = None
 
     def __call__(self, environ: dict, start_response: Callable) -> list[bytes]:
         """Answers one request."""
@@ -69,8 +72,14 @@
                 _reason_body("no_configuration"),
                 1.0,
             )
-        match parse_request(environ, configuration):
+        request = parse_request(
+            environ, configuration, self.decoded_limit_bytes
+        )
+        match request:
             case requests.Submit(job=job):
+                memory = environ["trefoilgw.memory"]
+                if not memory.exchange(submissions.job_bytes(job)):
+                    return self._refuse_for_memory(start_response, environ, job)
                 watch = environ["trefoilgw.disconnects"]
                 connection = Connection(watch.start, watch.closed)
                 outcome = self.submit(job, connection)
@@ -93,15 +102,33 @@
                 self.rejected(environ["PATH_INFO"], reason)
                 return _reply(start_response, status, _reason_body(reason))
 
+    def may_run(self, path: str) -> bool:
+        """Returns whether this process runs the job that a path names."""
+        return self.is_running(path.rpartition("/")[2].partition("?")[0])
+
+    def _refuse_for_memory(
+        self, start_response: Callable, environ: dict, job: work.JobSpec
+    ) -> list[bytes]:
+        """Refuses a job for which there is not enough memory."""
+        self.rejected(environ["PATH_INFO"], "memory")
+        if self.is_running(job.key):
+            # A 503 would say that the job never runs, and it runs already.
+            return _reply(start_response, _BAD_GATEWAY, _reason_body("memory"))
+        return _reply(start_response, _UNAVAILABLE, _reason_body("memory"), 1.0)
+
 
 def parse_request(
-    environ: dict, configuration: work.Configuration
+    environ: dict,
+    configuration: work.Configuration,
+    decoded_limit_bytes: int | None = None,
 ) -> requests.Request:
     """Decodes a caller's request.
 
     Args:
         environ: WSGI environment of the request.
         configuration: Configuration that maps host and path to a queue.
+        decoded_limit_bytes: Memory that the values of the body may take while
+            it is decoded, None for any.
 
     Returns:
         The request, or the refusal of one that can't be served.
@@ -123,10 +150,14 @@
             if int(environ["CONTENT_LENGTH"]) > limit_bytes:
                 return requests.TooLarge(limit_bytes)
             body = environ["wsgi.input"].read()
+            # The environment lasts until the job has ended.
+            environ["wsgi.input"].close()
             caller_wait_s = _parse_caller_wait_s(
                 environ.get("HTTP_X_DEADLINE_MS", "")
             )
-            return submissions.decode(key, queue, body, caller_wait_s)
+            return submissions.decode(
+                key, queue, body, caller_wait_s, decoded_limit_bytes
+            )
         case "GET":
             return requests.ReadState(key)
         case "DELETE":
--- a/trefoilgw/platform/hosting.py
+++ b/trefoilgw/platform/hosting.py
@@ -63,10 +63,27 @@
         lease_limit_s=bounds.number("maxHoldMs") / 1000,
         run_stop_s=bounds.number("stopTimeoutMs") / 1000,
         stop_limit_s=bounds.number("graceS"),
+        memory_limit_bytes=_memory_limit_bytes(body),
+        descriptor_limit=(
+            _limits(body).integer("maxFds", 0)
+            or hosting.DEFAULT_DESCRIPTOR_LIMIT
+        ),
         unsupported=tuple(unsupported),
     )
 
 
+def _limits(body: fields.Fields) -> fields.Fields:
+    """Returns the limits of the host, which may be absent."""
+    present = body.values.get("limits") is not None
+    return body.object("limits") if present else fields.Fields({}, "limits.")
+
+
+def _memory_limit_bytes(body: fields.Fields) -> int:
+    """Returns the memory limit; `memoryMb` may be a fraction."""
+    limit_bytes = int(_limits(body).number("memoryMb", 0.0) * 1024 * 1024)
+    return limit_bytes or hosting.DEFAULT_MEMORY_LIMIT_BYTES
+
+
 @attrs.define(eq=False)
 class SettingsWatch:
     """Reloads the settings when the content of their file has changed.
--- a/trefoilgw/processes/core.py
+++ b/trefoilgw/processes/core.py
@@ -13,7 +13,7 @@
 
 from eventlet import event
 
-from trefoilgw.callers import server
+from trefoilgw.callers import limiting
 from trefoilgw.logs import core as logs
 from trefoilgw.metrics import core as metrics
 from trefoilgw.metrics import serving
@@ -101,7 +101,8 @@
     garbage.limit_collections()
     if options.metrics_port:
         address = f"{settings.address}:{options.metrics_port}"
-        server.HttpServer(serving.Application(program.registry)).listen(address)
+        application = serving.Application(program.registry)
+        limiting.make_service_server(application).listen(address)
     program.timers.every(SETTINGS_CHECK_INTERVAL_S, settings_watch.check)
     program.timers.every(LOG_FLUSH_INTERVAL_S, handler.poll)
     log.info("started", extra={"incarnation": program.incarnation})
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -6,6 +6,8 @@
 import attrs
 import eventlet
 
+from trefoilgw.callers import budget
+from trefoilgw.callers import limiting
 from trefoilgw.callers import server
 from trefoilgw.messages import runs
 from trefoilgw.metrics import core as metrics
@@ -43,6 +45,7 @@
         allocator: Allocates the capacity of the target.
         driver: Starts, stops and polls the runs of the target.
         links: Streams to the schedulers.
+        reports_server: Receives the reports of the target.
         timers: Timer service.
         counts: Metrics for operators.
         suspect_reason: Why the target was suspect at the last tick.
@@ -55,6 +58,7 @@
     )
     driver: driving.TargetDriver = attrs.field(init=False)
     links: runner_links.Links = attrs.field(init=False)
+    reports_server: server.HttpServer = attrs.field(init=False)
     timers: timer_service.TimerService = attrs.field(init=False)
     counts: runner_metrics.RunnerMetrics = attrs.field(
         factory=runner_metrics.RunnerMetrics
@@ -84,7 +88,16 @@
             self.flush,
             frozenset(settings.seed_streams()),
         )
+        self.reports_server = limiting.make_server(
+            reports.ReportsApplication(
+                self._target_reported,
+                self._target_left,
+                budget.decoded_limit_bytes(settings.memory_limit_bytes),
+            ),
+            settings,
+        )
         self.counts.register_gauges(self.allocator)
+        limiting.register_metrics(self.registry, self.reports_server)
 
     @property
     def registry(self) -> metrics.Registry:
@@ -97,10 +110,10 @@
         Raises:
             OSError: An address can't be bound.
         """
-        application = reports.ReportsApplication(
-            self._target_reported, self._target_left
+        self.reports_server.listen(self.settings.reports_address)
+        self.timers.every(
+            limiting.LOG_INTERVAL_S, self.reports_server.log_limited
         )
-        server.HttpServer(application).listen(self.settings.reports_address)
         eventlet.spawn_n(self.timers.run)
         eventlet.spawn_n(self.driver.run)
         eventlet.spawn_n(self.driver.run_redundant_poll)
@@ -112,6 +125,7 @@
     def reload(self, settings: hosting.HostSettings) -> None:
         """Applies the settings that can change without a restart."""
         self.settings = settings
+        limiting.apply(self.reports_server, settings)
         self.driver.lease.length_s = settings.lease_limit_s
         self.links.seeds = frozenset(settings.seed_streams())
 
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -13,6 +13,8 @@
 import eventlet
 from eventlet import event
 
+from trefoilgw.callers import budget
+from trefoilgw.callers import limiting
 from trefoilgw.callers import server
 from trefoilgw.messages import runs
 from trefoilgw.metrics import core as metrics
@@ -157,10 +159,18 @@
             self._cancel,
             self._count_waiting,
             self._record_rejected_request,
+            budget.decoded_limit_bytes(settings.memory_limit_bytes),
+        )
+        self.callers_server = limiting.make_server(application, settings)
+        self.callers_server.may_run = application.may_run
+        self.callers_server.limits.configured_body_limit = (
+            self._configured_body_limit
+        )
+        self.readiness_server = limiting.make_service_server(
+            self._answer_readiness_probe
         )
-        self.callers_server = server.HttpServer(application)
-        self.readiness_server = server.HttpServer(self._answer_readiness_probe)
         self._add_gauges()
+        limiting.register_metrics(self.registry, self.callers_server)
 
     @property
     def registry(self) -> metrics.Registry:
@@ -212,6 +222,9 @@
         self.timers.on_pause(self.drop_closed_callers)
         self.timers.every(TICK_S, self._tick)
         self.timers.every(SILENCE_CHECK_INTERVAL_S, self.clients.close_silent)
+        self.timers.every(
+            limiting.LOG_INTERVAL_S, self.callers_server.log_limited
+        )
         self.timers.every(
             scheduler_membership.PUBLICATION_INTERVAL_S, self.membership.update
         )
@@ -239,6 +252,7 @@
         """Applies changed settings that take effect without a restart."""
         if settings.store_address != self.settings.store_address:
             self.store.change_address(settings.store_address)
+        limiting.apply(self.callers_server, settings)
         self.settings = settings
         self.membership.seeds = frozenset(settings.seed_streams())
 
@@ -345,6 +359,11 @@
         for waiter in self.waiters.pop(key, []):
             waiter.outcome.send(outcome)
 
+    def _configured_body_limit(self) -> int | None:
+        """Returns the largest body in bytes, None before a configuration."""
+        configuration = self.configuration_watcher.current
+        return None if configuration is None else configuration.body_limit_bytes
+
     def _count_waiting(self, queue: str) -> int:
         """Returns how many jobs of a queue have not started."""
         return sum(
--- a/trefoilgw/work/hosting.py
+++ b/trefoilgw/work/hosting.py
@@ -2,6 +2,10 @@
 
 import attrs
 
+# Limits of a host whose settings name none: those of the smallest hosts.
+DEFAULT_MEMORY_LIMIT_BYTES = 160 * 1024 * 1024
+DEFAULT_DESCRIPTOR_LIMIT = 4096
+
 
 @attrs.frozen
 class HostSettings:
@@ -23,6 +27,8 @@
         lease_limit_s: Longest lease that a target grants to its runs.
         run_stop_s: Longest time that a target takes to stop a run.
         stop_limit_s: Seconds from SIGTERM to SIGKILL.
+        memory_limit_bytes: Memory at which the process is ended.
+        descriptor_limit: Open descriptors of the process at most.
         unsupported: Features in the settings that are not implemented.
     """
 
@@ -39,6 +45,8 @@
     lease_limit_s: float
     run_stop_s: float
     stop_limit_s: float
+    memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
+    descriptor_limit: int = DEFAULT_DESCRIPTOR_LIMIT
     unsupported: tuple[str, ...] = ()
 
     @property
