Register the metrics of a runner's server when it starts

Cause: the model of the runner in trefoilgw.tests replaces its metrics, and a runner that registers metrics in its constructor failed there: 6 tests of test_run_end_sequences and test_runs_end_once ended with an error.

Change: the runner registers them in `start`, where it opens the port.

--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -97,7 +97,6 @@
             settings,
         )
         self.counts.register_gauges(self.allocator)
-        limiting.register_metrics(self.registry, self.reports_server)
 
     @property
     def registry(self) -> metrics.Registry:
@@ -110,6 +109,7 @@
         Raises:
             OSError: An address can't be bound.
         """
+        limiting.register_metrics(self.registry, self.reports_server)
         self.reports_server.listen(self.settings.reports_address)
         self.timers.every(
             limiting.LOG_INTERVAL_S, self.reports_server.log_limited
