--- a/trefoilgw/callers/budget.py
+++ b/trefoilgw/callers/budget.py
@@ -91,14 +91,15 @@
         connections: Maximum number of open connections.
         min_rate_bytes_s: Slowest mean rate at which a body may arrive.
         rate_grace_s: Age of an incomplete request from which the rate counts.
+            A request that arrives within this time may be as slow as it likes.
     """
 
     memory_bytes: int = 256 * MIB
     small_reserve_bytes: int = 32 * MIB
     small_request_bytes: int = 64 * 1024
     connections: int = MAX_CONNECTIONS
-    min_rate_bytes_s: float = 1024.0
-    rate_grace_s: float = 5.0
+    min_rate_bytes_s: float = 64 * 1024.0
+    rate_grace_s: float = 10.0
 
     @property
     def largest_request_bytes(self) -> int:
--- a/trefoilgw/callers/protocol.py
+++ b/trefoilgw/callers/protocol.py
@@ -67,7 +67,7 @@
         head_limit_bytes: Maximum size of request line and headers together.
         line_limit_bytes: Maximum size of a single line of the head.
         send_limit_s: Maximum seconds from the first byte of a request to its
-            last.
+            last, also if it arrives fast enough.
         idle_limit_s: Seconds without a request after which a connection is
             closed.
         stall_limit_s: Seconds that sending a response may block because the
@@ -82,7 +82,7 @@
     body_limit_bytes: int = 4 * 1024 * 1024
     head_limit_bytes: int = 16 * 1024
     line_limit_bytes: int = 8 * 1024
-    send_limit_s: float = 10.0
+    send_limit_s: float = 60.0
     idle_limit_s: float = 75.0
     stall_limit_s: float = 30.0
     discard_limit_s: float = 5.0
