--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -85,6 +85,8 @@
         clock_rate: Seconds of the steady clocks of every third target in a
             second; the others' clocks are exact.
         relays: The relays, if any.
+        limits: Limits of each host as they stand in the settings, none if
+            empty.
     """
 
     launcher: processes.Launcher
@@ -101,6 +103,7 @@
     instances: dict[int, str] = attrs.field(factory=dict)
     clock_rate: float = 1.0
     evacuations: bool = False
+    limits: dict[str, float] = attrs.field(factory=dict)
     relays: host_relays.Relays = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -287,6 +290,7 @@
             },
             "orders": "rpc",
             "platform": {"address": self.store},
+            "limits": self.limits,
         }
         if self.evacuations:
             settings["contracts"] = ["base", "places"]
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -7,6 +7,8 @@
 import attrs
 import eventlet
 
+from trefoilgw.callers import budget
+from trefoilgw.callers import limiting
 from trefoilgw.callers import server
 from trefoilgw.evacuation import core as evacuation
 from trefoilgw.evacuation import log_lines
@@ -48,6 +50,7 @@
         driver: Starts, stops and polls the runs of the target.
         links: Streams to the schedulers.
         evacuations: Evacuated failure domains.
+        reports_server: Receives the reports of the target.
         timers: Timer service.
         counts: Metrics for operators.
         suspect_reason: Why the target was suspect at the last tick.
@@ -63,6 +66,7 @@
     evacuations: evacuation.EvacuatedDomains = attrs.field(
         factory=evacuation.EvacuatedDomains
     )
+    reports_server: server.HttpServer = attrs.field(init=False)
     timers: timer_service.TimerService = attrs.field(init=False)
     counts: runner_metrics.RunnerMetrics = attrs.field(
         factory=runner_metrics.RunnerMetrics
@@ -94,6 +98,14 @@
             frozenset(settings.seed_streams()),
             on_evacuations=self._evacuations_pushed,
         )
+        self.reports_server = limiting.make_server(
+            reports.ReportsApplication(
+                self._target_reported,
+                self._target_left,
+                budget.decoded_limit_bytes(settings.memory_limit_bytes),
+            ),
+            settings,
+        )
         self.counts.register_gauges(self.allocator)
 
     @property
@@ -107,10 +119,11 @@
         Raises:
             OSError: An address can't be bound.
         """
-        application = reports.ReportsApplication(
-            self._target_reported, self._target_left
+        limiting.register_metrics(self.registry, self.reports_server)
+        self.reports_server.listen(self.settings.reports_address)
+        self.timers.every(
+            limiting.LOG_INTERVAL_S, self.reports_server.log_limited
         )
-        server.HttpServer(application).listen(self.settings.reports_address)
         eventlet.spawn_n(self.timers.run)
         eventlet.spawn_n(self.driver.run)
         eventlet.spawn_n(self.driver.run_redundant_poll)
@@ -122,6 +135,7 @@
     def reload(self, settings: hosting.HostSettings) -> None:
         """Applies the settings that can change without a restart."""
         self.settings = settings
+        limiting.apply(self.reports_server, settings)
         self.driver.lease.length_s = settings.lease_limit_s
         self.links.seeds = frozenset(settings.seed_streams())
 
