Move the dispatching of waiting tasks out of the scheduler's core

Change: scheduling/dispatching.py has the class Dispatcher with placing, offers and bids; no behaviour changes.

--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -9,26 +9,21 @@
 import bisect
 import logging
 import random
-from collections.abc import Iterable
 
 import attrs
 
 from trefoilgw.messages import runs as messages
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import admission
-from trefoilgw.scheduling import bidding
 from trefoilgw.scheduling import capacities
+from trefoilgw.scheduling import dispatching
 from trefoilgw.scheduling import forecasts
 from trefoilgw.scheduling import jobs
-from trefoilgw.scheduling import placing
 from trefoilgw.scheduling import planning
 from trefoilgw.scheduling import runners
 from trefoilgw.scheduling import runtimes
 from trefoilgw.work import core as work
 
-# Number of waiting jobs that don't fit after which placement stops. Until then
-# less urgent jobs may use the remaining capacity.
-MAX_SKIPPED_JOBS = 4
 # Added to the run number when a target has seen a higher one. Run numbers start
 # at the wall clock in milliseconds, and clocks of hosts may be seconds apart.
 RUN_NUMBER_SKIP = 60_000
@@ -74,9 +69,7 @@
             incarnation.
         largest_targets: Capacities of the targets that were reported lately.
         forecaster: Predicts how long a job would wait.
-        bid_urgency: Most urgent class of the last bids, None while nothing
-            waits.
-        bids_updated_s: Time of the last update of the bids.
+        dispatcher: Sends the waiting tasks to the runners.
         handled_s: Time of the last tick but one, before which everything that
             had happened has been handled.
         pending_actions: Actions not yet taken by the program.
@@ -94,8 +87,7 @@
         factory=capacities.LargestTargets
     )
     forecaster: forecasts.Forecaster = attrs.field(init=False)
-    bid_urgency: int | None = None
-    bids_updated_s: float = 0.0
+    dispatcher: dispatching.Dispatcher = attrs.field(init=False)
     handled_s: float = 0.0
     pending_actions: list = attrs.field(factory=list)
     rng: random.Random = attrs.field(factory=random.Random)
@@ -106,6 +98,14 @@
         self.forecaster = forecasts.Forecaster(
             self.waiting_jobs, self.runner_views, self.arrivals
         )
+        self.dispatcher = dispatching.Dispatcher(
+            self.domain,
+            self.waiting_jobs,
+            self.runner_views,
+            self.rng,
+            self._send_message,
+            self._alive_until_s,
+        )
 
     def take_actions(self) -> list:
         """Returns the pending actions and clears them."""
@@ -138,6 +138,7 @@
         if refusal is not None:
             return refusal
         self._order += 1
+        self.dispatcher.rotation = self._order
         job = planning.make_job(
             spec, first_run, self._order, self.run_times, now_s
         )
@@ -163,7 +164,7 @@
         arrivals.record(job.waiting_millicores(), slack_s, now_s)
         self.admitted[job.key] = job
         bisect.insort(self.waiting_jobs, job, key=lambda x: x.rank)
-        self._place(now_s)
+        self.dispatcher.place(now_s)
         return job
 
     def _refuse_too_large(
@@ -265,7 +266,7 @@
         unknown = tuple(messages.RunRef(*x) for x in sorted(held - known))
         if unknown:
             self._send_message(name, messages.StopRuns(unknown))
-        self._place(now_s)
+        self.dispatcher.place(now_s)
 
     def runner_pinged(self, name: str, sent_s: float, now_s: float) -> float:
         """Notes that a ping of a runner is answered.
@@ -311,11 +312,11 @@
         self.largest_targets.record(
             report.service, name, report.capacity.demand, now_s
         )
-        if view.bid.demands and self.bid_urgency is None:
+        if view.bid.demands and self.dispatcher.bid_urgency is None:
             # It was not usable when the other bids were withdrawn.
-            self.bid_urgency = view.bid.demands[0].urgency
+            self.dispatcher.bid_urgency = view.bid.demands[0].urgency
         # No waiting task fitted in what was known of the other runners.
-        self._place(now_s, (view,))
+        self.dispatcher.place(now_s, (view,))
 
     def run_ended(
         self, name: str, message: messages.RunEnded, now_s: float
@@ -345,7 +346,7 @@
                     task.excluded_runners.add(name)
                 self._requeue(job, task, end, now_s)
         state = task.state
-        self._place(now_s)
+        self.dispatcher.place(now_s)
         return state
 
     def _task_done(
@@ -436,167 +437,11 @@
         if job not in self.waiting_jobs:
             bisect.insort(self.waiting_jobs, job, key=lambda x: x.rank)
 
-    # Placement.
-
-    def _place(
-        self,
-        now_s: float,
-        views: Iterable[runners.RunnerView] | None = None,
-    ) -> None:
-        """Sends waiting tasks to runners with free capacity, then bids.
-
-        Args:
-            now_s: Current time.
-            views: Runners to consider, None for all.
-        """
-        if not self.waiting_jobs:
-            self._send_bids(now_s)
-            return
-        batches: dict[str, dict[jobs.Job, list[jobs.Task]]] = {}
-        with_capacity = [
-            x
-            for x in views or self.runner_views.values()
-            if x.usable and x.has_capacity()
-        ]
-        skipped = 0
-        for job in list(self.waiting_jobs) if with_capacity else ():
-            if skipped >= MAX_SKIPPED_JOBS:
-                break
-            service = job.spec.queue.service
-            slack_s = job.latest_start_s - now_s
-            accepting = [
-                x for x in with_capacity if x.accepts(job.urgency, now_s)
-            ]
-            for task in job.waiting():
-                view = placing.choose_runner(
-                    accepting,
-                    task,
-                    slack_s,
-                    service,
-                    self.domain,
-                    now_s,
-                    self.rng,
-                )
-                if view is None:
-                    skipped += 1
-                    break
-                self._mark_sent(job, task, view, now_s)
-                view.add_unreported(task.spec.demand)
-                batches.setdefault(view.name, {}).setdefault(job, []).append(
-                    task
-                )
-        for name, batch in batches.items():
-            self._send_batch(self.runner_views[name], batch, 0, now_s)
-        self._send_bids(now_s)
-
-    def _mark_sent(
-        self,
-        job: jobs.Job,
-        task: jobs.Task,
-        view: runners.RunnerView,
-        now_s: float,
-    ) -> None:
-        """Updates the state of a task that is sent to a runner."""
-        task.state = jobs.TaskState.SENT
-        task.runner = view.name
-        task.incarnation = view.incarnation
-        task.sent_s = now_s
-        task.attempts += 1
-        job.started = True
-        if view.suspect:
-            view.probed_s = now_s
-        if not job.waiting():
-            self._remove_waiting(job)
-
-    def _send_batch(
-        self,
-        view: runners.RunnerView,
-        batch: dict[jobs.Job, list[jobs.Task]],
-        offer: int,
-        now_s: float,
-    ) -> None:
-        """Sends tasks to a runner in one message.
-
-        Args:
-            view: The runner.
-            batch: Tasks by job; empty if an offer is declined.
-            offer: Number of the offer that this answers, 0 if none.
-            now_s: Current time.
-        """
-        view.starts_sent += 1
-        groups = tuple(
-            messages.RunGroup(
-                job.spec.payload,
-                tuple(
-                    messages.RunOrder(
-                        x.spec.name,
-                        x.run,
-                        messages.Room.of(x.spec.demand),
-                        x.expected_s,
-                        job.urgency,
-                    )
-                    for x in tasks
-                ),
-            )
-            for job, tasks in batch.items()
-        )
-        alive_s = view.renew_by_order(self._alive_until_s(now_s))
-        order = messages.StartRuns(offer, groups, alive_s)
-        self._send_message(view.name, order)
-
     def capacity_offered(
         self, name: str, offer: messages.Offer, now_s: float
     ) -> None:
-        """Fills the capacity that a runner reserved, most urgent jobs first.
-
-        An offer that no task can use is declined with an empty message.
-        """
-        view = self.runner_views[name]
-        remaining = offer.room.demand
-        batch: dict[jobs.Job, list[jobs.Task]] = {}
-        for job in list(self.waiting_jobs):
-            if not view.serves(job.spec.queue.service):
-                continue
-            if job.urgency > offer.urgency:
-                continue
-            for task in job.waiting():
-                demand = task.spec.demand
-                if name in task.excluded_runners or not demand.fits_in(
-                    remaining
-                ):
-                    continue
-                remaining = remaining.minus(demand)
-                self._mark_sent(job, task, view, now_s)
-                batch.setdefault(job, []).append(task)
-            if remaining.cpu_millicores <= 0:
-                break
-        self._send_batch(view, batch, offer.number, now_s)
-        if not batch:
-            view.drop_bids(offer.urgency)
-        self._send_bids(now_s)
-
-    def _send_bids(self, now_s: float) -> None:
-        """Updates the bids at the runners if the waiting work has changed."""
-        first = self.waiting_jobs[0].urgency if self.waiting_jobs else None
-        interval_s = bidding.update_interval_s(len(self.runner_views))
-        if first is None and self.bid_urgency is None:
-            return
-        if now_s - self.bids_updated_s < interval_s and not (
-            bidding.is_due_at_once(first, self.bid_urgency)
-        ):
-            return
-        self.bid_urgency = first
-        self.bids_updated_s = now_s
-        usable = [x for x in self.runner_views.values() if x.usable]
-        services = {x.report.service for x in usable}
-        for service in services:
-            bid = bidding.make_bid(self.waiting_jobs, service, now_s)
-            views = [x for x in usable if x.report.service == service]
-            for view in bidding.select_bidders(views, bid, self._order):
-                if bidding.must_send(view, bid, now_s):
-                    view.bid = bid
-                    view.bid_sent_s = now_s
-                    self._send_message(view.name, bid)
+        """Fills the capacity that a runner reserved, most urgent jobs first."""
+        self.dispatcher.capacity_offered(name, offer, now_s)
 
     # Time.
 
@@ -608,7 +453,7 @@
         self._expire_lost_runners(now_s)
         self._end_abandoned(now_s)
         self._reject_overdue(now_s)
-        self._place(now_s)
+        self.dispatcher.place(now_s)
         self.handled_s = self._ticked_s
         self._ticked_s = now_s
 
--- /dev/null
+++ b/trefoilgw/scheduling/dispatching.py
@@ -0,0 +1,213 @@
+"""Sends waiting tasks to runners: to free capacity, and into their offers.
+
+A task goes at once to a runner whose last report shows room for it. Otherwise
+it waits, and the runners are told of it by bids; the offers that answer them
+are filled in order of urgency.
+"""
+
+import random
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+
+from trefoilgw.messages import runs as messages
+from trefoilgw.scheduling import bidding
+from trefoilgw.scheduling import jobs
+from trefoilgw.scheduling import placing
+from trefoilgw.scheduling import runners
+
+# Number of waiting jobs that don't fit after which placement stops. Until then
+# less urgent jobs may use the remaining capacity.
+MAX_SKIPPED_JOBS = 4
+
+
+@attrs.define(eq=False)
+class Dispatcher:
+    """Sends the waiting tasks of one scheduler.
+
+    Attributes:
+        domain: Failure domain of the scheduler.
+        waiting_jobs: Jobs with waiting tasks, most urgent first.
+        runner_views: Runners by name.
+        rng: Source of random choices.
+        send_message: Sends a message to a runner, given its name.
+        alive_until_s: Returns until when this process has certainly not been
+            paused, given the current time.
+        bid_urgency: Most urgent class of the last bids, None while nothing
+            waits.
+        bids_updated_s: Time of the last update of the bids.
+        rotation: Changes from job to job, so that the bids of little work
+            are spread over the runners.
+    """
+
+    domain: str
+    waiting_jobs: list[jobs.Job]
+    runner_views: Mapping[str, runners.RunnerView]
+    rng: random.Random
+    send_message: Callable[[str, object], None]
+    alive_until_s: Callable[[float], float]
+    bid_urgency: int | None = None
+    bids_updated_s: float = 0.0
+    rotation: int = 0
+
+    def place(
+        self,
+        now_s: float,
+        views: Iterable[runners.RunnerView] | None = None,
+    ) -> None:
+        """Sends waiting tasks to runners with free capacity, then bids.
+
+        Args:
+            now_s: Current time.
+            views: Runners to consider, None for all.
+        """
+        if not self.waiting_jobs:
+            self._send_bids(now_s)
+            return
+        batches: dict[str, dict[jobs.Job, list[jobs.Task]]] = {}
+        with_capacity = [
+            x
+            for x in views or self.runner_views.values()
+            if x.usable and x.has_capacity()
+        ]
+        skipped = 0
+        for job in list(self.waiting_jobs) if with_capacity else ():
+            if skipped >= MAX_SKIPPED_JOBS:
+                break
+            service = job.spec.queue.service
+            slack_s = job.latest_start_s - now_s
+            accepting = [
+                x for x in with_capacity if x.accepts(job.urgency, now_s)
+            ]
+            for task in job.waiting():
+                view = placing.choose_runner(
+                    accepting,
+                    task,
+                    slack_s,
+                    service,
+                    self.domain,
+                    now_s,
+                    self.rng,
+                )
+                if view is None:
+                    skipped += 1
+                    break
+                self._mark_sent(job, task, view, now_s)
+                view.add_unreported(task.spec.demand)
+                batches.setdefault(view.name, {}).setdefault(job, []).append(
+                    task
+                )
+        for name, batch in batches.items():
+            self._send_batch(self.runner_views[name], batch, 0, now_s)
+        self._send_bids(now_s)
+
+    def _mark_sent(
+        self,
+        job: jobs.Job,
+        task: jobs.Task,
+        view: runners.RunnerView,
+        now_s: float,
+    ) -> None:
+        """Updates the state of a task that is sent to a runner."""
+        task.state = jobs.TaskState.SENT
+        task.runner = view.name
+        task.incarnation = view.incarnation
+        task.sent_s = now_s
+        task.attempts += 1
+        job.started = True
+        if view.suspect:
+            view.probed_s = now_s
+        if not job.waiting():
+            self.waiting_jobs.remove(job)
+
+    def _send_batch(
+        self,
+        view: runners.RunnerView,
+        batch: dict[jobs.Job, list[jobs.Task]],
+        offer: int,
+        now_s: float,
+    ) -> None:
+        """Sends tasks to a runner in one message.
+
+        Args:
+            view: The runner.
+            batch: Tasks by job; empty if an offer is declined.
+            offer: Number of the offer that this answers, 0 if none.
+            now_s: Current time.
+        """
+        view.starts_sent += 1
+        groups = tuple(
+            messages.RunGroup(
+                job.spec.payload,
+                tuple(
+                    messages.RunOrder(
+                        x.spec.name,
+                        x.run,
+                        messages.Room.of(x.spec.demand),
+                        x.expected_s,
+                        job.urgency,
+                    )
+                    for x in tasks
+                ),
+            )
+            for job, tasks in batch.items()
+        )
+        alive_s = view.renew_by_order(self.alive_until_s(now_s))
+        order = messages.StartRuns(offer, groups, alive_s)
+        self.send_message(view.name, order)
+
+    def capacity_offered(
+        self, name: str, offer: messages.Offer, now_s: float
+    ) -> None:
+        """Fills the capacity that a runner reserved, most urgent jobs first.
+
+        An offer that no task can use is declined with an empty message.
+        """
+        view = self.runner_views[name]
+        remaining = offer.room.demand
+        batch: dict[jobs.Job, list[jobs.Task]] = {}
+        for job in list(self.waiting_jobs):
+            if not view.serves(job.spec.queue.service):
+                continue
+            if job.urgency > offer.urgency:
+                continue
+            for task in job.waiting():
+                demand = task.spec.demand
+                if name in task.excluded_runners or not demand.fits_in(
+                    remaining
+                ):
+                    continue
+                remaining = remaining.minus(demand)
+                self._mark_sent(job, task, view, now_s)
+                batch.setdefault(job, []).append(task)
+            if remaining.cpu_millicores <= 0:
+                break
+        self._send_batch(view, batch, offer.number, now_s)
+        if not batch:
+            view.drop_bids(offer.urgency)
+        self._send_bids(now_s)
+
+    def _send_bids(self, now_s: float) -> None:
+        """Updates the bids at the runners if the waiting work has changed."""
+        first = self.waiting_jobs[0].urgency if self.waiting_jobs else None
+        interval_s = bidding.update_interval_s(len(self.runner_views))
+        if first is None and self.bid_urgency is None:
+            return
+        if now_s - self.bids_updated_s < interval_s and not (
+            bidding.is_due_at_once(first, self.bid_urgency)
+        ):
+            return
+        self.bid_urgency = first
+        self.bids_updated_s = now_s
+        usable = [x for x in self.runner_views.values() if x.usable]
+        services = {x.report.service for x in usable}
+        for service in services:
+            bid = bidding.make_bid(self.waiting_jobs, service, now_s)
+            views = [x for x in usable if x.report.service == service]
+            for view in bidding.select_bidders(views, bid, self.rotation):
+                if bidding.must_send(view, bid, now_s):
+                    view.bid = bid
+                    view.bid_sent_s = now_s
+                    self.send_message(view.name, bid)
