Treat the tasks of a waiting job as one unit

Cause: room that comes free goes to whichever task fits, so that in a burst many jobs have some tasks running and wait for the others. They end late, and as they have started, none of them can be rejected any more.

Change: every 0.1 s one pass over the waiting jobs predicts when the last task of each has room. A job that has not started and would start its last task too late gets no first task unless all its tasks fit at once, and does not bid meanwhile; it is rejected at once, with a Retry-After from the prediction, when even the end of its objective is out of reach. A job whose tasks have room starts as before.

--- a/trefoilgw/scheduling/bidding.py
+++ b/trefoilgw/scheduling/bidding.py
@@ -31,6 +31,9 @@
 ) -> messages.Bid:
     """Returns the bid for the capacity of a service.
 
+    Jobs that start as a whole only are left out: an offer of room for some of
+    their tasks is of no use.
+
     Args:
         waiting_jobs: Jobs with waiting tasks, most urgent first.
         service: Name of the service.
@@ -38,7 +41,7 @@
     """
     demands: dict[int, messages.WaitingDemand] = {}
     for job in waiting_jobs:
-        if job.spec.queue.service != service:
+        if job.spec.queue.service != service or job.is_held:
             continue
         waiting = job.waiting()
         wanted = work.total(x.spec.demand for x in waiting)
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -15,6 +15,7 @@
 from trefoilgw.messages import runs as messages
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import admission
+from trefoilgw.scheduling import batches
 from trefoilgw.scheduling import capacities
 from trefoilgw.scheduling import dispatching
 from trefoilgw.scheduling import forecasts
@@ -69,6 +70,7 @@
             incarnation.
         largest_targets: Capacities of the targets that were reported lately.
         forecaster: Predicts how long a job would wait.
+        reviews: When the waiting jobs were reviewed.
         dispatcher: Sends the waiting tasks to the runners.
         handled_s: Time of the last tick but one, before which everything that
             had happened has been handled.
@@ -87,6 +89,7 @@
         factory=capacities.LargestTargets
     )
     forecaster: forecasts.Forecaster = attrs.field(init=False)
+    reviews: batches.Reviews = attrs.field(factory=batches.Reviews)
     dispatcher: dispatching.Dispatcher = attrs.field(init=False)
     handled_s: float = 0.0
     pending_actions: list = attrs.field(factory=list)
@@ -149,14 +152,7 @@
             return actions.Rejected("no_target", 1.0)
         forecast = self.forecaster.predict(job, self.admitted.values(), now_s)
         if forecast.wait_s > slack_s:
-            return actions.Rejected(
-                "overload",
-                max(MIN_RETRY_AFTER_S, forecast.wait_s - slack_s),
-                forecast.wait_s,
-                slack_s,
-                forecast.ahead_millicores,
-                forecast.rate,
-            )
+            return _overload(forecast, slack_s)
         job.predicted_wait_s = forecast.wait_s
         arrivals = self.arrivals.setdefault(
             spec.queue.name, admission.ArrivalRate(slack_s=slack_s)
@@ -453,6 +449,7 @@
         self._expire_lost_runners(now_s)
         self._end_abandoned(now_s)
         self._reject_overdue(now_s)
+        self._review_waiting(now_s)
         self.dispatcher.place(now_s)
         self.handled_s = self._ticked_s
         self._ticked_s = now_s
@@ -497,6 +494,29 @@
                     job, actions.Rejected("deadline", MIN_RETRY_AFTER_S)
                 )
 
+    def _review_waiting(self, now_s: float) -> None:
+        """Rejects jobs whose tasks can't all start in time any more."""
+        if not self.waiting_jobs or not self.reviews.is_due(now_s):
+            return
+        predicted = self.forecaster.predict_waiting(
+            self.admitted.values(), now_s
+        )
+        for job, forecast in batches.review(predicted, now_s):
+            slack_s = max(0.0, job.latest_start_s - now_s)
+            self._answer(job, _overload(forecast, slack_s))
+
     def _send_message(self, runner: str, message: object) -> None:
         """Queues a message to a runner as an action."""
         self.pending_actions.append(actions.SendMessage(runner, message))
+
+
+def _overload(forecast: forecasts.Forecast, slack_s: float) -> actions.Rejected:
+    """Returns the rejection of a job that would start too late."""
+    return actions.Rejected(
+        "overload",
+        max(MIN_RETRY_AFTER_S, forecast.wait_s - slack_s),
+        forecast.wait_s,
+        slack_s,
+        forecast.ahead_millicores,
+        forecast.rate,
+    )
--- a/trefoilgw/scheduling/dispatching.py
+++ b/trefoilgw/scheduling/dispatching.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 import attrs
 
@@ -17,6 +18,7 @@
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import placing
 from trefoilgw.scheduling import runners
+from trefoilgw.work import core as work
 
 # Number of waiting jobs that don't fit after which placement stops. Until then
 # less urgent jobs may use the remaining capacity.
@@ -76,26 +78,13 @@
         for job in list(self.waiting_jobs) if with_capacity else ():
             if skipped >= MAX_SKIPPED_JOBS:
                 break
-            service = job.spec.queue.service
-            slack_s = job.latest_start_s - now_s
             accepting = [
                 x for x in with_capacity if x.accepts(job.urgency, now_s)
             ]
-            for task in job.waiting():
-                view = placing.choose_runner(
-                    accepting,
-                    task,
-                    slack_s,
-                    service,
-                    self.domain,
-                    now_s,
-                    self.rng,
-                )
-                if view is None:
-                    skipped += 1
-                    break
+            planned, whole = self._plan(job, accepting, now_s)
+            skipped += not whole
+            for task, view in planned:
                 self._mark_sent(job, task, view, now_s)
-                view.add_unreported(task.spec.demand)
                 batches.setdefault(view.name, {}).setdefault(job, []).append(
                     task
                 )
@@ -103,6 +92,53 @@
             self._send_batch(self.runner_views[name], batch, 0, now_s)
         self._send_bids(now_s)
 
+    def _plan(
+        self,
+        job: jobs.Job,
+        views: Sequence[runners.RunnerView],
+        now_s: float,
+    ) -> tuple[list[tuple[jobs.Task, runners.RunnerView]], bool]:
+        """Chooses runners for the waiting tasks of a job.
+
+        The views count what the tasks need as used.
+
+        Args:
+            job: The job.
+            views: Candidate runners.
+            now_s: Current time.
+
+        Returns:
+            Tasks and their runners, and whether these are all waiting tasks.
+            A job that may start as a whole only gets all or none.
+        """
+        planned = []
+        probed: dict[str, float] = {}
+        for task in job.waiting():
+            view = placing.choose_runner(
+                views,
+                task,
+                job.latest_start_s - now_s,
+                job.spec.queue.service,
+                self.domain,
+                now_s,
+                self.rng,
+            )
+            if view is None:
+                break
+            view.add_unreported(task.spec.demand)
+            probed.setdefault(view.name, view.probed_s)
+            if view.suspect:
+                view.probed_s = now_s
+            planned.append((task, view))
+        else:
+            return planned, True
+        if not job.is_held:
+            return planned, False
+        for _, view in reversed(planned):
+            view.remove_last_unreported()
+            view.probed_s = probed[view.name]
+        return [], False
+
     def _mark_sent(
         self,
         job: jobs.Job,
@@ -173,13 +209,12 @@
                 continue
             if job.urgency > offer.urgency:
                 continue
-            for task in job.waiting():
-                demand = task.spec.demand
-                if name in task.excluded_runners or not demand.fits_in(
-                    remaining
-                ):
-                    continue
-                remaining = remaining.minus(demand)
+            waiting = job.waiting()
+            chosen, rest = _fill(waiting, name, remaining)
+            if job.is_held and len(chosen) < len(waiting):
+                continue
+            remaining = rest
+            for task in chosen:
                 self._mark_sent(job, task, view, now_s)
                 batch.setdefault(job, []).append(task)
             if remaining.cpu_millicores <= 0:
@@ -211,3 +246,24 @@
                     view.bid = bid
                     view.bid_sent_s = now_s
                     self.send_message(view.name, bid)
+
+
+def _fill(
+    tasks: Iterable[jobs.Task],
+    runner: str,
+    remaining: work.Demand,
+) -> tuple[list[jobs.Task], work.Demand]:
+    """Returns the tasks that an offer has room for, and the rest of its room.
+
+    Args:
+        tasks: Waiting tasks of a job.
+        runner: Name of the runner.
+        remaining: Room that is left of the offer.
+    """
+    chosen = []
+    for task in tasks:
+        demand = task.spec.demand
+        if runner not in task.excluded_runners and demand.fits_in(remaining):
+            remaining = remaining.minus(demand)
+            chosen.append(task)
+    return chosen, remaining
--- a/trefoilgw/scheduling/forecasts.py
+++ b/trefoilgw/scheduling/forecasts.py
@@ -7,6 +7,8 @@
 to end.
 """
 
+import itertools
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -16,6 +18,7 @@
 from trefoilgw.scheduling import admission
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import runners
+from trefoilgw.work import urgency
 
 # A runner is expected to report its target within this time after connecting.
 MAX_JOINING_S = 0.4
@@ -81,6 +84,37 @@
         wait_s = admission.predict_wait_s(needed, rate, urgent_rate)
         return Forecast(wait_s, ahead, rate)
 
+    def predict_waiting(
+        self, admitted: Collection[jobs.Job], now_s: float
+    ) -> Iterable[tuple[jobs.Job, Forecast]]:
+        """Predicts the waits of all waiting jobs in one pass.
+
+        More urgent work that may still arrive is left out, and all free
+        capacity counts as if it fitted: a job is given up by its wait.
+
+        Args:
+            admitted: All admitted jobs of this scheduler.
+            now_s: Current time.
+        """
+        for service in {x.spec.queue.service for x in self.waiting_jobs}:
+            serving = [
+                x for x in self.runner_views.values() if x.serves(service)
+            ]
+            healthy = [x for x in serving if not x.suspect]
+            rate = _freed_rate(healthy, admitted, now_s)
+            others = _other_demand_by_class(serving)
+            available = self._joining_millicores(serving, now_s)
+            available += sum(max(0, x.free().cpu_millicores) for x in healthy)
+            ahead = 0
+            for job in self.waiting_jobs:
+                if job.spec.queue.service != service:
+                    continue
+                before = ahead + others[job.urgency]
+                ahead += job.waiting_millicores()
+                needed = before + job.waiting_millicores() - available
+                wait_s = admission.predict_wait_s(needed, rate, 0.0)
+                yield job, Forecast(wait_s, before, rate)
+
     def _waiting_ahead(self, job: jobs.Job) -> int:
         """Returns the capacity needed by this scheduler's work before a job."""
         service = job.spec.queue.service
@@ -136,6 +170,16 @@
     return demand // len(views)
 
 
+def _other_demand_by_class(views: Sequence[runners.RunnerView]) -> list[int]:
+    """Returns what `_other_demand_ahead` is for a job of each class."""
+    totals = [0] * urgency.CLASS_COUNT
+    for view in views:
+        for index, millicores in enumerate(view.report.competing_cpu):
+            totals[index] += millicores
+    count = max(1, len(views))
+    return [x // count for x in itertools.accumulate(totals)]
+
+
 def _fitting_millicores(
     job: jobs.Job, views: Iterable[runners.RunnerView]
 ) -> int:
--- a/trefoilgw/scheduling/jobs.py
+++ b/trefoilgw/scheduling/jobs.py
@@ -106,6 +106,8 @@
         urgency: Urgency class of the job.
         abandoned_after_s: Time after which no caller waits for it any more.
         started: Whether any attempt was ever sent.
+        whole_only: Whether its tasks start together or not at all, as the last
+            of them would start too late by itself.
     """
 
     spec: work.JobSpec
@@ -119,6 +121,7 @@
     predicted_wait_s: float = 0.0
     abandoned_after_s: float = math.inf
     started: bool = False
+    whole_only: bool = False
 
     @property
     def key(self) -> str:
@@ -138,6 +141,11 @@
         """Returns the tasks whose latest attempt is at a runner."""
         return [x for x in self.tasks if x.state is TaskState.SENT]
 
+    @property
+    def is_held(self) -> bool:
+        """Whether it may start as a whole only."""
+        return self.whole_only and not self.started
+
     def waiting_millicores(self) -> int:
         """Returns the capacity needed by the waiting tasks."""
         return sum(x.millicores for x in self.waiting())
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -113,6 +113,11 @@
         self.unreported_demands.append((self.starts_sent + 1, demand))
         self._free = None
 
+    def remove_last_unreported(self) -> None:
+        """Takes back the last `add_unreported`."""
+        self.unreported_demands.pop()
+        self._free = None
+
     def used(self) -> int:
         """Returns the millicores in use."""
         if self.report is None:
