Backfill the room that the most urgent blocked task can't use yet

Cause: while the most urgent waiting task doesn't fit at a target, nothing else is offered there, however short it is and however long the runs still take. A task that fits in no such target blocked it altogether.

Change: room/backfill.py reserves room for the blocked task by EASY backfilling: the time by which runs will surely have left enough, from their expected times, the error of these and their progress. Less urgent work gets offers that limit its run time, or the room that is left over beside the task. Once the latest start of the blocked task has passed, starts without an offer keep to the same rule (refusal 'reserved'). RunOrder and WaitingDemand carry the error, Offer the limit; all at the end with defaults. An answer to an offer is bounded by the offered room. Bids of a scheduler that has been silent for longer than its authority and 0.3 s don't count.

--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -4,6 +4,7 @@
 
 from trefoilgw.messages import core
 from trefoilgw.work import core as work
+from trefoilgw.work import run_limits
 
 # The hosts share no secret, so hellos are signed with an empty key. The proof
 # then shows only that the peer speaks this protocol, not who it is.
@@ -60,6 +61,8 @@
         room: Capacity that the attempt needs.
         expected_s: Expected run time in seconds.
         urgency: Urgency class of the task's job.
+        error: Mean absolute error of the logarithm of the expected run time.
+        slack_s: Seconds until the task should start.
     """
 
     task: str
@@ -67,6 +70,8 @@
     room: Room = attrs.field(metadata={"value": Room})
     expected_s: float
     urgency: int
+    error: float = run_limits.TYPICAL_ERROR
+    slack_s: float = 0.0
 
 
 @core.message(50, hello=True)
@@ -210,12 +215,17 @@
         slack_s: Seconds until the most urgent of the tasks should start.
         room: Capacity that this most urgent task needs.
         wanted: Capacity that all waiting tasks of the class need.
+        expected_s: Expected run time of the most urgent task in seconds, 0 if
+            unknown.
+        error: Mean absolute error of the logarithm of that time.
     """
 
     urgency: int
     slack_s: float
     room: Room = attrs.field(metadata={"value": Room})
     wanted: Room = attrs.field(metadata={"value": Room})
+    expected_s: float = 0.0
+    error: float = run_limits.TYPICAL_ERROR
 
 
 @core.message(56)
@@ -233,11 +243,19 @@
         number: Number of the offer, which the answer repeats.
         urgency: Least urgent class whose tasks may use the capacity.
         room: The offered capacity.
+        run_limit_s: Time in which the runs must surely end on a target of
+            normal speed, 0 if there is no limit.
+        least_error: Error of run times at this target, which counts if that of
+            an estimate is smaller.
+        backfill: Whether more urgent work waits for more room there.
     """
 
     number: int
     urgency: int
     room: Room = attrs.field(metadata={"value": Room})
+    run_limit_s: float = 0.0
+    least_error: float = 0.0
+    backfill: bool = False
 
 
 @core.message(58)
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -18,6 +18,7 @@
 
 from trefoilgw.messages import runs as messages
 from trefoilgw.room import actions
+from trefoilgw.room import backfill
 from trefoilgw.room import freed_cpu
 from trefoilgw.room import headroom as room_headroom
 from trefoilgw.room import health
@@ -49,6 +50,7 @@
         reported_ends: Ends that were reported lately, by scheduler.
         pending_actions: Actions that `take_actions` will return.
         last_offer: Number of the last offer.
+        backfilling: The blocked task, and run times at the target.
     """
 
     target: work.Target | None = None
@@ -73,6 +75,9 @@
     )
     pending_actions: list = attrs.field(factory=list)
     last_offer: int = 0
+    backfilling: backfill.Backfilling = attrs.field(
+        factory=backfill.Backfilling
+    )
 
     @property
     def usable(self) -> bool:
@@ -133,6 +138,7 @@
         self.reachable = True
         self.runs_reconciled = False
         self.target_health = health.TargetHealth()
+        self.backfilling.observed = backfill.ObservedRunTimes()
 
     def target_leaves(self) -> None:
         """Notes that the target ends; its runs may go on until it has."""
@@ -265,6 +271,9 @@
             return
         if ending is work.Ending.DONE:
             self.target_health.record_success()
+            self.backfilling.observed.record(
+                now_s - known.requested_s, known.order.expected_s
+            )
         elif ending is work.Ending.FAILED:
             self.target_health.record_failure(known.job)
         run_s = now_s - known.requested_s
@@ -391,20 +400,25 @@
             return
         self.renew_authority(name, message.alive_s)
         owner.starts_received += 1
-        reservation = owner.reservations.pop(message.offer, None)
-        offered = reservation is not None
-        if offered and not message.groups:
-            owner.drop_bids(reservation.urgency)
+        offer = owner.reservations.pop(message.offer, None)
+        if offer is not None and not message.groups:
+            owner.drop_bids(offer.urgency, only=offer.backfill)
+        rest = work.Demand() if offer is None else offer.capacity
         for group in message.groups:
             for order in group.orders:
-                self._start(owner, group.payload, order, offered, now_s)
+                demand = order.room.demand
+                offered = offer is not None and demand.fits_in(rest)
+                if offered:
+                    rest = rest.minus(demand)
+                answered = offer if offered else None
+                self._start(owner, group.payload, order, answered, now_s)
 
     def _start(
         self,
         owner: room_owners.Owner,
         payload: str,
         order: messages.RunOrder,
-        offered: bool,
+        offer: room_owners.Reservation | None,
         now_s: float,
     ) -> None:
         """Starts one attempt or reports it as not run.
@@ -413,10 +427,11 @@
             owner: Scheduler that asks for it.
             payload: Text for the target.
             order: The attempt.
-            offered: Whether the request answers an open offer.
+            offer: The open offer that is answered and has room for it, None
+                if there is none.
             now_s: Current time.
         """
-        reason = self._refusal(owner, order, offered, now_s)
+        reason = self._refusal(owner, order, offer, now_s)
         if reason:
             # The scheduler's view is out of date.
             owner.reported_s = -math.inf
@@ -434,6 +449,7 @@
             owner.name, order, demand, room_runs.RunState.STARTING, now_s
         )
         self.runs[run.key] = run
+        self.backfilling.count_start(order, offer, now_s)
         self.pending_actions.append(
             actions.Start(order.task, order.run, payload)
         )
@@ -442,7 +458,7 @@
         self,
         owner: room_owners.Owner,
         order: messages.RunOrder,
-        offered: bool,
+        offer: room_owners.Reservation | None,
         now_s: float,
     ) -> str:
         """Returns why an attempt must not start, or an empty string.
@@ -466,12 +482,16 @@
         free = self.free()
         if not order.room.demand.fits_in(free):
             return "room"
-        if not offered:
+        if offer is None:
             reserve = self.headroom.required_millicores(
                 self._cpu_use(), order.urgency
             )
             if not order.room.demand.fits_in(free.minus(work.Demand(reserve))):
                 return "headroom"
+        if self.backfilling.delays_blocked(
+            order, offer, lambda demand: self._reserve(demand, now_s), now_s
+        ):
+            return "reserved"
         return ""
 
     def stop_runs(self, name: str, message: messages.StopRuns) -> None:
@@ -531,18 +551,38 @@
         is made only while it has no runs and the bidder has no open offer.
         """
         if not self.usable or not any(x.bids for x in self.owners.values()):
+            self.backfilling.look(now_s)
             return
-        for grant in offers.grants(
-            self.owners.values(),
+        situation = offers.Situation(
+            self.target.capacity,
             self.free(),
             lambda urgency: self.headroom.required_millicores(
                 self._cpu_use(), urgency
             ),
             self.target_health.suspect,
             bool(self.runs),
+            lambda demand: self._reserve(demand, now_s),
+            now_s,
+        )
+        for grant in offers.grants(
+            self.owners.values(), situation, self.backfilling
         ):
             self._offer(grant, now_s)
 
+    def _reserve(
+        self, demand: work.Demand, now_s: float
+    ) -> backfill.Reservation | None:
+        """Returns the reservation of a task that does not fit now."""
+        ends = [
+            (self.backfilling.observed.ends_by_s(x, now_s), x.demand)
+            for x in self.runs.values()
+        ]
+        for owner in self.owners.values():
+            ends += [
+                (x.ends_by_s, x.capacity) for x in owner.reservations.values()
+            ]
+        return backfill.reserve(demand, self.free(), ends)
+
     def _offer(self, grant: offers.Grant, now_s: float) -> None:
         """Reserves capacity and sends the offer to the scheduler."""
         self.last_offer += 1
@@ -551,6 +591,8 @@
             grant.urgency,
             grant.capacity,
             now_s + offers.OFFER_TIMEOUT_S,
+            grant.backfill,
+            grant.ends_by_s,
         )
         self._send(
             grant.owner.name,
@@ -558,6 +600,8 @@
                 self.last_offer,
                 grant.urgency,
                 messages.Room.of(grant.capacity),
+                *self.backfilling.offered_limit(grant.ends_by_s, now_s),
+                grant.backfill,
             ),
         )
 
--- a/trefoilgw/room/owners.py
+++ b/trefoilgw/room/owners.py
@@ -6,6 +6,7 @@
 
 from trefoilgw.messages import runs as messages
 from trefoilgw.work import core as work
+from trefoilgw.work import run_limits
 
 # A scheduler's runs are stopped this long after it last renewed its authority,
 # by the answer to a ping or by an order. Must stay well below the time after
@@ -16,6 +17,9 @@
 # the allocator's next tick, the call, and the target's time to stop. The lease
 # of the target's runs ends after it.
 STOP_ALLOWANCE_S = 0.25
+# Time after the end of its authority in which a scheduler may still bid. Pings
+# to a scheduler without runs are 1 s apart, longer than its authority.
+BID_GRACE_S = 0.3
 # Time in which the same two processes may reopen a broken stream and keep the
 # runs.
 RECONNECT_S = 0.3
@@ -34,18 +38,29 @@
         latest_start_s: Time by which its most urgent task should start.
         next_demand: Capacity that this task needs.
         total_demand: Capacity that all its waiting tasks need.
+        expected_s: Expected run time of the most urgent task, 0 if unknown.
+        error: Mean absolute error of the logarithm of that time.
     """
 
     urgency: int
     latest_start_s: float
     next_demand: work.Demand
     total_demand: work.Demand
+    expected_s: float = 0.0
+    error: float = run_limits.TYPICAL_ERROR
 
 
 def bids_of(message: messages.Bid, now_s: float) -> tuple[Bid, ...]:
     """Returns the bids of a message that was received at a time."""
     return tuple(
-        Bid(x.urgency, now_s + x.slack_s, x.room.demand, x.wanted.demand)
+        Bid(
+            x.urgency,
+            now_s + x.slack_s,
+            x.room.demand,
+            x.wanted.demand,
+            x.expected_s,
+            x.error,
+        )
         for x in message.demands
     )
 
@@ -59,12 +74,16 @@
         urgency: Urgency class of the bid that it is for.
         capacity: The reserved capacity.
         until_s: Time at which the offer expires.
+        backfill: Whether it is made before a more urgent task that is blocked.
+        ends_by_s: Time by which its runs must surely end.
     """
 
     number: int
     urgency: int
     capacity: work.Demand
     until_s: float
+    backfill: bool = False
+    ends_by_s: float = math.inf
 
 
 @attrs.define(eq=False)
@@ -97,6 +116,14 @@
     run_ended: bool = False
     retiring: bool = False
 
+    def may_bid(self, now_s: float) -> bool:
+        """Returns whether its bids count; a frozen scheduler answers none."""
+        return (
+            bool(self.bids)
+            and not self.retiring
+            and now_s < self.authority_until_s + BID_GRACE_S
+        )
+
     def reserved(self) -> work.Demand:
         """Returns the total capacity of its open offers."""
         return work.total(x.capacity for x in self.reservations.values())
@@ -131,13 +158,22 @@
         is_free = free.cpu_millicores >= FREE_SHARE * capacity
         return last.suspect != suspect or (took_for_busy and is_free)
 
-    def drop_bids(self, urgency: int) -> None:
+    def drop_bids(self, urgency: int, *, only: bool = False) -> None:
         """Removes the bids of a class and of all more urgent ones.
 
         A scheduler that declines an offer has no such work left, and tells of
         new work with its next bid.
+
+        Args:
+            urgency: The class.
+            only: Whether to keep those of more urgent classes, as the offer
+                was made before such work that is blocked.
         """
-        self.bids = tuple(x for x in self.bids if x.urgency > urgency)
+        self.bids = tuple(
+            x
+            for x in self.bids
+            if x.urgency > urgency or (only and x.urgency < urgency)
+        )
 
     def disconnect(self, now_s: float) -> None:
         """Clears the state of a broken stream.
--- a/trefoilgw/room/runs.py
+++ b/trefoilgw/room/runs.py
@@ -1,6 +1,7 @@
 """Attempts that use the capacity of a target."""
 
 import enum
+import math
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -33,6 +34,8 @@
         last_progress_s: Time of the last increase of `progress`.
         reason: Why it is being stopped, for the scheduler and for logs; empty
             if the scheduler asked for that or if it is not being stopped.
+        ends_by_s: Time by which it will surely have ended, as last estimated.
+        estimated_progress: Its progress at that estimate.
     """
 
     owner: str
@@ -43,6 +46,8 @@
     progress: float = 0.0
     last_progress_s: float = 0.0
     reason: str = ""
+    ends_by_s: float = -math.inf
+    estimated_progress: float = 0.0
 
     @property
     def key(self) -> tuple[str, int]:
--- a/trefoilgw/scheduling/bidding.py
+++ b/trefoilgw/scheduling/bidding.py
@@ -55,6 +55,8 @@
             round(job.latest_start_s - now_s, 3),
             messages.Room.of(waiting[0].spec.demand),
             messages.Room.of(wanted),
+            waiting[0].expected_s,
+            waiting[0].error,
         )
     return messages.Bid(tuple(demands.values()))
 
@@ -134,6 +136,7 @@
         a.urgency == b.urgency
         and a.room == b.room
         and a.wanted == b.wanted
+        and a.expected_s == b.expected_s
         and abs(a.slack_s - elapsed_s - b.slack_s) < BID_INTERVAL_S
         for a, b in zip(old.demands, new.demands, strict=True)
     )
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -29,9 +29,9 @@
 # at the wall clock in milliseconds, and clocks of hosts may be seconds apart.
 RUN_NUMBER_SKIP = 60_000
 MIN_RETRY_AFTER_S = 0.1
-# Refusal reason of a runner that reserves its free capacity for more urgent
-# work, and the time that the scheduler waits for an offer before it retries.
-HEADROOM_REASON = "headroom"
+# Refusal reasons of a runner that keeps its free capacity for more urgent work,
+# and the time that the scheduler waits for an offer before it retries.
+HEADROOM_REASONS = frozenset({"headroom", "reserved"})
 HEADROOM_RETRY_S = 0.1
 # A pause of the process that is longer may have made callers send their jobs to
 # other schedulers.
@@ -390,7 +390,7 @@
     ) -> None:
         """Requeues a task that its runner refused to start."""
         view = self.runner_views.get(name)
-        if view is not None and end.reason == HEADROOM_REASON:
+        if view is not None and end.reason in HEADROOM_REASONS:
             view.refuse_until(job.urgency, now_s + HEADROOM_RETRY_S)
         elif view is not None:
             view.blocked = True
--- a/trefoilgw/scheduling/dispatching.py
+++ b/trefoilgw/scheduling/dispatching.py
@@ -184,6 +184,8 @@
                         messages.Room.of(x.spec.demand),
                         x.expected_s,
                         job.urgency,
+                        x.error,
+                        job.latest_start_s - now_s,
                     )
                     for x in tasks
                 ),
@@ -210,7 +212,7 @@
             if job.urgency > offer.urgency:
                 continue
             waiting = job.waiting()
-            chosen, rest = _fill(waiting, name, remaining)
+            chosen, rest = _fill(waiting, offer, name, remaining)
             if job.is_held and len(chosen) < len(waiting):
                 continue
             remaining = rest
@@ -221,7 +223,7 @@
                 break
         self._send_batch(view, batch, offer.number, now_s)
         if not batch:
-            view.drop_bids(offer.urgency)
+            view.drop_bids(offer.urgency, only=offer.backfill)
         self._send_bids(now_s)
 
     def _send_bids(self, now_s: float) -> None:
@@ -250,6 +252,7 @@
 
 def _fill(
     tasks: Iterable[jobs.Task],
+    offer: messages.Offer,
     runner: str,
     remaining: work.Demand,
 ) -> tuple[list[jobs.Task], work.Demand]:
@@ -257,13 +260,18 @@
 
     Args:
         tasks: Waiting tasks of a job.
+        offer: The offer, which may limit the run times.
         runner: Name of the runner.
         remaining: Room that is left of the offer.
     """
     chosen = []
     for task in tasks:
         demand = task.spec.demand
-        if runner not in task.excluded_runners and demand.fits_in(remaining):
+        if (
+            runner not in task.excluded_runners
+            and demand.fits_in(remaining)
+            and task.ends_within(offer.run_limit_s, offer.least_error)
+        ):
             remaining = remaining.minus(demand)
             chosen.append(task)
     return chosen, remaining
--- a/trefoilgw/scheduling/jobs.py
+++ b/trefoilgw/scheduling/jobs.py
@@ -8,6 +8,7 @@
 
 from trefoilgw.messages import runs as messages
 from trefoilgw.work import core as work
+from trefoilgw.work import run_limits
 
 
 class TaskState(enum.Enum):
@@ -69,6 +70,7 @@
         failures: Number of attempts that ended as failed.
         excluded_runners: Runners on which the task failed, stalled or was
             slow.
+        error: Mean absolute error of the logarithm of the expected run time.
     """
 
     spec: work.TaskSpec
@@ -81,6 +83,19 @@
     attempts: int = 0
     failures: int = 0
     excluded_runners: set[str] = attrs.field(factory=set)
+    error: float = run_limits.TYPICAL_ERROR
+
+    def ends_within(self, limit_s: float, least_error: float) -> bool:
+        """Returns whether a run surely ends within a time.
+
+        Args:
+            limit_s: The time in seconds, 0 if there is no limit.
+            least_error: Error of run times that counts if it is larger.
+        """
+        if limit_s <= 0.0:
+            return True
+        error = max(self.error, least_error)
+        return run_limits.run_limit_s(self.expected_s, error) <= limit_s
 
     @property
     def millicores(self) -> int:
--- a/trefoilgw/scheduling/planning.py
+++ b/trefoilgw/scheduling/planning.py
@@ -39,7 +39,7 @@
         for x in spec.tasks
     ]
     tasks = [
-        jobs.Task(task, estimate.run_s, first_run)
+        jobs.Task(task, estimate.run_s, first_run, error=estimate.error)
         for task, estimate in zip(spec.tasks, estimates, strict=True)
     ]
     longest = max(estimates, key=lambda x: x.run_s)
--- a/trefoilgw/scheduling/runtimes.py
+++ b/trefoilgw/scheduling/runtimes.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from trefoilgw.work import run_limits
+
 # Assumed run time if the caller declares none.
 DEFAULT_RUN_S = 0.4
 # Weight of a new run in the moving averages; the first runs weigh more.
@@ -20,7 +22,7 @@
 WARM_UP_RUNS = 20
 MIN_RUN_S = 0.001
 # Mean error of the logarithm that is assumed before any run was observed.
-INITIAL_ERROR = 0.33
+INITIAL_ERROR = run_limits.TYPICAL_ERROR
 # Ratio of the two estimates above which the waiting time is ignored: a caller
 # that submits again has less time left, which says nothing about the run time.
 MAX_ESTIMATE_RATIO = 3.0
--- a/trefoilgw/work/core.py
+++ b/trefoilgw/work/core.py
@@ -47,6 +47,14 @@
             self.accelerators - other.accelerators,
         )
 
+    def capped(self, limit: "Demand") -> "Demand":
+        """Returns the smaller one of each of the amounts."""
+        return Demand(
+            min(self.cpu_millicores, limit.cpu_millicores),
+            min(self.memory_mb, limit.memory_mb),
+            min(self.accelerators, limit.accelerators),
+        )
+
     def times(self, count: int) -> "Demand":
         """Returns the demand of several equal tasks."""
         return Demand(
