--- a/trefoilgw/room/offers.py
+++ b/trefoilgw/room/offers.py
@@ -17,6 +17,10 @@
 
 # Time after which an unanswered offer expires; a round trip takes 2 ms.
 OFFER_TIMEOUT_S = 0.1
+# Time after its latest start from which on a task is not kept waiting for the
+# sake of headroom. A job that has not started is rejected before, so that this
+# bounds the wait of the last tasks of a job that can't be rejected any more.
+MAX_OVERDUE_S = 1.0
 
 
 @attrs.frozen
@@ -117,9 +121,12 @@
             return
         reserve = work.Demand(situation.reserve_millicores(bid.urgency))
         usable = free.minus(reserve)
-        if not bid.next_demand.fits_in(usable):
+        if bid.next_demand.fits_in(usable):
+            capacity = _share(remaining, usable)
+        elif now_s - bid.latest_start_s >= MAX_OVERDUE_S:
+            capacity = bid.next_demand
+        else:
             continue
-        capacity = _share(remaining, usable)
         yield Grant(owner, bid.urgency, capacity)
         free = free.minus(capacity)
 
