Count backfilled runs, reservations and held jobs

Cause: nothing showed whether a target's room waits for a large task.

The headroom of a class is computed once for each look at the bids.

--- a/trefoilgw/messages/tests/test_codec.py
+++ b/trefoilgw/messages/tests/test_codec.py
@@ -41,6 +41,31 @@
                 decoded += decoder.feed(data[start : start + size])
             self.assertEqual(list(SAMPLES), decoded)
 
+    def test_frames_without_the_last_fields(self):
+        """A host with the former version does not send run time errors."""
+        room = runs.Room(1000, 64, 0)
+        flat_room = [1000, 64, 0]
+        cases = {
+            runs.Offer(3, 2, room): [57, 3, 2, flat_room],
+            runs.Bid((runs.WaitingDemand(2, 0.5, room, room),)): [
+                56,
+                [[2, 0.5, flat_room, flat_room]],
+            ],
+            runs.StartRuns(
+                3,
+                (
+                    runs.RunGroup(
+                        "p", (runs.RunOrder("j.0.0.0", 1, room, 0.4, 2),)
+                    ),
+                ),
+                1.5,
+            ): [53, 3, [["p", [["j.0.0.0", 1, flat_room, 0.4, 2]]]], 1.5],
+        }
+        for expected, flat in cases.items():
+            with self.subTest(type(expected).__name__):
+                (found,) = codec.Decoder().feed(frame(msgpack.packb(flat)))
+                self.assertEqual(expected, found)
+
     def test_invalid_frames_raise_frame_error(self):
         """A peer with another protocol must cause one clear error."""
         cases = {
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -10,6 +10,7 @@
 urgency only within each scheduler.
 """
 
+import functools
 import math
 from collections.abc import Collection
 from collections.abc import Mapping
@@ -556,8 +557,10 @@
         situation = offers.Situation(
             self.target.capacity,
             self.free(),
-            lambda urgency: self.headroom.required_millicores(
-                self._cpu_use(), urgency
+            functools.cache(
+                lambda urgency: self.headroom.required_millicores(
+                    self._cpu_use(), urgency
+                )
             ),
             self.target_health.suspect,
             bool(self.runs),
--- a/trefoilgw/runner/metrics.py
+++ b/trefoilgw/runner/metrics.py
@@ -60,6 +60,22 @@
             "Schedulers with authority or runs",
             metrics.unlabeled(lambda: len(allocator.owners)),
         )
+        backfilling = allocator.backfilling
+        registry.observable_counter(
+            "room_reservations",
+            "Tasks for which freed room was kept",
+            metrics.unlabeled(lambda: backfilling.reservations),
+        )
+        registry.observable_counter(
+            "backfilled_runs",
+            "Runs started before a task for which room was kept",
+            metrics.unlabeled(lambda: backfilling.backfilled),
+        )
+        registry.observable_counter(
+            "blocked_seconds",
+            "Seconds in which the most urgent waiting task did not fit",
+            metrics.unlabeled(lambda: backfilling.blocked_s),
+        )
         registry.observable_gauge(
             "target_usable",
             "Whether the target takes work, by why it is in doubt",
--- a/trefoilgw/scheduler/metrics.py
+++ b/trefoilgw/scheduler/metrics.py
@@ -100,6 +100,13 @@
             lambda: _waiting_millicores(scheduler),
             "urgency",
         )
+        registry.observable_gauge(
+            "jobs_held",
+            "Waiting jobs that may start as a whole only",
+            metrics.unlabeled(
+                lambda: sum(x.is_held for x in scheduler.waiting_jobs)
+            ),
+        )
         registry.observable_gauge(
             "runners",
             "Runners by what they are used for",
