Keep waiting jobs while no runner of their service is connected

Cause: without a runner no room is expected, so the review of the waiting jobs would reject all of them with the longest Retry-After, though the streams may open again within their slack.

Change: such services are left out of the review; a job is then rejected at the end of its objective, as before.

Result: the new test fails without the change and passes with it.

--- a/trefoilgw/scheduling/forecasts.py
+++ b/trefoilgw/scheduling/forecasts.py
@@ -100,6 +100,9 @@
             serving = [
                 x for x in self.runner_views.values() if x.serves(service)
             ]
+            if not serving:
+                # They may all connect again within the slack of the jobs.
+                continue
             healthy = [x for x in serving if not x.suspect]
             rate = _freed_rate(healthy, admitted, now_s)
             others = _other_demand_by_class(serving)
--- a/trefoilgw/scheduling/tests/test_batches.py
+++ b/trefoilgw/scheduling/tests/test_batches.py
@@ -89,6 +89,14 @@
         self.assertGreater(outcome.retry_after_s, 1.0)
         self.assertEqual({}, scheduler.admitted)
 
+    def test_lost_runners_do_not_end_the_jobs(self):
+        """Their streams may open again before the jobs are late."""
+        scheduler, job = waiting_scheduler()
+        scheduler.runner_disconnected("r1")
+        scheduler.tick(0.06)
+        self.assertEqual([], fixtures.answers(scheduler.take_actions()))
+        self.assertFalse(job.is_held)
+
     def test_started_job_is_not_rejected(self):
         """A rejection says that no part of the job has run."""
         scheduler, job = waiting_scheduler(free=ONE_CORE)
