--- a/trefoilgw/scheduling/bidding.py
+++ b/trefoilgw/scheduling/bidding.py
@@ -31,6 +31,9 @@
 ) -> messages.Bid:
     """Returns the bid for the capacity of a service.
 
+    Jobs that start as a whole only are left out: an offer of room for some of
+    their tasks is of no use.
+
     Args:
         waiting_jobs: Jobs with waiting tasks, most urgent first.
         service: Name of the service.
@@ -38,7 +41,7 @@
     """
     demands: dict[int, messages.WaitingDemand] = {}
     for job in waiting_jobs:
-        if job.spec.queue.service != service:
+        if job.spec.queue.service != service or job.is_held:
             continue
         waiting = job.waiting()
         wanted = work.total(x.spec.demand for x in waiting)
@@ -52,6 +55,8 @@
             round(job.latest_start_s - now_s, 3),
             messages.Room.of(waiting[0].spec.demand),
             messages.Room.of(wanted),
+            waiting[0].expected_s,
+            waiting[0].error,
         )
     return messages.Bid(tuple(demands.values()))
 
@@ -131,6 +136,7 @@
         a.urgency == b.urgency
         and a.room == b.room
         and a.wanted == b.wanted
+        and a.expected_s == b.expected_s
         and abs(a.slack_s - elapsed_s - b.slack_s) < BID_INTERVAL_S
         for a, b in zip(old.demands, new.demands, strict=True)
     )
--- a/trefoilgw/scheduling/jobs.py
+++ b/trefoilgw/scheduling/jobs.py
@@ -8,6 +8,7 @@
 
 from trefoilgw.messages import runs as messages
 from trefoilgw.work import core as work
+from trefoilgw.work import run_limits
 
 
 class TaskState(enum.Enum):
@@ -69,6 +70,7 @@
         failures: Number of attempts that ended as failed.
         excluded_runners: Runners on which the task failed, stalled or was
             slow.
+        error: Mean absolute error of the logarithm of the expected run time.
     """
 
     spec: work.TaskSpec
@@ -81,6 +83,19 @@
     attempts: int = 0
     failures: int = 0
     excluded_runners: set[str] = attrs.field(factory=set)
+    error: float = run_limits.TYPICAL_ERROR
+
+    def ends_within(self, limit_s: float, least_error: float) -> bool:
+        """Returns whether a run surely ends within a time.
+
+        Args:
+            limit_s: The time in seconds, 0 if there is no limit.
+            least_error: Error of run times that counts if it is larger.
+        """
+        if limit_s <= 0.0:
+            return True
+        error = max(self.error, least_error)
+        return run_limits.run_limit_s(self.expected_s, error) <= limit_s
 
     @property
     def millicores(self) -> int:
@@ -107,6 +122,8 @@
         abandoned_after_s: Time after which no caller waits for it any more.
         started: Whether any attempt was ever sent.
         may_have_run: Whether any attempt may have run that is over.
+        whole_only: Whether its tasks start together or not at all, as the last
+            of them would start too late by itself.
     """
 
     spec: work.JobSpec
@@ -121,6 +138,7 @@
     abandoned_after_s: float = math.inf
     started: bool = False
     may_have_run: bool = False
+    whole_only: bool = False
 
     @property
     def key(self) -> str:
@@ -149,6 +167,11 @@
         waiting = all(x.state is TaskState.WAITING for x in self.tasks)
         return waiting and not self.may_have_run
 
+    @property
+    def is_held(self) -> bool:
+        """Whether it may start as a whole only."""
+        return self.whole_only and not self.started
+
     def waiting_millicores(self) -> int:
         """Returns the capacity needed by the waiting tasks."""
         return sum(x.millicores for x in self.waiting())
