Forecast with the measured rates of the other schedulers

Cause: a forecast took all schedulers at a runner for as busy as its own, so a scheduler with many callers rejected jobs for urgent work that did not exist, and one with few admitted jobs that were then passed by the others'. The demand of others was a plain mean over the own runners, which is wrong for schedulers with more or fewer of them.

Change: a capacity report ends with the CPU that the runner started for the other schedulers in about the last second, one byte for each urgency class. Rates within 1.5 times of even ones, and runners that report nothing, give the forecast of before. The demand of a scheduler whose number of runners differs by over 2 times counts in the ratio of these numbers, which a runner knows from the pongs.

--- a/tools/fleet_trial.py
+++ b/tools/fleet_trial.py
@@ -38,6 +38,12 @@
 RUNNER_TICK_S = 0.05
 # Length of the windows of which the worst ones are reported.
 WINDOW_S = 2.0
+# Processor time of a scheduler for a message, a submission and a ping, on a
+# core. Assumed; only hosts with `Fleet.processors` spend it.
+MESSAGE_CPU_S = 0.0003
+SUBMISSION_CPU_S = 0.001
+PING_CPU_S = 0.0001
+PING_INTERVAL_S = 0.3
 # Standard deviation of the logarithm of declared over actual run times.
 DECLARED_SPREAD = 0.35
 
@@ -106,6 +112,12 @@
         speeds: Speeds of the targets, in turn.
         unevenness: Standard deviation of the logarithm of the schedulers'
             shares of the submissions.
+        shares: Relative submissions of a scheduler by failure domain, in turn;
+            empty to draw them by `unevenness`.
+        processors: Processors of a scheduler's host by failure domain, in
+            turn; empty if they are never short.
+        streams: Schedulers that each runner is connected to, 0 for the rule
+            of the product.
     """
 
     schedulers: int
@@ -114,6 +126,9 @@
     millicores: int = 64_000
     speeds: Sequence[float] = (0.8, 1.0, 1.25)
     unevenness: float = 0.4
+    shares: Sequence[float] = ()
+    processors: Sequence[float] = ()
+    streams: int = 0
 
     def capacity(self, number: int) -> int:
         """Returns the millicores of a target."""
@@ -133,6 +148,7 @@
         at_s: Time of its submission.
         objective_s: Time in which it should be answered.
         work: Core-seconds of work.
+        scheduler: Name of its scheduler.
         ended_s: Time of the answer, None before it.
         outcome: The answer.
     """
@@ -141,6 +157,7 @@
     at_s: float
     objective_s: float
     work: float
+    scheduler: str = ""
     ended_s: float | None = None
     outcome: object = None
 
@@ -195,6 +212,7 @@
         now_s = self.trial.now_s
         for owner in self.streams:
             self.allocator.renew_authority(owner, now_s)
+            self.allocator.set_reach(owner, self.trial.reach(owner))
         self.allocator.tick(now_s)
         self.flush()
 
@@ -228,14 +246,37 @@
 
 @attrs.define(eq=False)
 class _Scheduler:
-    """A scheduler with its callers."""
+    """A scheduler with its callers.
+
+    Attributes:
+        processors: Processors of its host, infinite if they are never short.
+        busy_until_s: Time at which it will have handled all that has arrived.
+    """
 
     trial: "Trial"
     name: str
     state: scheduling.Scheduler
+    processors: float = math.inf
+    busy_until_s: float = 0.0
     streams: dict[str, _Stream] = attrs.field(factory=dict)
 
+    def spend(self, cpu_s: float, call: Callable, *args) -> None:
+        """Calls a function once the processor has done it and all before."""
+        if math.isinf(self.processors):
+            call(*args)
+            return
+        begin_s = max(self.trial.now_s, self.busy_until_s)
+        self.busy_until_s = begin_s + cpu_s / self.processors
+        self.trial.at(self.busy_until_s, call, *args)
+
+    def ping(self) -> None:
+        """Spends the processor time of the pings of all runners."""
+        self.spend(len(self.streams) * PING_CPU_S, lambda: None)
+
     def receive(self, runner: str, message: object) -> None:
+        self.spend(MESSAGE_CPU_S, self.handle, runner, message)
+
+    def handle(self, runner: str, message: object) -> None:
         now_s = self.trial.now_s
         match message:
             case messages.CapacityReport():
@@ -249,6 +290,9 @@
         self.flush()
 
     def submit(self, spec: work.JobSpec, record: JobRecord) -> None:
+        self.spend(SUBMISSION_CPU_S, self.admit, spec, record)
+
+    def admit(self, spec: work.JobSpec, record: JobRecord) -> None:
         now_s = self.trial.now_s
         result = self.state.submit(spec, 1, now_s)
         if isinstance(result, actions.Rejected):
@@ -296,6 +340,7 @@
     messages: collections.Counter = attrs.field(factory=collections.Counter)
     endings: collections.Counter = attrs.field(factory=collections.Counter)
     rng: random.Random = attrs.field(init=False)
+    _schedulers: dict = attrs.field(factory=dict)
     _events: list = attrs.field(factory=list)
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
@@ -313,9 +358,12 @@
     def run(self, duration_s: float) -> "Trial":
         """Runs the trial until all jobs submitted in a time have ended."""
         schedulers = self._build()
+        shares = self.fleet.shares
         weights = [
-            self.rng.lognormvariate(0.0, self.fleet.unevenness)
-            for _ in schedulers
+            shares[number % len(shares)]
+            if shares
+            else self.rng.lognormvariate(0.0, self.fleet.unevenness)
+            for number in range(len(schedulers))
         ]
         for kind in self.kinds:
             for at_s in self._arrivals(kind, duration_s):
@@ -330,24 +378,29 @@
     def _build(self) -> list[_Scheduler]:
         """Returns the schedulers, connected to the runners."""
         domains = [f"d{x}" for x in range(self.fleet.domains)]
+        processors = self.fleet.processors or (math.inf,)
         schedulers = {
             f"s{x}": _Scheduler(
                 self,
                 f"s{x}",
                 scheduling.Scheduler(domains[x % len(domains)], rng=self.rng),
+                processors[x % len(processors)],
             )
             for x in range(self.fleet.schedulers)
         }
+        self._schedulers = schedulers
         members = [
             subsets.Member(name, x.state.domain)
             for name, x in schedulers.items()
         ]
         for scheduler in schedulers.values():
             self._repeat(SCHEDULER_TICK_S, scheduler.tick)
+            if self.fleet.processors:
+                self._repeat(PING_INTERVAL_S, scheduler.ping)
         for number in range(self.fleet.runners):
             runner = self._make_runner(number)
             domain = domains[number % len(domains)]
-            limit = subsets.stream_count(
+            limit = self.fleet.streams or subsets.stream_count(
                 len(members), len(members), self.fleet.runners
             )
             chosen = subsets.select_members(
@@ -426,6 +479,7 @@
             at_s,
             STRETCH * longest_s + LATENCY_S,
             sum(self.run_times[x] for x in names) * millicores / 1000,
+            scheduler.name,
         )
         self.jobs[key] = record
         spec = work.JobSpec(
@@ -438,6 +492,21 @@
 
     # Results.
 
+    def reach(self, scheduler: str) -> int:
+        """Returns the number of runners connected to a scheduler."""
+        return len(self._schedulers[scheduler].streams)
+
+    def served_shares(self) -> dict[str, float]:
+        """Returns the share of completed jobs by scheduler."""
+        done: dict[str, int] = collections.Counter()
+        known: dict[str, int] = collections.Counter()
+        for record in self.jobs.values():
+            known[record.scheduler] += 1
+            done[record.scheduler] += isinstance(
+                record.outcome, actions.Completed
+            )
+        return {x: done[x] / known[x] for x in sorted(known)}
+
     def value(self, kind: str | None = None) -> float:
         """Returns the mean value of the jobs of a kind, or of all."""
         values = [x.value for x in self.jobs.values() if kind in (None, x.kind)]
--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -123,6 +123,9 @@
         competing_cpu: CPU that the other schedulers' waiting tasks need, in
             millicores by urgency class, up to the last class with any.
         schedulers: Number of schedulers connected to the runner, 0 if unknown.
+        others_started: CPU that was started for the other schedulers in about
+            the last second, by urgency class in steps of `rates.to_step`;
+            empty if the runner does not measure it.
     """
 
     starts_received: int
@@ -134,6 +137,7 @@
     freed_cpu: int = 0
     competing_cpu: tuple[int, ...] = ()
     schedulers: int = 0
+    others_started: tuple[int, ...] = ()
 
 
 @attrs.frozen
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -355,6 +355,12 @@
         if owner is not None:
             owner.retiring = retiring
 
+    def set_reach(self, name: str, runners: int) -> None:
+        """Notes how many runners are connected to a scheduler."""
+        owner = self.owners.get(name)
+        if owner is not None:
+            owner.reach = runners
+
     def renewed_s(self, name: str) -> float:
         """Returns when a scheduler last renewed its authority."""
         owner = self.owners.get(name)
@@ -434,6 +440,7 @@
             owner.name, order, demand, room_runs.RunState.STARTING, now_s
         )
         self.runs[run.key] = run
+        owner.started.record(order.urgency, demand.cpu_millicores)
         self.pending_actions.append(
             actions.Start(order.task, order.run, payload)
         )
@@ -499,6 +506,7 @@
         self.headroom.update(self._cpu_use(), now_s)
         self.freed_cpu_rate.decay(now_s)
         for owner in list(self.owners.values()):
+            owner.started.decay(now_s)
             if owner.reservations:
                 owner.expire_reservations(now_s)
             if now_s >= owner.authority_until_s:
@@ -593,8 +601,9 @@
                 self.target.service if self.target else "",
                 *rooms,
                 self.freed_cpu_rate.quantized(),
-                reporting.competing_cpu(self.owners.values(), owner.name),
+                reporting.competing_cpu(self.owners.values(), owner),
                 len(connected),
+                reporting.others_started(self.owners.values(), owner),
             )
             if report != owner.last_report:
                 owner.last_report = report
--- a/trefoilgw/room/owners.py
+++ b/trefoilgw/room/owners.py
@@ -6,6 +6,7 @@
 
 from trefoilgw.messages import runs as messages
 from trefoilgw.work import core as work
+from trefoilgw.work import rates
 
 # A scheduler's runs are stopped this long after it last renewed its authority,
 # by the answer to a ping or by an order. Must stay well below the time after
@@ -84,6 +85,8 @@
         run_ended: Whether one of its runs has ended since then.
         retiring: Whether its stream will be closed, so that it gets no more
             capacity.
+        reach: Number of runners connected to it, 0 if unknown.
+        started: Rates at which CPU is started for it.
     """
 
     name: str
@@ -96,6 +99,8 @@
     reported_s: float = -math.inf
     run_ended: bool = False
     retiring: bool = False
+    reach: int = 0
+    started: rates.CpuRates = attrs.field(factory=rates.CpuRates)
 
     def reserved(self) -> work.Demand:
         """Returns the total capacity of its open offers."""
--- a/trefoilgw/room/reporting.py
+++ b/trefoilgw/room/reporting.py
@@ -10,6 +10,7 @@
 
 from trefoilgw.room import owners
 from trefoilgw.work import core as work
+from trefoilgw.work import rates
 
 # Mean interval between a target's capacity reports, over all schedulers.
 REPORT_SPACING_S = 0.05
@@ -19,6 +20,10 @@
 # Least interval between reports that go along with the ends of runs. Without
 # them a scheduler would reject jobs for lack of capacity that is free.
 END_REPORT_INTERVAL_S = 0.05
+# Rendezvous hashing alone gives equal schedulers numbers of runners that differ
+# by up to about this ratio. Their demand counts as it is.
+EVEN_REACH_RATIO = 2.0
+MAX_REACH_RATIO = 8.0
 
 
 def due_owners(
@@ -49,22 +54,54 @@
     ]
 
 
-def competing_cpu(known: Iterable[owners.Owner], name: str) -> tuple[int, ...]:
+def competing_cpu(
+    known: Iterable[owners.Owner], reader: owners.Owner
+) -> tuple[int, ...]:
     """Returns the CPU that the other schedulers wait for.
 
     Args:
         known: All schedulers.
-        name: Incarnation of the scheduler that is left out.
+        reader: The scheduler that gets the report and is left out.
 
     Returns:
         Millicores by urgency class, up to the last class with any.
+
+    Notes:
+        The reader takes the mean over its runners. A scheduler with more
+        runners than the reader gets part of its capacity elsewhere, and one
+        with fewer bids at only some of the reader's, so its demand counts in
+        the ratio of their reaches.
     """
     totals: list[int] = []
     for owner in known:
-        if owner.name == name or owner.retiring:
+        if owner.name == reader.name or owner.retiring:
             continue
+        ratio = _reach_ratio(reader, owner)
         for bid in owner.bids:
             missing = bid.urgency + 1 - len(totals)
             totals.extend([0] * missing)
-            totals[bid.urgency] += bid.total_demand.cpu_millicores
+            millicores = bid.total_demand.cpu_millicores
+            if ratio != 1.0:
+                millicores = round(ratio * millicores)
+            totals[bid.urgency] += millicores
     return tuple(totals)
+
+
+def _reach_ratio(reader: owners.Owner, other: owners.Owner) -> float:
+    """Returns the runners of one scheduler for each of another one.
+
+    Numbers that differ a little, or that are not known, count as equal.
+    """
+    if reader.reach <= 0 or other.reach <= 0:
+        return 1.0
+    ratio = reader.reach / other.reach
+    if 1.0 / EVEN_REACH_RATIO <= ratio <= EVEN_REACH_RATIO:
+        return 1.0
+    return min(MAX_REACH_RATIO, max(1.0 / MAX_REACH_RATIO, ratio))
+
+
+def others_started(
+    known: Iterable[owners.Owner], reader: owners.Owner
+) -> tuple[int, ...]:
+    """Returns the rates at which CPU is started for the other schedulers."""
+    return rates.steps_of(x.started for x in known if x.name != reader.name)
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -286,6 +286,7 @@
             case runs.RunnerPong(alive_s=alive_s, runners=runners):
                 link.runners = runners
                 link.unanswered_s = None
+                self.allocator.set_reach(link.owner, runners)
                 self.allocator.renew_authority(link.owner, alive_s)
                 return
             case runs.StartRuns():
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -25,6 +25,7 @@
 from trefoilgw.scheduling import runners
 from trefoilgw.scheduling import runtimes
 from trefoilgw.work import core as work
+from trefoilgw.work import rates
 
 # Number of waiting jobs that don't fit after which placement stops. Until then
 # less urgent jobs may use the remaining capacity.
@@ -69,6 +70,7 @@
         runner_views: Runners by name.
         run_times: Run time estimation.
         arrivals: Arrival rates of admitted jobs by queue.
+        admitted_cpu: Rates at which admitted jobs demand CPU.
         lost_runners: Time of the last renewal of the authority at each
             disconnected runner whose runs may still go on, by its name and
             incarnation.
@@ -89,6 +91,7 @@
     runner_views: dict[str, runners.RunnerView] = attrs.field(factory=dict)
     run_times: runtimes.RunTimes = attrs.field(factory=runtimes.RunTimes)
     arrivals: dict[str, admission.ArrivalRate] = attrs.field(factory=dict)
+    admitted_cpu: rates.CpuRates = attrs.field(factory=rates.CpuRates)
     lost_runners: dict[tuple[str, str], float] = attrs.field(factory=dict)
     largest_targets: capacities.LargestTargets = attrs.field(
         factory=capacities.LargestTargets
@@ -104,7 +107,10 @@
 
     def __attrs_post_init__(self):
         self.forecaster = forecasts.Forecaster(
-            self.waiting_jobs, self.runner_views, self.arrivals
+            self.waiting_jobs,
+            self.runner_views,
+            self.arrivals,
+            self.admitted_cpu,
         )
 
     def take_actions(self) -> list:
@@ -161,6 +167,7 @@
             spec.queue.name, admission.ArrivalRate(slack_s=slack_s)
         )
         arrivals.record(job.waiting_millicores(), slack_s, now_s)
+        self.admitted_cpu.record(job.urgency, job.waiting_millicores())
         self.admitted[job.key] = job
         bisect.insort(self.waiting_jobs, job, key=lambda x: x.rank)
         self._place(now_s)
@@ -605,6 +612,7 @@
 
         Must be called every few tens of milliseconds.
         """
+        self.admitted_cpu.decay(now_s)
         self._expire_lost_runners(now_s)
         self._end_abandoned(now_s)
         self._reject_overdue(now_s)
--- a/trefoilgw/scheduling/forecasts.py
+++ b/trefoilgw/scheduling/forecasts.py
@@ -16,9 +16,13 @@
 from trefoilgw.scheduling import admission
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import runners
+from trefoilgw.work import rates
 
 # A runner is expected to report its target within this time after connecting.
 MAX_JOINING_S = 0.4
+# Rates of other schedulers that differ from the own one by less than this
+# count as equal. The rates of a second fluctuate by as much.
+EVEN_RATE_RATIO = 1.5
 
 
 @attrs.frozen
@@ -44,11 +48,14 @@
         waiting_jobs: Jobs with waiting tasks, most urgent first.
         runner_views: Runners by name.
         arrivals: Arrival rates of admitted jobs by queue.
+        admitted_cpu: Rates at which admitted jobs demand CPU, by urgency
+            class.
     """
 
     waiting_jobs: Sequence[jobs.Job]
     runner_views: Mapping[str, runners.RunnerView]
     arrivals: Mapping[str, admission.ArrivalRate]
+    admitted_cpu: rates.CpuRates = attrs.field(factory=rates.CpuRates)
 
     def predict(
         self,
@@ -73,14 +80,47 @@
             needed -= _fitting_millicores(job, healthy)
         needed -= self._joining_millicores(serving, now_s)
         slack_s = job.latest_start_s - now_s
-        urgent_rate = _scheduler_count(serving) * sum(
+        own_rate = sum(
             x.rate(now_s)
             for x in self.arrivals.values()
             if x.slack_s < slack_s / 2
         )
+        urgent_rate = self._urgent_rate(job.urgency, own_rate, serving)
         wait_s = admission.predict_wait_s(needed, rate, urgent_rate)
         return Forecast(wait_s, ahead, rate)
 
+    def _urgent_rate(
+        self,
+        urgency: int,
+        own_rate: float,
+        serving: Sequence[runners.RunnerView],
+    ) -> float:
+        """Returns the rate at which all schedulers admit more urgent work.
+
+        The runners report what they have lately started for the others. While
+        that is about what as many equal schedulers would have started, they
+        are taken for equal.
+
+        Args:
+            urgency: Urgency class of the job.
+            own_rate: Rate of this scheduler in millicores per second.
+            serving: Runners of the service.
+        """
+        count = _scheduler_count(serving)
+        measured = _others_started_rate(urgency, serving)
+        if measured is None:
+            return count * own_rate
+        own_classes_rate = self.admitted_cpu.below(urgency)
+        if own_classes_rate <= 0.0:
+            return own_rate + measured
+        expected = (count - 1.0) * own_classes_rate
+        even = EVEN_RATE_RATIO * min(measured, expected) >= max(
+            measured, expected
+        )
+        if even:
+            return count * own_rate
+        return own_rate * (1.0 + measured / own_classes_rate)
+
     def _waiting_ahead(self, job: jobs.Job) -> int:
         """Returns the capacity needed by this scheduler's work before a job."""
         service = job.spec.queue.service
@@ -111,23 +151,42 @@
 
 
 def _scheduler_count(views: Sequence[runners.RunnerView]) -> float:
-    """Returns how many schedulers share a runner on average.
-
-    Each of them is assumed to admit urgent work at the same rate.
-    """
+    """Returns how many schedulers share a runner on average."""
     if not views:
         return 1.0
     return max(1.0, sum(x.report.schedulers for x in views) / len(views))
 
 
+def _others_started_rate(
+    urgency: int, views: Sequence[runners.RunnerView]
+) -> float | None:
+    """Returns the rate at which more urgent work of others is started.
+
+    Runners of an earlier release don't report it and count like the mean of
+    those that do.
+
+    Args:
+        urgency: Work of lower classes counts.
+        views: Runners of the service.
+
+    Returns:
+        Millicores per second, None if no runner reports it.
+    """
+    steps = [x.report.others_started for x in views if x.report.others_started]
+    if not steps:
+        return None
+    total = sum(rates.from_step(y) for x in steps for y in x[:urgency])
+    return total * len(views) / len(steps)
+
+
 def _other_demand_ahead(
     job: jobs.Job, views: Sequence[runners.RunnerView]
 ) -> int:
     """Returns the capacity needed by other schedulers' work before a job.
 
     A report lists all waiting work of the other schedulers of a runner, by
-    urgency class. Each of them bids at about as many runners as this
-    scheduler, so the mean over the runners is the demand that this scheduler
+    urgency class, in the ratio of their numbers of runners to that of this
+    scheduler. The mean over the runners is the demand that this scheduler
     competes with. Work of the job's own class is included.
     """
     if not views:
--- a/trefoilgw/scheduling/tests/fixtures.py
+++ b/trefoilgw/scheduling/tests/fixtures.py
@@ -35,6 +35,8 @@
     capacity=CAPACITY,
     freed_cpu=20_000,
     competing_cpu=(),
+    schedulers=0,
+    others_started=(),
 ):
     return messages.CapacityReport(
         starts_received,
@@ -45,6 +47,8 @@
         free,
         freed_cpu,
         competing_cpu,
+        schedulers,
+        others_started,
     )
 
 
--- a/trefoilgw/scheduling/tests/test_forecasts.py
+++ b/trefoilgw/scheduling/tests/test_forecasts.py
@@ -1,13 +1,17 @@
 """Tests of predicted waits right after an outage, before any run has ended."""
 
+import random
 import unittest
 
 from trefoilgw.messages import runs as messages
 from trefoilgw.scheduling import actions
+from trefoilgw.scheduling import admission
 from trefoilgw.scheduling import core as scheduling
 from trefoilgw.scheduling import forecasts
+from trefoilgw.scheduling import planning
 from trefoilgw.scheduling.tests import fixtures
 from trefoilgw.work import core as work
+from trefoilgw.work import rates
 
 RUNNERS = [f"r{x}" for x in range(8)]
 
@@ -88,3 +92,85 @@
         scheduler.submit(fixtures.job("j"), 1, 0.0)
         fixtures.end_run(scheduler, "r1", "j.0.0.0", 1, work.Ending.DONE)
         self.assertIs(scheduler.waiting_jobs, scheduler.forecaster.waiting_jobs)
+
+
+class UnevenSchedulersTest(unittest.TestCase):
+    """Schedulers that share their runners and admit at different rates."""
+
+    URGENT_MILLICORES = 4_000
+    SCHEDULERS = 5
+
+    def predict(self, others_started, old_runners=0):
+        """Returns the forecast of a job that waits behind urgent work.
+
+        This scheduler has admitted 4 cores of urgent work in the last second,
+        and 40 cores a second come free at 4 runners.
+
+        Args:
+            others_started: What each runner reports.
+            old_runners: Runners that don't report it.
+        """
+        scheduler = scheduling.Scheduler("d1", rng=random.Random(1))
+        for number in range(4):
+            name = f"r{number}"
+            scheduler.runner_connected(name, "i1", "d1", 0.0)
+            report = fixtures.make_report(
+                free=fixtures.NO_CAPACITY,
+                freed_cpu=10_000,
+                schedulers=self.SCHEDULERS,
+                others_started=() if number < old_runners else others_started,
+            )
+            scheduler.capacity_reported(name, report, 0.0)
+        scheduler.arrivals["urgent"] = admission.ArrivalRate(
+            self.URGENT_MILLICORES, 2.0, slack_s=0.15
+        )
+        scheduler.admitted_cpu.record(3, self.URGENT_MILLICORES)
+        queue = fixtures.queue("late", stretch=4.0, latency_s=1.0)
+        spec = fixtures.job("j", 2, 0.5, queue)
+        job = planning.make_job(spec, 1, 1, scheduler.run_times, 2.0)
+        return scheduler.forecaster.predict(job, (), 2.0)
+
+    def steps(self, rate):
+        """Returns reports of a rate of urgent work over all four runners."""
+        return (0, 0, 0, rates.to_step(rate / 4))
+
+    def test_equal_schedulers_forecast_as_before(self):
+        """Deployments with even hosts must be served as before."""
+        before = self.predict(())
+        even = (self.SCHEDULERS - 1) * self.URGENT_MILLICORES
+        for factor in (0.75, 1.0, 1.25):
+            with self.subTest(factor=factor):
+                found = self.predict(self.steps(factor * even))
+                self.assertEqual(before, found)
+
+    def test_crowded_scheduler_does_not_take_the_others_for_crowded(self):
+        """It rejected jobs for urgent work that did not exist."""
+        before = self.predict(())
+        found = self.predict(self.steps(self.URGENT_MILLICORES))
+        self.assertLess(found.wait_s, 0.7 * before.wait_s)
+
+    def test_quiet_scheduler_expects_the_urgent_work_of_others(self):
+        """It admitted jobs that then started late."""
+        for old_runners in (0, 2):
+            quiet = self.predict((0,), old_runners)
+            found = self.predict(self.steps(30_000), old_runners)
+            self.assertGreater(found.wait_s, 1.5 * quiet.wait_s)
+
+    def test_scheduler_without_urgent_work_expects_that_of_others(self):
+        """Its own rate of 0 times the number of schedulers is 0."""
+        scheduler = fixtures.make_scheduler("r1")
+        report = fixtures.make_report(
+            schedulers=self.SCHEDULERS, others_started=(0, 0, 0, 30)
+        )
+        scheduler.capacity_reported("r1", report, 1.0)
+        serving = list(scheduler.runner_views.values())
+        found = scheduler.forecaster._urgent_rate(5, 0.0, serving)
+        self.assertEqual(rates.from_step(30), found)
+        self.assertEqual(
+            0.0, scheduler.forecaster._urgent_rate(3, 0.0, serving)
+        )
+
+    def test_odd_rates_give_a_bounded_wait(self):
+        """A wrong figure of one runner must not end the forecasts."""
+        found = self.predict((-5, 0, 2**63, 2**64 - 1))
+        self.assertLessEqual(found.wait_s, admission.MAX_PREDICTED_WAIT_S)
