Send no report for the rates of others alone

Cause: what is started for the other schedulers changes with each start, so reports that differed in nothing else went out more often.

Change: a report is sent only if something else in it differs. The rate of freed CPU, which is sent as before, decays as long.

--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -605,7 +605,7 @@
                 len(connected),
                 reporting.others_started(self.owners.values(), owner),
             )
-            if report != owner.last_report:
+            if reporting.is_news(report, owner.last_report):
                 owner.last_report = report
                 owner.reported_s = now_s
                 self._send(owner.name, report)
--- a/trefoilgw/room/reporting.py
+++ b/trefoilgw/room/reporting.py
@@ -8,6 +8,9 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 
+import attrs
+
+from trefoilgw.messages import runs as messages
 from trefoilgw.room import owners
 from trefoilgw.work import core as work
 from trefoilgw.work import rates
@@ -54,6 +57,20 @@
     ]
 
 
+def is_news(
+    report: messages.CapacityReport, last: messages.CapacityReport | None
+) -> bool:
+    """Returns whether a report differs from the last one that was sent.
+
+    What was started for the others alone is no reason for a report. It changes
+    with each start and decays as long as the rate of freed CPU, which is one.
+    """
+    if last is None:
+        return True
+    same = attrs.evolve(report, others_started=last.others_started)
+    return same != last
+
+
 def competing_cpu(
     known: Iterable[owners.Owner], reader: owners.Owner
 ) -> tuple[int, ...]:
--- a/trefoilgw/room/tests/test_reporting.py
+++ b/trefoilgw/room/tests/test_reporting.py
@@ -89,14 +89,19 @@
         grown = len(codec.encode(report)) - len(codec.encode(empty))
         self.assertLessEqual(grown, 8)
 
-    def test_idle_target_ends_its_reports(self):
-        """Sums that decay forever would cause a report at each step."""
+    def test_rates_alone_cause_no_report(self):
+        """The number of messages must not grow with what they tell."""
         fixtures.start_confirmed(self.allocator, "a", "j.0.0.0")
+        first = self.reports(0.6)["b"]
         now_s = 0.6
-        for _ in range(100):
-            self.reports(now_s)
+        for _ in range(20):
             now_s += 0.2
-        self.assertEqual({}, self.reports(now_s))
+            self.allocator.renew_authority("a", now_s)
+            self.assertEqual({}, self.reports(now_s))
+        self.allocator.run_ended("j.0.0.0", 1, work.Ending.DONE, now_s)
+        later = self.reports(now_s + 0.2)["b"]
+        self.assertNotEqual((0,), first.others_started)
+        self.assertEqual((0,), later.others_started)
 
 
 if __name__ == "__main__":
--- a/trefoilgw/work/rates.py
+++ b/trefoilgw/work/rates.py
@@ -10,8 +10,7 @@
 # Steps of the wire form for each factor of two. The figures of a second
 # fluctuate by more than half a step.
 STEPS_PER_DOUBLING = 2
-# Rates below this are sent as 0, so that a sum that decays after some load
-# soon stops to cause new reports. Millicores per second.
+# Rates below this are sent as 0: the load has ended. Millicores per second.
 LEAST_RATE = 100.0
 # Bounds what is read from a message: 2**32 millicores per second.
 MAX_STEP = 64
