Retire a surplus stream while its scheduler has runs

Cause: a runner told a scheduler that its stream would be closed only in a moment without runs. Under load there is none, so streams that were surplus after a change of the schedulers stayed.

Change: the scheduler is told at once and sends nothing more; the stream is closed when its runs have ended.

Result: the new test fails without the change; the other tests of the links pass as they are.

--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -163,15 +163,16 @@
     def _retire(self, link: Link, now_s: float) -> None:
         """Closes a surplus stream without losing an order.
 
-        The scheduler first learns that the runner is not usable for it. The
-        stream is closed later, and only while there are no runs.
+        The scheduler first learns that the runner is not usable for it, also
+        while it has runs there: under load it always has some. The stream is
+        closed later, and only while there are no runs.
         """
-        if self.allocator.has_runs(link.owner):
-            return
         if link.retiring_since_s is None:
             link.retiring_since_s = now_s
             self.allocator.set_retiring(link.owner, True)
             self.on_change()
+        elif self.allocator.has_runs(link.owner):
+            return
         elif now_s - link.retiring_since_s >= RETIREMENT_S:
             stream = link.stream
             self._forget(link)
--- a/trefoilgw/runner/tests/test_links.py
+++ b/trefoilgw/runner/tests/test_links.py
@@ -7,6 +7,7 @@
 from trefoilgw.room.tests import fixtures
 from trefoilgw.runner import links
 from trefoilgw.subsets import core as subsets
+from trefoilgw.work import core as work
 
 OWN = subsets.Member("r1", "d1")
 
@@ -132,6 +133,24 @@
         self.assertEqual(8, len(living))
         self.assertIn(dead, self.links.links, "it is dialed on")
 
+    def test_retiring_stream_gets_no_work_while_its_runs_go_on(self):
+        """Under load a scheduler always has runs, so it was never left."""
+        self.links.select()
+        self.open("seed:1")
+        self.allocator.renew_authority("owner-seed:1", 100.0)
+        fixtures.start_confirmed(self.allocator, "owner-seed:1", "j.0.0.0")
+        self.learn(*(f"s{x}:1" for x in range(12)))
+        self.links.select()
+        self.open(*(self.links.links.keys() - {"seed:1"}))
+        for _ in range(3):
+            self.pass_time(links.RETIREMENT_S)
+        link = self.links.links["seed:1"]
+        self.assertIsNone(link.stream.closed)
+        self.assertTrue(self.allocator.owners["owner-seed:1"].retiring)
+        self.allocator.run_ended("j.0.0.0", 1, work.Ending.DONE, self.now_s)
+        self.pass_time(links.RETIREMENT_S)
+        self.assertEqual("surplus", link.stream.closed)
+
     def open_seed(self):
         """Opens the stream of the seed; returns what is sent over it."""
         self.links.select()
