Select schedulers by the weight of their hosts and load

Cause: a host of 0.5 cores and one of 2.1 got as many runners, and so did a scheduler with three times its share of the callers.

It travels with the records and announcements that are sent anyway and needs no call of the store. Runners select by weighted rendezvous hashing (Schindelhauer and Schomaker 2005) and put one changed weight into force at a time, when no stream is being opened or closed. Copies of the harness of test_runs_end_once name the three new functions of the module that it replaces.

--- a/trefoilgw/membership/schedulers.py
+++ b/trefoilgw/membership/schedulers.py
@@ -5,6 +5,9 @@
 highest store revision applies, whether it says that the address is listed or
 that it is not: a scheduler that has left does not come back with an older copy,
 and an address that is used again gets the record of its new process.
+
+The weight in a record changes without the store. The scheduler itself issues
+it, and the last one issued applies, whichever revision it comes with.
 """
 
 from collections.abc import Iterable
@@ -105,7 +108,12 @@
             self.known[record.address] = Known(record, absent_s)
             return record.present
         if record.revision <= known.record.revision:
-            return False
+            if not _has_newer_weight(record, known.record):
+                return False
+            known.record = _with_weight_of(known.record, record)
+            return True
+        if _has_newer_weight(known.record, record) or not record.weight:
+            record = _with_weight_of(record, known.record)
         same = attrs.evolve(record, revision=known.record.revision)
         changed = same != known.record
         known.record = record
@@ -138,13 +146,17 @@
     def members(self, now_s: float) -> dict[str, subsets.Member]:
         """Returns the schedulers that may be dialed, by address."""
         members = {
-            address: subsets.Member(address, x.announcement.domain)
+            address: subsets.Member(
+                address, x.announcement.domain, x.announcement.weight
+            )
             for address, x in self.announced.items()
         }
         for address, known in self.known.items():
             absent_s = known.absent_s
             if absent_s is None or now_s - absent_s < REMOVAL_DELAY_S:
-                members[address] = subsets.Member(address, known.record.domain)
+                members[address] = subsets.Member(
+                    address, known.record.domain, known.record.weight
+                )
         return members
 
     def messages(self) -> list:
@@ -153,3 +165,25 @@
         return [messages.SchedulerRecords(records)] + [
             x.announcement for x in self.announced.values()
         ]
+
+
+def _has_newer_weight(
+    record: messages.SchedulerRecord, other: messages.SchedulerRecord
+) -> bool:
+    """Returns whether the same process issued the weight of a record later."""
+    return (
+        record.incarnation == other.incarnation
+        and record.weight_ms > other.weight_ms
+    )
+
+
+def _with_weight_of(
+    record: messages.SchedulerRecord, other: messages.SchedulerRecord
+) -> messages.SchedulerRecord:
+    """Returns a record with the weight of another one of its process.
+
+    The weight of another process at the same address does not apply.
+    """
+    if record.incarnation != other.incarnation:
+        return record
+    return attrs.evolve(record, weight=other.weight, weight_ms=other.weight_ms)
--- a/trefoilgw/membership/tests/test_schedulers.py
+++ b/trefoilgw/membership/tests/test_schedulers.py
@@ -1,5 +1,7 @@
 import unittest
 
+import attrs
+
 from trefoilgw.membership import schedulers
 from trefoilgw.messages import runs as messages
 
@@ -112,5 +114,63 @@
         self.assertEqual({"s1"}, addresses(known, 9.0))
 
 
+class WeightTest(unittest.TestCase):
+    """Weights change without the store, records with it."""
+
+    def record(self, weight, weight_ms, revision=1, incarnation="a" * 16):
+        return attrs.evolve(
+            make_record("s1", revision, incarnation=incarnation),
+            weight=weight,
+            weight_ms=weight_ms,
+        )
+
+    def weight(self, known):
+        return known.members(0.0)["s1"].weight
+
+    def test_last_issued_weight_applies_in_any_order(self):
+        """Copies of records arrive over several peers."""
+        known = schedulers.KnownSchedulers()
+        known.merge_list([self.record(500, 0)], 10, 0.0)
+        newer = self.record(700, 9, revision=5)
+        self.assertEqual(1, len(known.merge_records([newer], 0.0)))
+        self.assertEqual(700, self.weight(known))
+        older = self.record(600, 8, revision=5)
+        self.assertEqual((), known.merge_records([newer, older], 0.0))
+        self.assertEqual(700, self.weight(known))
+
+    def test_list_of_the_store_does_not_undo_it(self):
+        """The store holds the weight with which a scheduler registered.
+
+        Each read would otherwise move streams back and forth.
+        """
+        known = schedulers.KnownSchedulers()
+        known.merge_list([self.record(500, 0)], 10, 0.0)
+        known.merge_records([self.record(700, 9)], 0.0)
+        changed = known.merge_list([self.record(500, 0, 20)], 20, 3.0)
+        self.assertEqual((), changed)
+        self.assertEqual(700, self.weight(known))
+
+    def test_copy_of_an_earlier_release_does_not_remove_it(self):
+        """It passes records on without their weights."""
+        known = schedulers.KnownSchedulers()
+        known.merge_list([self.record(500, 0)], 10, 0.0)
+        self.assertEqual((), known.merge_records([make_record("s1", 20)], 0.0))
+        self.assertEqual(500, self.weight(known))
+
+    def test_new_process_at_the_address_has_its_own_weight(self):
+        """A host that takes over an address is another one."""
+        known = schedulers.KnownSchedulers()
+        known.merge_records([self.record(700, 9)], 0.0)
+        known.merge_list([self.record(2000, 0, 20, "b" * 16)], 20, 3.0)
+        self.assertEqual(2000, self.weight(known))
+
+    def test_announced_scheduler_has_a_weight(self):
+        """The store may not answer for a long time."""
+        known = schedulers.KnownSchedulers()
+        announcement = messages.SchedulerAnnouncement("s1", "d1", "a", 5, 700)
+        known.merge_announcement(announcement, 0.0)
+        self.assertEqual(700, self.weight(known))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -334,6 +334,10 @@
         incarnation: 16 hex digits, chosen anew at every process start.
         revision: Revision of the store at which the list was read.
         present: Whether the list held the address.
+        weight: Relative number of runners that it should get, in thousandths
+            of that of a host with one core; 0 if unknown.
+        weight_ms: Time at which the scheduler issued the weight, on its clock
+            in milliseconds since 1970; 0 for the one that it registered.
     """
 
     address: str
@@ -341,6 +345,8 @@
     incarnation: str
     revision: int
     present: bool
+    weight: int = 0
+    weight_ms: int = 0
 
 
 @core.message(67)
@@ -363,9 +369,11 @@
         incarnation: 16 hex digits, chosen anew at every process start.
         sequence: Time of issue on the issuer's clock in milliseconds since
             1970, which orders the announcements of an address.
+        weight: As in `SchedulerRecord`.
     """
 
     address: str
     domain: str
     incarnation: str
     sequence: int
+    weight: int = 0
--- a/trefoilgw/platform/hosting.py
+++ b/trefoilgw/platform/hosting.py
@@ -64,9 +64,25 @@
         run_stop_s=bounds.number("stopTimeoutMs") / 1000,
         stop_limit_s=bounds.number("graceS"),
         unsupported=tuple(unsupported),
+        processors=_decode_processors(body),
     )
 
 
+def _decode_processors(body: fields.Fields) -> float:
+    """Returns the cores that the process may use; 0 for odd figures.
+
+    A process runs on one core at a time. `cpuShare` is the share of it that
+    the process gets, and `cores` is how many times as fast as usual it is.
+    """
+    try:
+        if body.values.get("limits") is None:
+            return 1.0
+        limits = body.object("limits")
+        return limits.number("cpuShare", 1.0) * limits.number("cores", 1.0)
+    except fields.FieldError:
+        return 0.0
+
+
 @attrs.define(eq=False)
 class SettingsWatch:
     """Reloads the settings when the content of their file has changed.
--- a/trefoilgw/platform/tests/test_decoding.py
+++ b/trefoilgw/platform/tests/test_decoding.py
@@ -229,6 +229,29 @@
         self.assertEqual("10.1.0.14:8166", found.reports_address)
         self.assertEqual((), found.unsupported)
 
+    def test_processors_are_the_share_of_a_faster_core(self):
+        """`cores` is a speed: the process uses one core at a time."""
+        for limits, processors in (
+            ({"cpuShare": 0.717, "cores": 3}, 2.151),
+            ({"cpuShare": 0.645}, 0.645),
+            ({}, 1.0),
+            (None, 1.0),
+        ):
+            found = hosting.decode(encode_json(SETTINGS, limits=limits))
+            self.assertAlmostEqual(processors, found.processors)
+
+    def test_odd_processors_do_not_stop_the_process(self):
+        """Only the selection of streams depends on them."""
+        for limits in (
+            {"cpuShare": -1.0},
+            {"cpuShare": "much"},
+            {"cpuShare": 0.5, "cores": []},
+            {"cpuShare": True},
+            [],
+        ):
+            found = hosting.decode(encode_json(SETTINGS, limits=limits))
+            self.assertEqual(0.0, found.processors)
+
     def test_lists_unsupported_settings(self):
         """A process must not start with settings that it can't honor."""
         found = hosting.decode(encode_json(SETTINGS, orders="heartbeat"))
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Set
 
 import attrs
@@ -36,6 +37,11 @@
 # Time in which orders sent before a scheduler learned that its stream will be
 # closed arrive.
 RETIREMENT_S = 1.0
+# A weight that differs from the one in force by less than this ratio doesn't
+# apply. The mean of all weights changes a little with each of them.
+WEIGHT_TOLERANCE_RATIO = 1.1
+# The share that is left to each scheduler is lowered only by more than this.
+FLOOR_TOLERANCE = 1.5 / subsets.FLOOR_STEPS
 
 log = logging.getLogger(__name__)
 
@@ -81,6 +87,8 @@
         seeds: Addresses to dial while too few schedulers are known.
         known: Known schedulers.
         links: Links by address.
+        weights: Weights in force for the selection, by address.
+        floor: Share of its runners that no weight takes from a scheduler.
     """
 
     own: subsets.Member
@@ -93,6 +101,8 @@
         factory=schedulers.KnownSchedulers
     )
     links: dict[str, Link] = attrs.field(factory=dict)
+    weights: dict[str, float] = attrs.field(factory=dict)
+    floor: float = 1.0
 
     def select(self) -> None:
         """Dials newly selected schedulers and retires the surplus ones.
@@ -101,7 +111,12 @@
         """
         now_s = self.now()
         self.known.expire(now_s)
-        selected = self._selected(now_s)
+        members = self._members(now_s)
+        wanted = self._wanted_weights(members)
+        self.weights = {x: self.weights.get(x, wanted[x]) for x in members}
+        selected = self._selected(members, now_s)
+        if self._is_settled(selected, now_s):
+            selected = self._adopt_weights(members, wanted, selected, now_s)
         for address in selected - self.links.keys():
             self._dial(address, now_s)
         settled = all(
@@ -117,23 +132,97 @@
             elif settled:
                 self._retire(link, now_s)
 
-    def _selected(self, now_s: float) -> set[str]:
-        """Returns the addresses of the schedulers to keep streams to."""
-        members = self.known.members(now_s)
-        open_links = [x for x in self.links.values() if x.stream is not None]
-        runners = sum(x.runners for x in open_links)
-        limit = subsets.stream_count(
-            len(members),
-            len(open_links),
-            runners / len(open_links) if open_links else 0.0,
+    def _open_links(self) -> list[Link]:
+        """Returns the links with an open stream."""
+        return [x for x in self.links.values() if x.stream is not None]
+
+    def _mean_runners(self) -> float:
+        """Returns the mean number of runners of a scheduler, 0 if unknown."""
+        return subsets.mean_choosers(
+            (x.runners, self.weights.get(x.address, 1.0))
+            for x in self._open_links()
+        )
+
+    def _limit(self, member_count: int) -> int:
+        """Returns the number of reachable schedulers to select."""
+        return subsets.stream_count(
+            member_count, len(self._open_links()), self._mean_runners()
         )
-        if len(members) < limit or not open_links:
+
+    def _members(self, now_s: float) -> dict[str, subsets.Member]:
+        """Returns the schedulers that may be dialed, by address."""
+        members = self.known.members(now_s)
+        if len(members) < self._limit(len(members)) or not self._open_links():
             for seed in self.seeds - members.keys():
                 members[seed] = subsets.Member(seed, "")
+        return members
+
+    def _selected(
+        self, members: Mapping[str, subsets.Member], now_s: float
+    ) -> set[str]:
+        """Returns the addresses of the schedulers to keep streams to."""
         down = {
             x.address for x in self.links.values() if self._is_down(x, now_s)
         }
-        return subsets.select_members(self.own, members.values(), down, limit)
+        return subsets.select_members(
+            self.own,
+            members.values(),
+            down,
+            self._limit(len(self.known.members(now_s))),
+            self.weights,
+        )
+
+    def _is_settled(self, selected: Set[str], now_s: float) -> bool:
+        """Returns whether no stream is being opened or closed."""
+        return selected == self.links.keys() and all(
+            x.stream is not None or self._is_down(x, now_s)
+            for x in self.links.values()
+        )
+
+    def _wanted_weights(
+        self, members: Mapping[str, subsets.Member]
+    ) -> dict[str, float]:
+        """Returns the weights that follow from what the schedulers ask for."""
+        floor = subsets.floor_share(self._mean_runners())
+        if floor > self.floor or floor < self.floor - FLOOR_TOLERANCE:
+            self.floor = floor
+        return subsets.selection_weights(self.own, members.values(), self.floor)
+
+    def _adopt_weights(
+        self,
+        members: Mapping[str, subsets.Member],
+        wanted: Mapping[str, float],
+        selected: set[str],
+        now_s: float,
+    ) -> set[str]:
+        """Puts weights into force until one of them moves a stream.
+
+        A weight changes the place of its own scheduler only, so at most one
+        stream is opened and one closed. The next one moves after that.
+
+        Returns:
+            The addresses of the schedulers to keep streams to.
+        """
+        even = len(set(wanted.values())) <= 1
+        for address, weight in sorted(wanted.items()):
+            before = self.weights[address]
+            ratio = max(weight / before, before / weight)
+            if ratio <= (1.0 if even else WEIGHT_TOLERANCE_RATIO):
+                continue
+            self.weights[address] = weight
+            found = self._selected(members, now_s)
+            if found != selected:
+                log.info(
+                    "stream moves",
+                    extra={
+                        "address": address,
+                        "weight": round(weight, 3),
+                        "dialed": sorted(found - selected),
+                        "surplus": sorted(selected - found),
+                    },
+                )
+                return found
+        return selected
 
     def _is_down(self, link: Link, now_s: float) -> bool:
         """Returns whether a scheduler has had no stream for a while."""
--- a/trefoilgw/runner/tests/test_links.py
+++ b/trefoilgw/runner/tests/test_links.py
@@ -133,6 +133,145 @@
         self.assertEqual(8, len(living))
         self.assertIn(dead, self.links.links, "it is dialed on")
 
+    def learn_weights(self, weights, weight_ms=1):
+        """Tells the runner the weights of schedulers, by address."""
+        self.links.known.merge_records(
+            [
+                runs.SchedulerRecord(
+                    address, "d1", "a" * 16, 1, True, weight, weight_ms
+                )
+                for address, weight in weights.items()
+            ],
+            self.now_s,
+        )
+
+    def open_all(self, runners):
+        """Opens the streams of all links to schedulers with some runners."""
+        missing = [x for x, y in self.links.links.items() if y.stream is None]
+        self.open(*missing)
+        for link in self.links.links.values():
+            link.runners = runners
+
+    def settle(self, seconds=20.0):
+        """Passes time; returns the selected addresses after each selection."""
+        history = [frozenset(self.links.links)]
+        while seconds > 0.0:
+            self.open_all(200)
+            self.pass_time(links.SELECTION_INTERVAL_S)
+            seconds -= links.SELECTION_INTERVAL_S
+            history.append(frozenset(self.links.links))
+        return history
+
+    def learn_fleet(self):
+        """Tells a runner without seeds of 24 schedulers without weights."""
+        self.links.seeds = frozenset()
+        self.learn(*self.uneven_weights())
+
+    def uneven_weights(self):
+        return {f"s{x}:1": (400, 4000)[x % 2] for x in range(24)}
+
+    def test_equal_weights_change_no_stream(self):
+        """Deployments with even hosts must be served as before."""
+        self.learn_fleet()
+        self.links.select()
+        before = set(self.links.links)
+        self.learn_weights(dict.fromkeys(self.uneven_weights(), 700))
+        self.assertEqual({frozenset(before)}, set(self.settle()))
+
+    def test_weights_move_one_stream_at_a_time(self):
+        """Runs of a retired stream would be stopped, and views are lost."""
+        self.learn_fleet()
+        self.links.select()
+        self.settle()
+        before = frozenset(self.links.links)
+        self.learn_weights(self.uneven_weights())
+        history = self.settle(60.0)
+        self.assertNotEqual(before, history[-1])
+        for earlier, later in zip(history, history[1:], strict=False):
+            self.assertLessEqual(len(later ^ earlier), 1)
+            self.assertGreaterEqual(len(later), 8, "one is opened before")
+        self.assertEqual(8, len(history[-1]))
+        large = {x for x, y in self.uneven_weights().items() if y == 4000}
+        self.assertGreater(len(history[-1] & large), len(before & large))
+
+    def test_weights_wait_until_the_streams_are_settled(self):
+        """A runner that starts has other streams to open first."""
+        self.learn_fleet()
+        self.links.select()
+        selected = frozenset(self.links.links)
+        self.open(*sorted(selected)[1:])
+        for link in self.links.links.values():
+            link.runners = 200
+        self.learn_weights(self.uneven_weights())
+        self.pass_time(links.SELECTION_INTERVAL_S)
+        self.assertEqual(selected, frozenset(self.links.links))
+
+    def test_few_runners_ignore_weights(self):
+        """A small host would reach fewer runners than a scheduler needs."""
+        self.learn_fleet()
+        self.links.select()
+        self.learn_weights(self.uneven_weights())
+        before = set(self.links.links)
+        for _ in range(20):
+            self.open_all(subsets.FLOOR_RUNNERS)
+            self.pass_time(links.SELECTION_INTERVAL_S)
+        self.assertEqual(before, set(self.links.links))
+
+    def test_schedulers_without_weights_are_selected_as_before(self):
+        """During a release all schedulers may be of an earlier one."""
+        self.learn_fleet()
+        self.links.select()
+        before = frozenset(self.links.links)
+        self.assertEqual({before}, set(self.settle()))
+        self.assertEqual({1.0}, set(self.links.weights.values()))
+
+    def test_odd_weights_leave_every_stream_count(self):
+        """A host may claim anything about itself."""
+        self.learn_fleet()
+        self.links.select()
+        odd = (0, -(2**62), 2**64 - 1, 1)
+        self.learn_weights({f"s{x}:1": odd[x % len(odd)] for x in range(24)})
+        self.assertEqual(8, len(self.settle(60.0)[-1]))
+        for weight in self.links.weights.values():
+            self.assertLessEqual(weight, 24)
+            self.assertGreaterEqual(weight, self.links.floor)
+
+    def test_scheduler_that_dies_while_streams_move(self):
+        """The runner must not end with fewer live schedulers."""
+        self.learn_fleet()
+        self.links.select()
+        self.settle()
+        self.learn_weights(self.uneven_weights())
+        before = frozenset(self.links.links)
+        while frozenset(self.links.links) == before:
+            self.open_all(200)
+            self.pass_time(links.SELECTION_INTERVAL_S)
+        (dead,) = frozenset(self.links.links) - before
+        for _ in range(10):
+            others = [
+                x
+                for x, y in self.links.links.items()
+                if y.stream is None and x != dead
+            ]
+            self.open(*others)
+            self.pass_time(links.SELECTION_INTERVAL_S)
+        living = [x for x in self.links.links.values() if x.stream is not None]
+        self.assertEqual(8, len(living))
+        self.assertEqual(
+            [], [x for x in living if x.retiring_since_s is not None]
+        )
+
+    def test_flapping_weights_leave_streams_open(self):
+        """A scheduler whose load comes and goes must not cost streams."""
+        self.learn_fleet()
+        self.links.select()
+        self.settle()
+        for turn in range(12):
+            weights = {f"s{x}:1": (400, 800)[turn % 2] for x in range(3)}
+            self.learn_weights({"s9:1": 700, **weights}, weight_ms=turn + 2)
+            for selected in self.settle(10.0):
+                self.assertIn(len(selected), (8, 9))
+
     def test_retiring_stream_gets_no_work_while_its_runs_go_on(self):
         """Under load a scheduler always has runs, so it was never left."""
         self.links.select()
--- a/trefoilgw/scheduler/membership.py
+++ b/trefoilgw/scheduler/membership.py
@@ -2,13 +2,15 @@
 
 Every scheduler reads the store's list and passes on only what has changed, in
 at most a few messages a second, over a sparse graph of streams. A scheduler
-that the list lacks, since it can't reach the store, announces itself.
+that the list lacks, since it can't reach the store, announces itself. The
+weight of a scheduler travels with its record and its announcements.
 """
 
 import logging
 import time
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 import attrs
 
@@ -55,12 +57,23 @@
         """Records whether the store's list holds this scheduler."""
         self.registered = registered
 
+    def set_weight(self, weight: int) -> None:
+        """Changes the weight of this scheduler.
+
+        It is passed on with its record, or with its next announcement.
+        """
+        issued_ms = max(int(time.time() * 1000), self.record.weight_ms + 1)
+        self.record = attrs.evolve(
+            self.record, weight=weight, weight_ms=issued_ms
+        )
+
     def list_read(
         self, listed: Iterable[runs.SchedulerRecord], revision: int
     ) -> None:
         """Merges the store's list."""
+        before = self._known_records()
         changed = self.known.merge_list(listed, revision, self.now())
-        self._records_changed(changed)
+        self._records_changed(changed, before)
 
     def handle(self, message: object) -> bool:
         """Merges a message of a peer; returns False if it is of another kind.
@@ -69,8 +82,9 @@
         """
         match message:
             case runs.SchedulerRecords(records=records):
+                before = self._known_records()
                 changed = self.known.merge_records(records, self.now())
-                self._records_changed(changed)
+                self._records_changed(changed, before)
             case runs.SchedulerAnnouncement():
                 if self.known.merge_announcement(message, self.now()):
                     self.broadcast(message)
@@ -78,16 +92,39 @@
                 return False
         return True
 
-    def _records_changed(self, changed: Iterable[runs.SchedulerRecord]) -> None:
-        """Schedules changed records for publication and logs them."""
+    def _known_records(self) -> dict[str, runs.SchedulerRecord]:
+        """Returns the newest records by address."""
+        return {address: x.record for address, x in self.known.known.items()}
+
+    def _records_changed(
+        self,
+        changed: Iterable[runs.SchedulerRecord],
+        before: Mapping[str, runs.SchedulerRecord],
+    ) -> None:
+        """Schedules changed records for publication and logs them.
+
+        Changes of the weight alone are logged by the scheduler that makes them.
+
+        Args:
+            changed: Records that have changed.
+            before: The earlier records by address.
+        """
         for record in changed:
             self.unpublished.add(record.address)
+            known = before.get(record.address)
+            if (
+                known is not None
+                and known.present == record.present
+                and known.incarnation == record.incarnation
+            ):
+                continue
             log.info(
                 "scheduler listed" if record.present else "scheduler unlisted",
                 extra={
                     "address": record.address,
                     "incarnation": record.incarnation,
                     "revision": record.revision,
+                    "weight": record.weight,
                 },
             )
 
@@ -98,6 +135,7 @@
         """
         now_s = self.now()
         self.known.expire(now_s)
+        self._update_own_weight(now_s)
         self._publish()
         self._announce(now_s)
         members = set(self.known.members(now_s))
@@ -108,6 +146,26 @@
         )
         self.peers.set_addresses(selected)
 
+    def _update_own_weight(self, now_s: float) -> None:
+        """Schedules the own record for publication with a changed weight.
+
+        The store's list may be read between two changes, and holds the weight
+        with which this scheduler has registered.
+        """
+        known = self.known.known.get(self.record.address)
+        if known is None or not known.record.present:
+            return
+        record = attrs.evolve(
+            known.record,
+            weight=self.record.weight,
+            weight_ms=self.record.weight_ms,
+        )
+        if (
+            record.incarnation == self.record.incarnation
+            and self.known.merge_records((record,), now_s)
+        ):
+            self.unpublished.add(record.address)
+
     def _publish(self) -> None:
         """Sends the unpublished records to peers and runners."""
         records = [
@@ -132,6 +190,7 @@
             self.record.domain,
             self.record.incarnation,
             int(time.time() * 1000),
+            self.record.weight,
         )
         self.known.merge_announcement(announcement, now_s)
         self.broadcast(announcement)
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -29,7 +29,9 @@
 from trefoilgw.scheduler import roster as scheduler_roster
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import core as scheduling
+from trefoilgw.scheduling import reach as scheduling_reach
 from trefoilgw.streams import redialling
+from trefoilgw.subsets import core as subsets
 from trefoilgw.timers import clock
 from trefoilgw.timers import core as timer_service
 from trefoilgw.work import core as work
@@ -69,6 +71,7 @@
         settings: Settings of the host.
         incarnation: 16 hex digits, new at every process start.
         scheduler: Queues jobs and assigns their tasks to runners.
+        reach: Weight by which the runners select this scheduler.
         waiters: Callers that wait for the outcome of a job, by the job's key.
         shutting_down: Whether an orderly stop has begun, after SIGTERM or
             SIGINT.
@@ -78,6 +81,7 @@
     settings: hosting.HostSettings
     incarnation: str = attrs.field(factory=lambda: os.urandom(8).hex())
     scheduler: scheduling.Scheduler = attrs.field(init=False)
+    reach: scheduling_reach.ReachWeight = attrs.field(init=False)
     timers: timer_service.TimerService = attrs.field(init=False)
     store: platform_store.Store = attrs.field(init=False)
     configuration_watcher: scheduler_configuration.ConfigurationWatcher = (
@@ -108,8 +112,15 @@
                 lambda document, version: self.exchange.notify(),
             )
         )
+        self.reach = scheduling_reach.ReachWeight(0)
+        self._set_host_weight(settings)
         record = runs.SchedulerRecord(
-            address, settings.domain, self.incarnation, 0, True
+            address,
+            settings.domain,
+            self.incarnation,
+            0,
+            True,
+            self.reach.weight,
         )
         self.peers = scheduler_peers.Peers(
             address,
@@ -188,6 +199,16 @@
                 "Schedulers connected",
                 lambda: len(self.peers.streams),
             ),
+            (
+                "reach_weight",
+                "Weight in the selection by the runners, 1000 for one core",
+                lambda: self.reach.weight,
+            ),
+            (
+                "runners_connected",
+                "Runners with an open stream",
+                lambda: len(self.clients.runners),
+            ),
         )
         for name, description, read in gauges:
             self.registry.observable_gauge(
@@ -215,6 +236,9 @@
         self.timers.every(
             scheduler_membership.PUBLICATION_INTERVAL_S, self.membership.update
         )
+        self.timers.every(
+            scheduling_reach.MEASURE_INTERVAL_S, self._measure_reach
+        )
         eventlet.spawn_n(self._listen_when_serving)
 
     def _listen_when_serving(self) -> None:
@@ -239,9 +263,45 @@
         """Applies changed settings that take effect without a restart."""
         if settings.store_address != self.settings.store_address:
             self.store.change_address(settings.store_address)
+        if settings.processors != self.settings.processors:
+            self._set_host_weight(settings)
+            self.membership.set_weight(self.reach.weight)
         self.settings = settings
         self.membership.seeds = frozenset(settings.seed_streams())
 
+    def _set_host_weight(self, settings: hosting.HostSettings) -> None:
+        """Sets the weight of the host from its processors."""
+        processors = settings.processors
+        self.reach.host_weight = subsets.host_weight(processors)
+        if abs(self.reach.host_weight - subsets.UNIT_WEIGHT * processors) > 1.0:
+            log.warning(
+                "odd processors",
+                extra={
+                    "processors": processors,
+                    "weight": self.reach.host_weight,
+                },
+            )
+
+    def _measure_reach(self) -> None:
+        """Measures the load and passes a changed weight on."""
+        if not self.reach.measure(
+            self.scheduler.runner_views.values(),
+            self.scheduler.admitted_cpu,
+            clock.boottime(),
+        ):
+            return
+        self.membership.set_weight(self.reach.weight)
+        log.info(
+            "reach weight changed",
+            extra={
+                "weight": self.reach.weight,
+                "host_weight": self.reach.host_weight,
+                "own_millicores_s": round(self.reach.own_cpu),
+                "other_millicores_s": round(self.reach.other_cpu),
+                "runners": len(self.clients.runners),
+            },
+        )
+
     def shut_down(self) -> None:
         """Stops after the open jobs were answered; blocks until then.
 
--- a/trefoilgw/scheduler/roster.py
+++ b/trefoilgw/scheduler/roster.py
@@ -149,6 +149,7 @@
         "address": record.address,
         "domain": record.domain,
         "incarnation": record.incarnation,
+        "weight": record.weight,
     }
     return json.dumps(document).encode()
 
@@ -175,4 +176,17 @@
         return str(error)
     if max(len(domain), len(incarnation)) > MAX_TEXT_CHARACTERS:
         return "a field is too long"
-    return runs.SchedulerRecord(address, domain, incarnation, revision, True)
+    return runs.SchedulerRecord(
+        address, domain, incarnation, revision, True, _decode_weight(body)
+    )
+
+
+def _decode_weight(body: fields.Fields) -> int:
+    """Returns the weight in a record, 0 if it is absent or odd.
+
+    An odd one must not hide the scheduler.
+    """
+    try:
+        return body.integer("weight", 0)
+    except fields.FieldError:
+        return 0
--- a/trefoilgw/scheduler/tests/test_roster.py
+++ b/trefoilgw/scheduler/tests/test_roster.py
@@ -64,6 +64,14 @@
                     self.assertTrue(parts._read_list())
                 listed.assert_called_once_with([RECORD], 5)
 
+    def test_odd_weight_does_not_hide_a_scheduler(self):
+        """It would get no runner at all."""
+        for weight, expected in ((700, 700), (-1, 0), ("x", 0), (10**40, 0)):
+            data = json.dumps({**ENTRY, "weight": weight}).encode()
+            item = values.KeyValue(data, 3, roster.KEY_PREFIX + "good")
+            found = roster.decode_record(item, 5)
+            self.assertEqual(attrs.evolve(RECORD, weight=expected), found)
+
     def test_unknown_fields_are_ignored(self):
         """A newer release may add fields, with numbers of any size."""
         data = json.dumps({**ENTRY, "schema": 2, "later": 10**40}).encode()
--- a/trefoilgw/tests/run_ends_kernel.py
+++ b/trefoilgw/tests/run_ends_kernel.py
@@ -306,6 +306,9 @@
     selection = types.SimpleNamespace(
         select_members=_select_members,
         stream_count=subsets.stream_count,
+        mean_choosers=subsets.mean_choosers,
+        floor_share=subsets.floor_share,
+        selection_weights=subsets.selection_weights,
         Member=subsets.Member,
     )
     patches = (
--- a/trefoilgw/work/hosting.py
+++ b/trefoilgw/work/hosting.py
@@ -24,6 +24,8 @@
         run_stop_s: Longest time that a target takes to stop a run.
         stop_limit_s: Seconds from SIGTERM to SIGKILL.
         unsupported: Features in the settings that are not implemented.
+        processors: Cores of usual speed that the process may use, 0 if the
+            settings have no sensible figure.
     """
 
     name: str
@@ -40,6 +42,7 @@
     run_stop_s: float
     stop_limit_s: float
     unsupported: tuple[str, ...] = ()
+    processors: float = 1.0
 
     @property
     def stream_address(self) -> str:
