--- a/tools/fleet_trial.py
+++ b/tools/fleet_trial.py
@@ -1,7 +1,8 @@
 """Discrete-event trial of schedulers and runners under a load pattern.
 
-The decisions are those of the product: `scheduling.Scheduler` and
-`room.CapacityAllocator` exchange their messages with a delay. There is no
+The decisions are those of the product: `scheduling.Scheduler`,
+`room.CapacityAllocator` and, in a weighted fleet, `links.Links` and
+`reach.ReachWeight` exchange their messages with a delay. There is no
 network and there are no processes, so a trial compares policies and counts
 messages, but doesn't measure the product.
 """
@@ -19,8 +20,10 @@
 from trefoilgw.messages import runs as messages
 from trefoilgw.room import actions as room_actions
 from trefoilgw.room import core as room
+from trefoilgw.runner import links as runner_links
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import core as scheduling
+from trefoilgw.scheduling import reach as scheduling_reach
 from trefoilgw.subsets import core as subsets
 from trefoilgw.work import core as work
 
@@ -44,6 +47,11 @@
 SUBMISSION_CPU_S = 0.001
 PING_CPU_S = 0.0001
 PING_INTERVAL_S = 0.3
+# Time to open a stream, until the next attempt, and until a record of a
+# scheduler has reached all runners.
+DIAL_S = 0.005
+REDIAL_S = 0.3
+GOSSIP_S = 0.5
 # Standard deviation of the logarithm of declared over actual run times.
 DECLARED_SPREAD = 0.35
 
@@ -118,6 +126,7 @@
             turn; empty if they are never short.
         streams: Schedulers that each runner is connected to, 0 for the rule
             of the product.
+        weighted: Whether the schedulers' weights move streams.
     """
 
     schedulers: int
@@ -129,6 +138,7 @@
     shares: Sequence[float] = ()
     processors: Sequence[float] = ()
     streams: int = 0
+    weighted: bool = False
 
     def capacity(self, number: int) -> int:
         """Returns the millicores of a target."""
@@ -196,6 +206,7 @@
     speed: float
     allocator: room.CapacityAllocator
     streams: dict[str, _Stream] = attrs.field(factory=dict)
+    links: runner_links.Links | None = None
 
     def receive(self, owner: str, message: object) -> None:
         now_s = self.trial.now_s
@@ -216,6 +227,10 @@
         self.allocator.tick(now_s)
         self.flush()
 
+    def learn_reach(self) -> None:
+        for link in self.links.links.values():
+            link.runners = self.trial.reach(link.address)
+
     def flush(self) -> None:
         now_s = self.trial.now_s
         self.allocator.offer_capacity(now_s)
@@ -226,7 +241,8 @@
                     if isinstance(message, messages.RunEnded):
                         ending = f"{message.ending} {message.reason}".strip()
                         self.trial.endings[ending] += 1
-                    self.streams[owner].send(message)
+                    if owner in self.streams:
+                        self.streams[owner].send(message)
                 case room_actions.Start(task=task, run=run):
                     self.trial.after(CALL_S, self.started, task, run)
                 case room_actions.Stop(task=task, run=run):
@@ -258,8 +274,37 @@
     state: scheduling.Scheduler
     processors: float = math.inf
     busy_until_s: float = 0.0
+    reach: scheduling_reach.ReachWeight = attrs.field(init=False)
+    alive: bool = True
     streams: dict[str, _Stream] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self):
+        known = 1.0 if math.isinf(self.processors) else self.processors
+        weight = subsets.host_weight(known)
+        self.reach = scheduling_reach.ReachWeight(weight)
+
+    def record(self) -> messages.SchedulerRecord:
+        """Returns what the runners learn about it."""
+        issued_ms = round(self.trial.now_s * 1000)
+        return messages.SchedulerRecord(
+            self.name,
+            self.state.domain,
+            self.name,
+            1,
+            True,
+            self.reach.weight,
+            issued_ms,
+        )
+
+    def measure(self) -> None:
+        """Measures the load and passes a changed weight on."""
+        if self.alive and self.reach.measure(
+            self.state.runner_views.values(),
+            self.state.admitted_cpu,
+            self.trial.now_s,
+        ):
+            self.trial.after(GOSSIP_S, self.trial.pass_on, self.record())
+
     def spend(self, cpu_s: float, call: Callable, *args) -> None:
         """Calls a function once the processor has done it and all before."""
         if math.isinf(self.processors):
@@ -277,6 +322,8 @@
         self.spend(MESSAGE_CPU_S, self.handle, runner, message)
 
     def handle(self, runner: str, message: object) -> None:
+        if runner not in self.streams:
+            return
         now_s = self.trial.now_s
         match message:
             case messages.CapacityReport():
@@ -293,6 +340,8 @@
         self.spend(SUBMISSION_CPU_S, self.admit, spec, record)
 
     def admit(self, spec: work.JobSpec, record: JobRecord) -> None:
+        if not self.alive:
+            return
         now_s = self.trial.now_s
         result = self.state.submit(spec, 1, now_s)
         if isinstance(result, actions.Rejected):
@@ -300,20 +349,48 @@
         self.flush()
 
     def tick(self) -> None:
-        self.state.tick(self.trial.now_s)
-        self.flush()
+        if self.alive:
+            self.state.tick(self.trial.now_s)
+            self.flush()
 
     def flush(self) -> None:
         for action in self.state.take_actions():
             match action:
                 case actions.SendMessage(runner=runner, message=message):
-                    self.streams[runner].send(message)
+                    if runner in self.streams:
+                        self.streams[runner].send(message)
                 case actions.Answer(job=job, outcome=outcome):
                     record = self.trial.jobs[job.key]
                     record.ended_s = self.trial.now_s
                     record.outcome = outcome
 
 
+@attrs.define(eq=False)
+class _OpenStream:
+    """The stream of a link, which the trial closes."""
+
+    trial: "Trial"
+    runner: _Runner
+    link: runner_links.Link
+
+    def send(self, message: object) -> None:
+        """Does nothing, as pings are not played."""
+
+    def close(self, reason: str) -> None:
+        self.trial.disconnect(self.runner, self.link)
+
+
+@attrs.define(eq=False, slots=False)
+class _Links(runner_links.Links):
+    """Streams of a runner that are opened by the trial."""
+
+    open_link: Callable[[runner_links.Link], None] = attrs.field(kw_only=True)
+
+    def _dial(self, address: str, now_s: float) -> None:
+        self.links[address] = runner_links.Link(address, now_s)
+        self.open_link(self.links[address])
+
+
 @attrs.define(eq=False)
 class Trial:
     """One trial of a fleet under a load.
@@ -328,6 +405,7 @@
         run_times: Run time of each task on a target of normal speed.
         messages: Number of messages sent by type.
         endings: Number of ended attempts by ending and reason.
+        runners: The runners.
     """
 
     fleet: Fleet
@@ -341,6 +419,7 @@
     endings: collections.Counter = attrs.field(factory=collections.Counter)
     rng: random.Random = attrs.field(init=False)
     _schedulers: dict = attrs.field(factory=dict)
+    runners: list = attrs.field(factory=list)
     _events: list = attrs.field(factory=list)
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
@@ -397,9 +476,17 @@
             self._repeat(SCHEDULER_TICK_S, scheduler.tick)
             if self.fleet.processors:
                 self._repeat(PING_INTERVAL_S, scheduler.ping)
+            if self.fleet.weighted:
+                interval_s = scheduling_reach.MEASURE_INTERVAL_S
+                self._repeat(interval_s, scheduler.measure)
         for number in range(self.fleet.runners):
             runner = self._make_runner(number)
+            self.runners.append(runner)
             domain = domains[number % len(domains)]
+            if self.fleet.weighted:
+                self._add_links(runner, domain)
+                self._repeat(RUNNER_TICK_S, runner.tick)
+                continue
             limit = self.fleet.streams or subsets.stream_count(
                 len(members), len(members), self.fleet.runners
             )
@@ -427,15 +514,77 @@
         """Opens the stream between a runner and a scheduler."""
 
         def to_runner(message):
-            runner.receive(scheduler.name, message)
+            if scheduler.streams.get(runner.name) is forth:
+                runner.receive(scheduler.name, message)
 
         def to_scheduler(message):
-            scheduler.receive(runner.name, message)
-
-        scheduler.streams[runner.name] = _Stream(self, to_runner)
-        runner.streams[scheduler.name] = _Stream(self, to_scheduler)
-        scheduler.state.runner_connected(runner.name, "i", domain, 0.0)
-        runner.allocator.owner_connected(scheduler.name, 0.0)
+            if runner.streams.get(scheduler.name) is back:
+                scheduler.receive(runner.name, message)
+
+        forth, back = _Stream(self, to_runner), _Stream(self, to_scheduler)
+        scheduler.streams[runner.name] = forth
+        runner.streams[scheduler.name] = back
+        now_s = self.now_s
+        scheduler.state.runner_connected(runner.name, "i", domain, now_s)
+        runner.allocator.owner_connected(scheduler.name, now_s)
+
+    def _add_links(self, runner: _Runner, domain: str) -> None:
+        """Lets a runner select its schedulers by itself."""
+        runner.links = _Links(
+            subsets.Member(runner.name, domain),
+            None,
+            runner.allocator,
+            lambda: self.now_s,
+            runner.flush,
+            open_link=lambda link: self.after(
+                DIAL_S, self._open, runner, domain, link
+            ),
+        )
+        records = [x.record() for x in self._schedulers.values()]
+        runner.links.known.merge_records(records, 0.0)
+        self._repeat(runner_links.IDLE_PING_INTERVAL_S, runner.learn_reach)
+        self._repeat(runner_links.SELECTION_INTERVAL_S, runner.links.select)
+        runner.links.select()
+
+    def _open(
+        self, runner: _Runner, domain: str, link: runner_links.Link
+    ) -> None:
+        """Opens the stream of a link once its scheduler answers."""
+        scheduler = self._schedulers[link.address]
+        if not link.wanted:
+            return
+        if not scheduler.alive:
+            self.after(REDIAL_S, self._open, runner, domain, link)
+            return
+        link.owner = scheduler.name
+        link.stream = _OpenStream(self, runner, link)
+        link.retiring_since_s = None
+        self._connect(runner, domain, scheduler)
+        runner.flush()
+
+    def disconnect(self, runner: _Runner, link: runner_links.Link) -> None:
+        """Closes the stream of a link; it is dialed again while wanted."""
+        link.stream = None
+        link.down_since_s = self.now_s
+        scheduler = self._schedulers[link.address]
+        del scheduler.streams[runner.name], runner.streams[scheduler.name]
+        scheduler.state.runner_disconnected(runner.name)
+        runner.allocator.owner_disconnected(scheduler.name, self.now_s)
+        domain = runner.links.own.domain
+        self.after(REDIAL_S, self._open, runner, domain, link)
+
+    def pass_on(self, record: object) -> None:
+        """Tells all runners a record of a scheduler."""
+        for runner in self.runners:
+            runner.links.known.merge_records((record,), self.now_s)
+
+    def kill(self, name: str) -> None:
+        """Ends a scheduler and its streams."""
+        self._schedulers[name].alive = False
+        for runner in self.runners:
+            link = runner.links.links.get(name)
+            if link is not None and link.stream is not None:
+                self.disconnect(runner, link)
 
     def _repeat(self, interval_s: float, call: Callable) -> None:
         """Calls a function at an interval, from a random moment on."""
