Test the weight of a scheduler from its settings to its gauge

Cause: nothing checked that odd settings write one line, that changed settings change the weight, and that the gauges are served.

--- a/trefoilgw/scheduler/tests/test_program.py
+++ b/trefoilgw/scheduler/tests/test_program.py
@@ -4,7 +4,9 @@
 import logging
 import types
 import unittest
+from unittest import mock
 
+import attrs
 import eventlet
 
 from trefoilgw.messages import runs
@@ -36,12 +38,17 @@
         )
 
 
-def make_program():
-    """Returns a scheduler program, not started, with one usable runner."""
+def make_program(**changes):
+    """Returns a scheduler program, not started, with one usable runner.
+
+    Args:
+        **changes: Fields of the settings that differ.
+    """
     document = {
         **test_decoding.SETTINGS,
         "serves": ["front"],
         "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"},
+        **changes,
     }
     parts = program.Program(hosting.decode(json.dumps(document).encode()))
     parts.configuration_watcher.current = types.SimpleNamespace(version=1)
@@ -78,6 +85,57 @@
         self.assertEqual({"stays"}, parts.scheduler.admitted.keys())
 
 
+class WeightTest(unittest.TestCase):
+    def gauge(self, parts, name):
+        """Returns the value of a gauge as it is served."""
+        lines = parts.registry.exposition().decode().splitlines()
+        (found,) = [x for x in lines if x.startswith(f"trefoilgw_{name} ")]
+        return float(found.split()[1])
+
+    def test_scheduler_starts_with_the_weight_of_its_host(self):
+        """A new host would get the streams of any other one."""
+        with self.assertNoLogs(program.log, "WARNING"):
+            parts = make_program(limits={"cpuShare": 0.717, "cores": 3})
+        self.assertEqual(2151, parts.membership.record.weight)
+        self.assertEqual(2151, parts.roster.record.weight)
+        self.assertEqual(2151, self.gauge(parts, "reach_weight"))
+        self.assertEqual(0, self.gauge(parts, "runners_connected"))
+
+    def test_odd_processors_are_bounded_with_one_line(self):
+        """The settings are read again every two seconds."""
+        for share, weight in ((0, 1000), (-3, 1000), (1e300, 16_000)):
+            with self.assertLogs(program.log, "WARNING") as logged:
+                parts = make_program(limits={"cpuShare": share})
+                for _ in range(3):
+                    parts.reload(parts.settings)
+            self.assertEqual(1, len(logged.records))
+            self.assertEqual(weight, parts.membership.record.weight)
+
+    def test_changed_processors_change_the_weight(self):
+        """The platform may resize a host while the process runs."""
+        parts = make_program(limits={"cpuShare": 0.5})
+        parts.reload(attrs.evolve(parts.settings, processors=1.5))
+        self.assertEqual(1500, parts.membership.record.weight)
+        self.assertGreater(parts.membership.record.weight_ms, 0)
+
+    def test_uneven_load_changes_the_weight_with_one_line(self):
+        """Operators must find out why a scheduler lost or got runners."""
+        parts = make_program(limits={"cpuShare": 0.5})
+        report = fixtures.make_report(schedulers=5, others_started=(0, 0, 20))
+        parts.scheduler.capacity_reported("r1", report, 0.0)
+        parts.scheduler.admitted_cpu.record(2, 100_000)
+        now_s = 100.0
+        with (
+            self.assertLogs(program.log, "INFO") as logged,
+            mock.patch.object(program.clock, "boottime", lambda: now_s),
+        ):
+            for _ in range(15):
+                now_s += 1.0
+                parts._measure_reach()
+        self.assertEqual(1, len(logged.records))
+        self.assertEqual(707, parts.membership.record.weight)
+
+
 class RepeatTest(unittest.TestCase):
     def setUp(self):
         self.parts = make_program()
