Leave schedulers without a known number of runners out of the floor

Cause: a stream that has just opened counted as a scheduler with no runner, so the least weight rose for a moment and moved other streams.

--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Set
 
@@ -136,17 +137,21 @@
         """Returns the links with an open stream."""
         return [x for x in self.links.values() if x.stream is not None]
 
-    def _mean_runners(self) -> float:
-        """Returns the mean number of runners of a scheduler, 0 if unknown."""
+    def _mean_runners(self, links: Iterable[Link]) -> float:
+        """Returns the mean number of runners of the schedulers, 0 if unknown.
+
+        Args:
+            links: Links with an open stream.
+        """
         return subsets.mean_choosers(
-            (x.runners, self.weights.get(x.address, 1.0))
-            for x in self._open_links()
+            (x.runners, self.weights.get(x.address, 1.0)) for x in links
         )
 
     def _limit(self, member_count: int) -> int:
         """Returns the number of reachable schedulers to select."""
+        links = self._open_links()
         return subsets.stream_count(
-            member_count, len(self._open_links()), self._mean_runners()
+            member_count, len(links), self._mean_runners(links)
         )
 
     def _members(self, now_s: float) -> dict[str, subsets.Member]:
@@ -183,7 +188,9 @@
         self, members: Mapping[str, subsets.Member]
     ) -> dict[str, float]:
         """Returns the weights that follow from what the schedulers ask for."""
-        floor = subsets.floor_share(self._mean_runners())
+        # A scheduler tells its number only after its stream has opened.
+        known = [x for x in self._open_links() if x.runners]
+        floor = subsets.floor_share(self._mean_runners(known))
         if floor > self.floor or floor < self.floor - FLOOR_TOLERANCE:
             self.floor = floor
         return subsets.selection_weights(self.own, members.values(), self.floor)
--- a/trefoilgw/runner/tests/test_links.py
+++ b/trefoilgw/runner/tests/test_links.py
@@ -217,6 +217,21 @@
             self.pass_time(links.SELECTION_INTERVAL_S)
         self.assertEqual(before, set(self.links.links))
 
+    def test_stream_that_has_just_opened_changes_no_weight(self):
+        """Its scheduler has not told yet how many runners it has.
+
+        Weights would be in force with each stream less, and moved others.
+        """
+        self.learn_fleet()
+        self.links.select()
+        self.learn_weights(self.uneven_weights())
+        self.settle(60.0)
+        before = dict(self.links.weights)
+        for link in list(self.links.links.values())[:3]:
+            link.runners = 0
+        self.pass_time(links.SELECTION_INTERVAL_S)
+        self.assertEqual(before, self.links.weights)
+
     def test_schedulers_without_weights_are_selected_as_before(self):
         """During a release all schedulers may be of an earlier one."""
         self.learn_fleet()
