Reject on arrival what a late scheduler would answer late

Cause: a scheduler whose processor is short answered late and left offers unanswered. Each lapsed offer keeps capacity of a runner reserved, so the schedulers of the other domains served less as well.

Change: a scheduler measures by how much its ticks are late. A mean above 0.05 s counts as a further wait of each job on arrival; jobs that it brings beyond their slack are rejected with the reason late.

--- a/tools/fleet_trial.py
+++ b/tools/fleet_trial.py
@@ -349,7 +349,12 @@
         self.flush()
 
     def tick(self) -> None:
+        self.spend(0.0, self.update, self.trial.now_s)
+
+    def update(self, due_s: float) -> None:
+        """Handles a tick that was due at a time."""
         if self.alive:
+            self.state.lateness.measure(self.trial.now_s - due_s)
             self.state.tick(self.trial.now_s)
             self.flush()
 
--- a/tools/tests/test_uneven_hosts.py
+++ b/tools/tests/test_uneven_hosts.py
@@ -12,6 +12,7 @@
 from tools import fleet_trial
 from trefoilgw.room import core as room
 from trefoilgw.scheduling import forecasts
+from trefoilgw.scheduling import lateness
 from trefoilgw.subsets import core as subsets
 
 DOMAINS = 3
@@ -103,6 +104,34 @@
         self.assertLess(abs(found[1] - found[0]), 0.02 * found[0])
 
 
+class ShortProcessorTest(unittest.TestCase):
+    """The hosts of a crowded domain have too little processor time."""
+
+    FLEET = fleet_trial.Fleet(
+        10, 58, DOMAINS, shares=(3.0, 1.0, 1.0), processors=(0.5, 1.5, 1.5)
+    )
+
+    def test_late_schedulers_reject_and_all_serve_more(self):
+        """They answered late, and left offers of capacity unanswered.
+
+        The capacity that the offers reserved was missing at the schedulers of
+        the other domains.
+        """
+        in_force = play(self.FLEET, 1.1, 3.0)
+        with mock.patch.object(lateness.Lateness, "measure"):
+            simple = play(self.FLEET, 1.1, 3.0)
+        served, before = in_force.served_shares(), simple.served_shares()
+        text = f"{served} {in_force.summary()}\n{before} {simple.summary()}"
+        self.assertGreater(in_force.value(), simple.value() + 0.05, text)
+        for crowded in (True, False):
+            names = [f"s{x}" for x in range(10) if (x % 3 == 0) is crowded]
+            self.assertGreater(
+                sum(served[x] for x in names),
+                sum(before[x] for x in names),
+                text,
+            )
+
+
 class EvenHostsTest(unittest.TestCase):
     def test_even_hosts_keep_the_selection_of_before(self):
         """Deployments with even hosts must be served as before."""
--- a/trefoilgw/logs/job_timeline.py
+++ b/trefoilgw/logs/job_timeline.py
@@ -174,6 +174,12 @@
     """Returns the reason for which a job was rejected."""
     details = step.details
     text = f"rejected at once, reason {details.get('reason')}"
+    if details.get("reason") == "late":
+        return (
+            f"{text}: its host was short of processor time; with the delay it "
+            f"was expected to start after {details.get('wait_s')} s, it could "
+            f"wait {details.get('slack_s')} s"
+        )
     if details.get("reason") != "overload":
         return text
     return (
--- a/trefoilgw/logs/tests/test_job_timeline.py
+++ b/trefoilgw/logs/tests/test_job_timeline.py
@@ -85,6 +85,19 @@
                     slack_s=0.2,
                 )
             ],
+            "rejected at once, reason late: its host was short of processor "
+            "time; with the delay it was expected to start after 0.3 s, it "
+            "could wait 0.2 s": [
+                make_line(
+                    1,
+                    "a",
+                    "job rejected",
+                    job=KEY,
+                    reason="late",
+                    wait_s=0.3,
+                    slack_s=0.2,
+                )
+            ],
             "failed after 2 s; attempts that did nothing: "
             "1 x stalled at worker-2 (ended), 2 x failed at worker-2 (ended), "
             "1 x failed at worker-2": [
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -73,6 +73,7 @@
         scheduler: Queues jobs and assigns their tasks to runners.
         reach: Weight by which the runners select this scheduler.
         waiters: Callers that wait for the outcome of a job, by the job's key.
+        ticked_s: Time of the last tick, None before the first one.
         shutting_down: Whether an orderly stop has begun, after SIGTERM or
             SIGINT.
         counts: Metrics of jobs and runs.
@@ -95,6 +96,7 @@
     callers_server: server.HttpServer = attrs.field(init=False)
     readiness_server: server.HttpServer = attrs.field(init=False)
     waiters: dict[str, list[Waiter]] = attrs.field(factory=dict)
+    ticked_s: float | None = None
     shutting_down: bool = False
     counts: scheduler_metrics.SchedulerMetrics = attrs.field(
         factory=scheduler_metrics.SchedulerMetrics
@@ -199,6 +201,11 @@
                 "Schedulers connected",
                 lambda: len(self.peers.streams),
             ),
+            (
+                "late_seconds",
+                "Mean lateness of the ticks, which counts as a wait above 0.05",
+                lambda: self.scheduler.lateness.mean_s,
+            ),
             (
                 "reach_weight",
                 "Weight in the selection by the runners, 1000 for one core",
@@ -454,7 +461,12 @@
 
     def _tick(self) -> None:
         """Applies timeouts and places waiting tasks, every `TICK_S`."""
-        self.scheduler.tick(clock.boottime())
+        now_s = clock.boottime()
+        if self.ticked_s is not None:
+            late_s = now_s - self.ticked_s - TICK_S
+            self.scheduler.lateness.measure(late_s)
+        self.ticked_s = now_s
+        self.scheduler.tick(now_s)
         self.flush()
 
     def _broadcast(self, message: object) -> None:
--- a/trefoilgw/scheduler/tests/test_program.py
+++ b/trefoilgw/scheduler/tests/test_program.py
@@ -136,6 +136,24 @@
         self.assertEqual(707, parts.membership.record.weight)
 
 
+class LatenessTest(unittest.TestCase):
+    def test_late_ticks_are_measured(self):
+        """A host without processor time must not admit more than it serves."""
+        parts = make_program()
+        now_s = 100.0
+        with mock.patch.object(program.clock, "boottime", lambda: now_s):
+            for _ in range(20):
+                parts._tick()
+                now_s += program.TICK_S
+            self.assertAlmostEqual(0.0, parts.scheduler.lateness.mean_s)
+            for _ in range(20):
+                parts._tick()
+                now_s += program.TICK_S + 0.2
+        self.assertAlmostEqual(
+            0.2, parts.scheduler.lateness.delay_s, delta=0.01
+        )
+
+
 class RepeatTest(unittest.TestCase):
     def setUp(self):
         self.parts = make_program()
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -20,6 +20,7 @@
 from trefoilgw.scheduling import capacities
 from trefoilgw.scheduling import forecasts
 from trefoilgw.scheduling import jobs
+from trefoilgw.scheduling import lateness as scheduling_lateness
 from trefoilgw.scheduling import placing
 from trefoilgw.scheduling import planning
 from trefoilgw.scheduling import runners
@@ -76,6 +77,7 @@
             incarnation.
         largest_targets: Capacities of the targets that were reported lately.
         forecaster: Predicts how long a job would wait.
+        lateness: How late the process handles what arrives.
         bid_urgency: Most urgent class of the last bids, None while nothing
             waits.
         bids_updated_s: Time of the last update of the bids.
@@ -97,6 +99,9 @@
         factory=capacities.LargestTargets
     )
     forecaster: forecasts.Forecaster = attrs.field(init=False)
+    lateness: scheduling_lateness.Lateness = attrs.field(
+        factory=scheduling_lateness.Lateness
+    )
     bid_urgency: int | None = None
     bids_updated_s: float = 0.0
     handled_s: float = 0.0
@@ -153,11 +158,12 @@
         ):
             return actions.Rejected("no_target", 1.0)
         forecast = self.forecaster.predict(job, self.admitted.values(), now_s)
-        if forecast.wait_s > slack_s:
+        wait_s = forecast.wait_s + self.lateness.delay_s
+        if wait_s > slack_s:
             return actions.Rejected(
-                "overload",
-                max(MIN_RETRY_AFTER_S, forecast.wait_s - slack_s),
-                forecast.wait_s,
+                "overload" if forecast.wait_s > slack_s else "late",
+                max(MIN_RETRY_AFTER_S, wait_s - slack_s),
+                wait_s,
                 slack_s,
                 forecast.ahead_millicores,
                 forecast.rate,
