--- a/trefoilgw/tests/test_run_end_sequences.py
+++ b/trefoilgw/tests/test_run_end_sequences.py
@@ -104,15 +104,16 @@
 
         The start gets no answer, its stop is confirmed, and the target starts
         again as the same instance. Its clock begins anew, so that the deadline
-        of the start lies ahead when it is carried out.
+        of the start lies ahead when it arrives. The new life reports when it
+        begins; a start that arrives before any call to it is not ruled out.
         """
 
         def prepare(fleet):
             world = fleet.world
 
             def restart():
-                for target in fleet.targets:
-                    target.restart(same_instance=True)
+                for position in RUNNERS:
+                    fleet.restart_target(position, True, reports=True)
 
             def delay_starts():
                 for target in fleet.targets:
@@ -125,6 +126,28 @@
 
         self.play(prepare)
 
+    def test_order_of_a_killed_scheduler_under_a_longer_lease(self):
+        """Its run went on after its caller had submitted the job again.
+
+        A runner that was paused reads the order of a scheduler that was killed
+        meanwhile, while that scheduler's authority lasts, and is paused again.
+        The lease at its target is that of another scheduler's runs and ends
+        later. The steps are what remained of history 10187.
+        """
+        steps = (
+            walks.Step(0.1, "stop_runner", 5, 2, 1),
+            walks.Step(0.02, "submit", 2, 1, 4),
+            walks.Step(0.3, "submit", 4, 1, 3),
+            walks.Step(0.0, "stop_runner", 0, 3, 0),
+            walks.Step(0.02, "restart_scheduler", 6, 2, 7),
+            walks.Step(0.0, "submit", 1, 6, 0),
+            walks.Step(0.82, "stop_runner", 4, 7, 1),
+        )
+        shape = walks.make_history(10187).shape
+        for seed in (10187, *SEEDS):
+            with self.subTest(seed=seed):
+                walks.play(walks.History(seed, shape, steps))
+
 
 if __name__ == "__main__":
     unittest.main()
