--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -24,6 +24,7 @@
 from trefoilgw.scheduling import runners
 from trefoilgw.scheduling import runtimes
 from trefoilgw.work import core as work
+from trefoilgw.work import rates
 
 # Added to the run number when a target has seen a higher one. Run numbers start
 # at the wall clock in milliseconds, and clocks of hosts may be seconds apart.
@@ -66,6 +67,7 @@
         run_times: Run time estimation.
         arrivals: Arrival rates of admitted jobs by queue.
         evacuated: Evacuated failure domains.
+        admitted_cpu: Rates at which admitted jobs demand CPU.
         lost_runners: Time of the last renewal of the authority at each
             disconnected runner whose runs may still go on, by its name and
             incarnation.
@@ -85,6 +87,7 @@
     run_times: runtimes.RunTimes = attrs.field(factory=runtimes.RunTimes)
     arrivals: dict[str, admission.ArrivalRate] = attrs.field(factory=dict)
     evacuated: frozenset[str] = frozenset()
+    admitted_cpu: rates.CpuRates = attrs.field(factory=rates.CpuRates)
     lost_runners: dict[tuple[str, str], float] = attrs.field(factory=dict)
     largest_targets: capacities.LargestTargets = attrs.field(
         factory=capacities.LargestTargets
@@ -99,7 +102,10 @@
 
     def __attrs_post_init__(self):
         self.forecaster = forecasts.Forecaster(
-            self.waiting_jobs, self.runner_views, self.arrivals
+            self.waiting_jobs,
+            self.runner_views,
+            self.arrivals,
+            self.admitted_cpu,
         )
         self.dispatcher = dispatching.Dispatcher(
             self.domain,
@@ -167,6 +173,7 @@
             spec.queue.name, admission.ArrivalRate(slack_s=slack_s)
         )
         arrivals.record(job.waiting_millicores(), slack_s, now_s)
+        self.admitted_cpu.record(job.urgency, job.waiting_millicores())
         self.admitted[job.key] = job
         bisect.insort(self.waiting_jobs, job, key=lambda x: x.rank)
         self.dispatcher.place(now_s)
@@ -500,6 +507,7 @@
 
         Must be called every few tens of milliseconds.
         """
+        self.admitted_cpu.decay(now_s)
         self._expire_lost_runners(now_s)
         self._end_abandoned(now_s)
         self._reject_evacuated()
