--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -89,6 +89,8 @@
         evacuations: Whether the settings ask for evacuations.
         clock_rate: Seconds of the steady clocks of every third target in a
             second; the others' clocks are exact.
+        limits: Limits of each host as they stand in the settings, none if
+            empty.
     """
 
     launcher: processes.Launcher
@@ -107,6 +109,7 @@
     instances: dict[int, str] = attrs.field(factory=dict)
     clock_rate: float = 1.0
     evacuations: bool = False
+    limits: dict[str, float] = attrs.field(factory=dict)
     _cut_count: int = 0
     _lock: threading.Lock = attrs.field(factory=threading.Lock)
 
@@ -395,6 +398,7 @@
             },
             "orders": "rpc",
             "platform": {"address": self.store},
+            "limits": self.limits,
         }
         if self.evacuations:
             settings["contracts"] = ["base", "places"]
