--- a/trefoilgw/platform/hosting.py
+++ b/trefoilgw/platform/hosting.py
@@ -42,6 +42,7 @@
     unsupported = []
     if body.text("orders", "rpc") != "rpc":
         unsupported.append("orders that travel with heartbeats")
+    zones = body.values.get("zones")
     serves_targets = "side" in body.array("serves")
     return hosting.HostSettings(
         name=body.text("node"),
@@ -63,11 +64,33 @@
         lease_limit_s=bounds.number("maxHoldMs") / 1000,
         run_stop_s=bounds.number("stopTimeoutMs") / 1000,
         stop_limit_s=bounds.number("graceS"),
+        memory_limit_bytes=_memory_limit_bytes(body),
+        descriptor_limit=(
+            _limits(body).integer("maxFds", 0)
+            or hosting.DEFAULT_DESCRIPTOR_LIMIT
+        ),
         unsupported=tuple(unsupported),
         processors=_decode_processors(body),
+        # Either one announces that zones, which are failure domains, may be
+        # evacuated.
+        follows_evacuations="places" in body.array("contracts")
+        or "evacuateMs" in bounds.values,
+        domains=frozenset(zones) if isinstance(zones, dict) else frozenset(),
     )
 
 
+def _limits(body: fields.Fields) -> fields.Fields:
+    """Returns the limits of the host, which may be absent."""
+    present = body.values.get("limits") is not None
+    return body.object("limits") if present else fields.Fields({}, "limits.")
+
+
+def _memory_limit_bytes(body: fields.Fields) -> int:
+    """Returns the memory limit; `memoryMb` may be a fraction."""
+    limit_bytes = int(_limits(body).number("memoryMb", 0.0) * 1024 * 1024)
+    return limit_bytes or hosting.DEFAULT_MEMORY_LIMIT_BYTES
+
+
 def _decode_processors(body: fields.Fields) -> float:
     """Returns the cores that the process may use; 0 for odd figures.
 
@@ -75,9 +98,7 @@
     the process gets, and `cores` is how many times as fast as usual it is.
     """
     try:
-        if body.values.get("limits") is None:
-            return 1.0
-        limits = body.object("limits")
+        limits = _limits(body)
         return limits.number("cpuShare", 1.0) * limits.number("cores", 1.0)
     except fields.FieldError:
         return 0.0
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -90,6 +90,8 @@
         links: Links by address.
         weights: Weights in force for the selection, by address.
         floor: Share of its runners that no weight takes from a scheduler.
+        on_evacuations: Called with the address of a scheduler and its set of
+            evacuated domains.
     """
 
     own: subsets.Member
@@ -104,6 +106,9 @@
     links: dict[str, Link] = attrs.field(factory=dict)
     weights: dict[str, float] = attrs.field(factory=dict)
     floor: float = 1.0
+    on_evacuations: Callable[[str, runs.EvacuationPush], None] = (
+        lambda address, message: None
+    )
 
     def select(self) -> None:
         """Dials newly selected schedulers and retires the surplus ones.
@@ -392,6 +397,8 @@
                 self.allocator.stop_runs(link.owner, message)
             case runs.Bid():
                 self.allocator.update_bid(link.owner, message, now_s)
+            case runs.EvacuationPush():
+                self.on_evacuations(link.address, message)
             case runs.SchedulerRecords(records=records):
                 self.known.merge_records(records, now_s)
                 return
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -2,11 +2,16 @@
 
 import logging
 import os
+import time
 
 import attrs
 import eventlet
 
+from trefoilgw.callers import budget
+from trefoilgw.callers import limiting
 from trefoilgw.callers import server
+from trefoilgw.evacuation import core as evacuation
+from trefoilgw.evacuation import log_lines
 from trefoilgw.messages import runs
 from trefoilgw.metrics import core as metrics
 from trefoilgw.platform import reports
@@ -16,6 +21,7 @@
 from trefoilgw.room import core as room
 from trefoilgw.room import health
 from trefoilgw.runner import driving
+from trefoilgw.runner import fences
 from trefoilgw.runner import leases
 from trefoilgw.runner import links as runner_links
 from trefoilgw.runner import metrics as runner_metrics
@@ -43,6 +49,8 @@
         allocator: Allocates the capacity of the target.
         driver: Starts, stops and polls the runs of the target.
         links: Streams to the schedulers.
+        evacuations: Evacuated failure domains.
+        reports_server: Receives the reports of the target.
         timers: Timer service.
         counts: Metrics for operators.
         suspect_reason: Why the target was suspect at the last tick.
@@ -55,6 +63,10 @@
     )
     driver: driving.TargetDriver = attrs.field(init=False)
     links: runner_links.Links = attrs.field(init=False)
+    evacuations: evacuation.EvacuatedDomains = attrs.field(
+        factory=evacuation.EvacuatedDomains
+    )
+    reports_server: server.HttpServer = attrs.field(init=False)
     timers: timer_service.TimerService = attrs.field(init=False)
     counts: runner_metrics.RunnerMetrics = attrs.field(
         factory=runner_metrics.RunnerMetrics
@@ -72,6 +84,7 @@
             clock.boottime,
             self.flush,
             self._run_started,
+            fence=fences.Fence(int(time.time() * 1000)),
         )
         hello = runner_links.make_hello(
             settings.name, self.incarnation, settings.domain
@@ -83,8 +96,18 @@
             clock.boottime,
             self.flush,
             frozenset(settings.seed_streams()),
+            on_evacuations=self._evacuations_pushed,
+        )
+        self.reports_server = limiting.make_server(
+            reports.ReportsApplication(
+                self._target_reported,
+                self._target_left,
+                budget.decoded_limit_bytes(settings.memory_limit_bytes),
+            ),
+            settings,
         )
         self.counts.register_gauges(self.allocator)
+        limiting.register_metrics(self.registry, self.reports_server)
 
     @property
     def registry(self) -> metrics.Registry:
@@ -97,10 +120,10 @@
         Raises:
             OSError: An address can't be bound.
         """
-        application = reports.ReportsApplication(
-            self._target_reported, self._target_left
+        self.reports_server.listen(self.settings.reports_address)
+        self.timers.every(
+            limiting.LOG_INTERVAL_S, self.reports_server.log_limited
         )
-        server.HttpServer(application).listen(self.settings.reports_address)
         eventlet.spawn_n(self.timers.run)
         eventlet.spawn_n(self.driver.run)
         eventlet.spawn_n(self.driver.run_redundant_poll)
@@ -112,6 +135,7 @@
     def reload(self, settings: hosting.HostSettings) -> None:
         """Applies the settings that can change without a restart."""
         self.settings = settings
+        limiting.apply(self.reports_server, settings)
         self.driver.lease.length_s = settings.lease_limit_s
         self.links.seeds = frozenset(settings.seed_streams())
 
@@ -208,10 +232,29 @@
                         "born": target.started_ms,
                     },
                 )
+                eventlet.spawn_n(self.driver.check_life)
         elif not before.draining and self.allocator.target.draining:
             log.info("target drains", extra={"instance": target.instance})
+        if self.allocator.target is target:
+            self.allocator.warm_up.reported(target.cold_s, clock.boottime())
         self.flush()
 
+    def _evacuations_pushed(
+        self, origin: str, message: runs.EvacuationPush
+    ) -> None:
+        """Obeys a scheduler's set of evacuated domains unless it is older.
+
+        Args:
+            origin: Address of the scheduler.
+            message: The set.
+        """
+        result = self.evacuations.offer(message.revision, message.domains)
+        if isinstance(result, evacuation.Ignored):
+            return
+        log_lines.log_changes(result, origin, self.settings.domains)
+        evacuated = self.settings.domain in self.evacuations.domains
+        self.allocator.set_evacuated(evacuated, clock.boottime())
+
     def _target_left(self, instance: str, started_ms: int) -> None:
         """Handles the deregistration of the target.
 
--- a/trefoilgw/runner/tests/test_run_expiry.py
+++ b/trefoilgw/runner/tests/test_run_expiry.py
@@ -11,12 +11,18 @@
 import eventlet
 
 from trefoilgw.room import owners
+from trefoilgw.room.tests import fixtures
 from trefoilgw.room.tests.fixtures import A
+from trefoilgw.room.tests.fixtures import B
+from trefoilgw.runner import driving
 from trefoilgw.runner import leases
 from trefoilgw.runner.tests import test_driving
 from trefoilgw.scheduling import runners
+from trefoilgw.work import orders
 
 NO_ANSWER = test_driving.NO_ANSWER
+# Time after which a caller without an answer submits its job again.
+RESEND_S = 1.3
 
 
 class RunExpiryTest(test_driving.DriverTestCase):
@@ -47,6 +53,58 @@
             self.driver.lease.until_s, self.renewed_s + runners.RUN_EXPIRY_S
         )
 
+    def test_run_that_the_target_does_not_stop_ends_in_time(self):
+        """It worked on while its caller had submitted the job again.
+
+        The caller had left. The target refused each stop for over a second, and
+        answered each `hold`, which extended the lease.
+        """
+        self.allocator.renew_authority(A, 1e6)
+        self.request_start("j.0.0.0")
+        self.driver.start("j.0.0.0", 1, "p")
+        self.client.holds = [test_driving.listing(running=["j.0.0.0"])]
+        self.client.stops = [orders.Refused(orders.RefusalReason.UNHEALTHY)]
+        requested_s = self.now_s
+
+        def poll(pause_s):
+            self.now_s += pause_s
+            self.extend_lease()
+            if self.now_s > requested_s + RESEND_S:
+                self.client.stops = [test_driving.ACCEPTED]
+
+        with mock.patch.object(driving.eventlet, "sleep", poll):
+            self.driver.stop("j.0.0.0", 1)
+        self.assertLess(self.driver.lease.until_s, requested_s + RESEND_S)
+        self.extend_lease()
+        self.assertEqual(self.now_s + 1.0, self.driver.lease.end_s)
+
+    def test_start_under_a_longer_lease_of_other_runs_is_refused(self):
+        """It worked on while its scheduler's job had begun elsewhere.
+
+        The order of a scheduler that was killed was read late, after a pause of
+        the runner. Another scheduler's runs had a lease that ended after the
+        authority of the first one, and the runner was paused again.
+        """
+        self.allocator.owner_connected(B, self.renewed_s + 0.4)
+        fixtures.start_confirmed(self.allocator, B, "k.0.0.0", now_s=self.now_s)
+        self.now_s += 0.4
+        until_s = self.renewed_s + 0.4 + owners.AUTHORITY_S
+        self.allocator.owners[A].authority_until_s = until_s
+        self.driver.lease.extend(self.allocator.lease_limit_s())
+        self.allocator.owners[A].authority_until_s -= 0.4
+        self.request_start("j.0.0.0")
+        self.driver.start("j.0.0.0", 1, "p")
+        self.assertEqual([], self.client.started)
+        self.assertEqual("lease", self.endings()[0][3])
+
+    def test_start_of_a_new_process_counts_with_leases_of_the_earlier_one(self):
+        """The earlier process may have extended them right before."""
+        self.allocator.owners[A].authority_until_s -= 0.2
+        self.driver.lease = leases.TargetLease(1.0, lambda: self.now_s, -95.0)
+        self.request_start("j.0.0.0")
+        self.driver.start("j.0.0.0", 1, "p")
+        self.assertEqual("lease", self.endings()[0][3])
+
     def test_run_of_an_earlier_process_ends_in_time(self):
         """It worked on while its scheduler had begun it elsewhere.
 
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -13,6 +13,8 @@
 import eventlet
 from eventlet import event
 
+from trefoilgw.callers import budget
+from trefoilgw.callers import limiting
 from trefoilgw.callers import server
 from trefoilgw.messages import runs
 from trefoilgw.metrics import core as metrics
@@ -22,6 +24,7 @@
 from trefoilgw.scheduler import clients as scheduler_clients
 from trefoilgw.scheduler import configuration as scheduler_configuration
 from trefoilgw.scheduler import decision_log
+from trefoilgw.scheduler import evacuations as scheduler_evacuations
 from trefoilgw.scheduler import membership as scheduler_membership
 from trefoilgw.scheduler import metrics as scheduler_metrics
 from trefoilgw.scheduler import peer_exchange
@@ -88,6 +91,7 @@
     configuration_watcher: scheduler_configuration.ConfigurationWatcher = (
         attrs.field(init=False)
     )
+    evacuations: scheduler_evacuations.Evacuations = attrs.field(init=False)
     roster: scheduler_roster.Roster = attrs.field(init=False)
     peers: scheduler_peers.Peers = attrs.field(init=False)
     membership: scheduler_membership.Membership = attrs.field(init=False)
@@ -108,10 +112,20 @@
         self.scheduler = scheduling.Scheduler(settings.domain)
         self.timers = timer_service.TimerService(now=clock.boottime)
         self.store = platform_store.Store(settings.store_address)
+        self.evacuations = scheduler_evacuations.Evacuations(
+            settings.follows_evacuations,
+            lambda: self.settings.domains,
+            self._broadcast,
+            self._evacuations_changed,
+        )
+        source = platform_store.ConfigurationSource
+        if settings.follows_evacuations:
+            source = platform_store.OperatorsSource
         self.configuration_watcher = (
             scheduler_configuration.ConfigurationWatcher(
-                platform_store.ConfigurationSource(self.store),
+                source(self.store),
                 lambda document, version: self.exchange.notify(),
+                self.evacuations.store_told,
             )
         )
         self.reach = scheduling_reach.ReachWeight(0)
@@ -145,6 +159,7 @@
             self.configuration_watcher,
             self.membership,
             lambda message: self.clients.broadcast(message, runners=False),
+            self.evacuations,
         )
         self.roster = scheduler_roster.Roster(
             self.store,
@@ -159,21 +174,32 @@
             clock.boottime,
             self.flush,
             self.exchange.handle,
-            self.membership.known.messages,
+            lambda: [
+                *self.evacuations.greeting(),
+                *self.membership.known.messages(),
+            ],
             self.exchange.greeting,
             self._record_run_end,
         )
         application = platform_callers.Application(
-            lambda: self.configuration_watcher.current,
+            self._configuration,
             self.submit,
             lambda key: key in self.scheduler.admitted,
             self._cancel,
             self._count_waiting,
             self._record_rejected_request,
+            budget.decoded_limit_bytes(settings.memory_limit_bytes),
+        )
+        self.callers_server = limiting.make_server(application, settings)
+        self.callers_server.may_run = application.may_run
+        self.callers_server.limits.configured_body_limit = (
+            self._configured_body_limit
+        )
+        self.readiness_server = limiting.make_service_server(
+            self._answer_readiness_probe
         )
-        self.callers_server = server.HttpServer(application)
-        self.readiness_server = server.HttpServer(self._answer_readiness_probe)
         self._add_gauges()
+        limiting.register_metrics(self.registry, self.callers_server)
 
     @property
     def registry(self) -> metrics.Registry:
@@ -183,6 +209,7 @@
     def _add_gauges(self) -> None:
         """Registers gauges that are read from the state of the components."""
         self.counts.register_gauges(self.scheduler)
+        self.evacuations.register_gauges(self.registry)
         gauges = (
             (
                 "configuration_version",
@@ -240,6 +267,9 @@
         self.timers.on_pause(self.drop_closed_callers)
         self.timers.every(TICK_S, self._tick)
         self.timers.every(SILENCE_CHECK_INTERVAL_S, self.clients.close_silent)
+        self.timers.every(
+            limiting.LOG_INTERVAL_S, self.callers_server.log_limited
+        )
         self.timers.every(
             scheduler_membership.PUBLICATION_INTERVAL_S, self.membership.update
         )
@@ -264,7 +294,16 @@
     def _can_serve(self) -> bool:
         """Returns whether there is a usable runner and a configuration."""
         usable = any(x.usable for x in self.scheduler.runner_views.values())
-        return usable and self.configuration_watcher.current is not None
+        return usable and self._configuration() is not None
+
+    def _configuration(self) -> work.Configuration | None:
+        """Returns the configuration by which jobs may be served, if any.
+
+        Without the evacuations, jobs could be sent to an evacuated domain.
+        """
+        if self.evacuations.awaited:
+            return None
+        return self.configuration_watcher.current
 
     def reload(self, settings: hosting.HostSettings) -> None:
         """Applies changed settings that take effect without a restart."""
@@ -273,6 +312,7 @@
         if settings.processors != self.settings.processors:
             self._set_host_weight(settings)
             self.membership.set_weight(self.reach.weight)
+        limiting.apply(self.callers_server, settings)
         self.settings = settings
         self.membership.seeds = frozenset(settings.seed_streams())
 
@@ -412,6 +452,11 @@
         for waiter in self.waiters.pop(key, []):
             waiter.outcome.send(outcome)
 
+    def _configured_body_limit(self) -> int | None:
+        """Returns the largest body in bytes, None before a configuration."""
+        configuration = self.configuration_watcher.current
+        return None if configuration is None else configuration.body_limit_bytes
+
     def _count_waiting(self, queue: str) -> int:
         """Returns how many jobs of a queue have not started."""
         return sum(
@@ -423,10 +468,7 @@
         self, environ: dict, start_response
     ) -> list[bytes]:
         """Answers the readiness probe of the load balancer."""
-        ready = (
-            not self.shutting_down
-            and self.configuration_watcher.current is not None
-        )
+        ready = not self.shutting_down and self._configuration() is not None
         status = "200 OK" if ready else "503 Service Unavailable"
         start_response(status, [("Content-Length", "0")])
         return [b""]
@@ -469,6 +511,11 @@
         self.scheduler.tick(now_s)
         self.flush()
 
+    def _evacuations_changed(self, domains: frozenset[str]) -> None:
+        """Stops or resumes placing tasks in failure domains."""
+        self.scheduler.set_evacuated(domains, clock.boottime())
+        self.flush()
+
     def _broadcast(self, message: object) -> None:
         """Sends a message to all connected peers and runners."""
         self.clients.broadcast(message)
--- a/trefoilgw/tests/test_layers.py
+++ b/trefoilgw/tests/test_layers.py
@@ -8,6 +8,8 @@
 DECISION_PACKAGES = frozenset(
     {
         "admission",
+        "configcheck",
+        "evacuation",
         "findings",
         "jobs",
         "keys",
--- a/trefoilgw/work/hosting.py
+++ b/trefoilgw/work/hosting.py
@@ -2,6 +2,10 @@
 
 import attrs
 
+# Limits of a host whose settings name none: those of the smallest hosts.
+DEFAULT_MEMORY_LIMIT_BYTES = 160 * 1024 * 1024
+DEFAULT_DESCRIPTOR_LIMIT = 4096
+
 
 @attrs.frozen
 class HostSettings:
@@ -23,9 +27,13 @@
         lease_limit_s: Longest lease that a target grants to its runs.
         run_stop_s: Longest time that a target takes to stop a run.
         stop_limit_s: Seconds from SIGTERM to SIGKILL.
+        memory_limit_bytes: Memory at which the process is ended.
+        descriptor_limit: Open descriptors of the process at most.
         unsupported: Features in the settings that are not implemented.
         processors: Cores of usual speed that the process may use, 0 if the
             settings have no sensible figure.
+        follows_evacuations: Whether the operators may evacuate failure domains.
+        domains: All failure domains, empty if the settings don't list them.
     """
 
     name: str
@@ -41,8 +49,12 @@
     lease_limit_s: float
     run_stop_s: float
     stop_limit_s: float
+    memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
+    descriptor_limit: int = DEFAULT_DESCRIPTOR_LIMIT
     unsupported: tuple[str, ...] = ()
     processors: float = 1.0
+    follows_evacuations: bool = False
+    domains: frozenset[str] = frozenset()
 
     @property
     def stream_address(self) -> str:
