--- a/tools/fleet_trial.py
+++ b/tools/fleet_trial.py
@@ -1,7 +1,8 @@
 """Discrete-event trial of schedulers and runners under a load pattern.
 
-The decisions are those of the product: `scheduling.Scheduler` and
-`room.CapacityAllocator` exchange their messages with a delay. There is no
+The decisions are those of the product: `scheduling.Scheduler`,
+`room.CapacityAllocator` and, in a weighted fleet, `links.Links` and
+`reach.ReachWeight` exchange their messages with a delay. There is no
 network and there are no processes, so a trial compares policies and counts
 messages, but doesn't measure the product.
 """
@@ -19,8 +20,10 @@
 from trefoilgw.messages import runs as messages
 from trefoilgw.room import actions as room_actions
 from trefoilgw.room import core as room
+from trefoilgw.runner import links as runner_links
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import core as scheduling
+from trefoilgw.scheduling import reach as scheduling_reach
 from trefoilgw.subsets import core as subsets
 from trefoilgw.work import core as work
 
@@ -38,6 +41,17 @@
 RUNNER_TICK_S = 0.05
 # Length of the windows of which the worst ones are reported.
 WINDOW_S = 2.0
+# Processor time of a scheduler for a message, a submission and a ping, on a
+# core. Assumed; only hosts with `Fleet.processors` spend it.
+MESSAGE_CPU_S = 0.0003
+SUBMISSION_CPU_S = 0.001
+PING_CPU_S = 0.0001
+PING_INTERVAL_S = 0.3
+# Time to open a stream, until the next attempt, and until a record of a
+# scheduler has reached all runners.
+DIAL_S = 0.005
+REDIAL_S = 0.3
+GOSSIP_S = 0.5
 # Standard deviation of the logarithm of declared over actual run times.
 DECLARED_SPREAD = 0.35
 
@@ -106,6 +120,13 @@
         speeds: Speeds of the targets, in turn.
         unevenness: Standard deviation of the logarithm of the schedulers'
             shares of the submissions.
+        shares: Relative submissions of a scheduler by failure domain, in turn;
+            empty to draw them by `unevenness`.
+        processors: Processors of a scheduler's host by failure domain, in
+            turn; empty if they are never short.
+        streams: Schedulers that each runner is connected to, 0 for the rule
+            of the product.
+        weighted: Whether the schedulers' weights move streams.
     """
 
     schedulers: int
@@ -114,6 +135,10 @@
     millicores: int = 64_000
     speeds: Sequence[float] = (0.8, 1.0, 1.25)
     unevenness: float = 0.4
+    shares: Sequence[float] = ()
+    processors: Sequence[float] = ()
+    streams: int = 0
+    weighted: bool = False
 
     def capacity(self, number: int) -> int:
         """Returns the millicores of a target."""
@@ -133,6 +158,7 @@
         at_s: Time of its submission.
         objective_s: Time in which it should be answered.
         work: Core-seconds of work.
+        scheduler: Name of its scheduler.
         ended_s: Time of the answer, None before it.
         outcome: The answer.
     """
@@ -141,6 +167,7 @@
     at_s: float
     objective_s: float
     work: float
+    scheduler: str = ""
     ended_s: float | None = None
     outcome: object = None
 
@@ -179,6 +206,7 @@
     speed: float
     allocator: room.CapacityAllocator
     streams: dict[str, _Stream] = attrs.field(factory=dict)
+    links: runner_links.Links | None = None
 
     def receive(self, owner: str, message: object) -> None:
         now_s = self.trial.now_s
@@ -195,9 +223,14 @@
         now_s = self.trial.now_s
         for owner in self.streams:
             self.allocator.renew_authority(owner, now_s)
+            self.allocator.set_reach(owner, self.trial.reach(owner))
         self.allocator.tick(now_s)
         self.flush()
 
+    def learn_reach(self) -> None:
+        for link in self.links.links.values():
+            link.runners = self.trial.reach(link.address)
+
     def flush(self) -> None:
         now_s = self.trial.now_s
         self.allocator.offer_capacity(now_s)
@@ -208,7 +241,8 @@
                     if isinstance(message, messages.RunEnded):
                         ending = f"{message.ending} {message.reason}".strip()
                         self.trial.endings[ending] += 1
-                    self.streams[owner].send(message)
+                    if owner in self.streams:
+                        self.streams[owner].send(message)
                 case room_actions.Start(task=task, run=run):
                     self.trial.after(CALL_S, self.started, task, run)
                 case room_actions.Stop(task=task, run=run):
@@ -228,14 +262,68 @@
 
 @attrs.define(eq=False)
 class _Scheduler:
-    """A scheduler with its callers."""
+    """A scheduler with its callers.
+
+    Attributes:
+        processors: Processors of its host, infinite if they are never short.
+        busy_until_s: Time at which it will have handled all that has arrived.
+    """
 
     trial: "Trial"
     name: str
     state: scheduling.Scheduler
+    processors: float = math.inf
+    busy_until_s: float = 0.0
+    reach: scheduling_reach.ReachWeight = attrs.field(init=False)
+    alive: bool = True
     streams: dict[str, _Stream] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self):
+        known = 1.0 if math.isinf(self.processors) else self.processors
+        weight = subsets.host_weight(known)
+        self.reach = scheduling_reach.ReachWeight(weight)
+
+    def record(self) -> messages.SchedulerRecord:
+        """Returns what the runners learn about it."""
+        issued_ms = round(self.trial.now_s * 1000)
+        return messages.SchedulerRecord(
+            self.name,
+            self.state.domain,
+            self.name,
+            1,
+            True,
+            self.reach.weight,
+            issued_ms,
+        )
+
+    def measure(self) -> None:
+        """Measures the load and passes a changed weight on."""
+        if self.alive and self.reach.measure(
+            self.state.runner_views.values(),
+            self.state.admitted_cpu,
+            self.trial.now_s,
+        ):
+            self.trial.after(GOSSIP_S, self.trial.pass_on, self.record())
+
+    def spend(self, cpu_s: float, call: Callable, *args) -> None:
+        """Calls a function once the processor has done it and all before."""
+        if math.isinf(self.processors):
+            call(*args)
+            return
+        begin_s = max(self.trial.now_s, self.busy_until_s)
+        self.busy_until_s = begin_s + cpu_s / self.processors
+        self.trial.at(self.busy_until_s, call, *args)
+
+    def ping(self) -> None:
+        """Spends the processor time of the pings of all runners."""
+        self.spend(len(self.streams) * PING_CPU_S, lambda: None)
+
     def receive(self, runner: str, message: object) -> None:
+        self.spend(MESSAGE_CPU_S, self.handle, runner, message)
+
+    def handle(self, runner: str, message: object) -> None:
+        if runner not in self.streams:
+            return
         now_s = self.trial.now_s
         match message:
             case messages.CapacityReport():
@@ -249,6 +337,11 @@
         self.flush()
 
     def submit(self, spec: work.JobSpec, record: JobRecord) -> None:
+        self.spend(SUBMISSION_CPU_S, self.admit, spec, record)
+
+    def admit(self, spec: work.JobSpec, record: JobRecord) -> None:
+        if not self.alive:
+            return
         now_s = self.trial.now_s
         result = self.state.submit(spec, 1, now_s)
         if isinstance(result, actions.Rejected):
@@ -256,20 +349,53 @@
         self.flush()
 
     def tick(self) -> None:
-        self.state.tick(self.trial.now_s)
-        self.flush()
+        self.spend(0.0, self.update, self.trial.now_s)
+
+    def update(self, due_s: float) -> None:
+        """Handles a tick that was due at a time."""
+        if self.alive:
+            self.state.lateness.measure(self.trial.now_s - due_s)
+            self.state.tick(self.trial.now_s)
+            self.flush()
 
     def flush(self) -> None:
         for action in self.state.take_actions():
             match action:
                 case actions.SendMessage(runner=runner, message=message):
-                    self.streams[runner].send(message)
+                    if runner in self.streams:
+                        self.streams[runner].send(message)
                 case actions.Answer(job=job, outcome=outcome):
                     record = self.trial.jobs[job.key]
                     record.ended_s = self.trial.now_s
                     record.outcome = outcome
 
 
+@attrs.define(eq=False)
+class _OpenStream:
+    """The stream of a link, which the trial closes."""
+
+    trial: "Trial"
+    runner: _Runner
+    link: runner_links.Link
+
+    def send(self, message: object) -> None:
+        """Does nothing, as pings are not played."""
+
+    def close(self, reason: str) -> None:
+        self.trial.disconnect(self.runner, self.link)
+
+
+@attrs.define(eq=False, slots=False)
+class _Links(runner_links.Links):
+    """Streams of a runner that are opened by the trial."""
+
+    open_link: Callable[[runner_links.Link], None] = attrs.field(kw_only=True)
+
+    def _dial(self, address: str, now_s: float) -> None:
+        self.links[address] = runner_links.Link(address, now_s)
+        self.open_link(self.links[address])
+
+
 @attrs.define(eq=False)
 class Trial:
     """One trial of a fleet under a load.
@@ -284,6 +410,7 @@
         run_times: Run time of each task on a target of normal speed.
         messages: Number of messages sent by type.
         endings: Number of ended attempts by ending and reason.
+        runners: The runners.
     """
 
     fleet: Fleet
@@ -296,6 +423,8 @@
     messages: collections.Counter = attrs.field(factory=collections.Counter)
     endings: collections.Counter = attrs.field(factory=collections.Counter)
     rng: random.Random = attrs.field(init=False)
+    _schedulers: dict = attrs.field(factory=dict)
+    runners: list = attrs.field(factory=list)
     _events: list = attrs.field(factory=list)
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
@@ -313,9 +442,12 @@
     def run(self, duration_s: float) -> "Trial":
         """Runs the trial until all jobs submitted in a time have ended."""
         schedulers = self._build()
+        shares = self.fleet.shares
         weights = [
-            self.rng.lognormvariate(0.0, self.fleet.unevenness)
-            for _ in schedulers
+            shares[number % len(shares)]
+            if shares
+            else self.rng.lognormvariate(0.0, self.fleet.unevenness)
+            for number in range(len(schedulers))
         ]
         for kind in self.kinds:
             for at_s in self._arrivals(kind, duration_s):
@@ -330,24 +462,37 @@
     def _build(self) -> list[_Scheduler]:
         """Returns the schedulers, connected to the runners."""
         domains = [f"d{x}" for x in range(self.fleet.domains)]
+        processors = self.fleet.processors or (math.inf,)
         schedulers = {
             f"s{x}": _Scheduler(
                 self,
                 f"s{x}",
                 scheduling.Scheduler(domains[x % len(domains)], rng=self.rng),
+                processors[x % len(processors)],
             )
             for x in range(self.fleet.schedulers)
         }
+        self._schedulers = schedulers
         members = [
             subsets.Member(name, x.state.domain)
             for name, x in schedulers.items()
         ]
         for scheduler in schedulers.values():
             self._repeat(SCHEDULER_TICK_S, scheduler.tick)
+            if self.fleet.processors:
+                self._repeat(PING_INTERVAL_S, scheduler.ping)
+            if self.fleet.weighted:
+                interval_s = scheduling_reach.MEASURE_INTERVAL_S
+                self._repeat(interval_s, scheduler.measure)
         for number in range(self.fleet.runners):
             runner = self._make_runner(number)
+            self.runners.append(runner)
             domain = domains[number % len(domains)]
-            limit = subsets.stream_count(
+            if self.fleet.weighted:
+                self._add_links(runner, domain)
+                self._repeat(RUNNER_TICK_S, runner.tick)
+                continue
+            limit = self.fleet.streams or subsets.stream_count(
                 len(members), len(members), self.fleet.runners
             )
             chosen = subsets.select_members(
@@ -374,15 +519,77 @@
         """Opens the stream between a runner and a scheduler."""
 
         def to_runner(message):
-            runner.receive(scheduler.name, message)
+            if scheduler.streams.get(runner.name) is forth:
+                runner.receive(scheduler.name, message)
 
         def to_scheduler(message):
-            scheduler.receive(runner.name, message)
-
-        scheduler.streams[runner.name] = _Stream(self, to_runner)
-        runner.streams[scheduler.name] = _Stream(self, to_scheduler)
-        scheduler.state.runner_connected(runner.name, "i", domain, 0.0)
-        runner.allocator.owner_connected(scheduler.name, 0.0)
+            if runner.streams.get(scheduler.name) is back:
+                scheduler.receive(runner.name, message)
+
+        forth, back = _Stream(self, to_runner), _Stream(self, to_scheduler)
+        scheduler.streams[runner.name] = forth
+        runner.streams[scheduler.name] = back
+        now_s = self.now_s
+        scheduler.state.runner_connected(runner.name, "i", domain, now_s)
+        runner.allocator.owner_connected(scheduler.name, now_s)
+
+    def _add_links(self, runner: _Runner, domain: str) -> None:
+        """Lets a runner select its schedulers by itself."""
+        runner.links = _Links(
+            subsets.Member(runner.name, domain),
+            None,
+            runner.allocator,
+            lambda: self.now_s,
+            runner.flush,
+            open_link=lambda link: self.after(
+                DIAL_S, self._open, runner, domain, link
+            ),
+        )
+        records = [x.record() for x in self._schedulers.values()]
+        runner.links.known.merge_records(records, 0.0)
+        self._repeat(runner_links.IDLE_PING_INTERVAL_S, runner.learn_reach)
+        self._repeat(runner_links.SELECTION_INTERVAL_S, runner.links.select)
+        runner.links.select()
+
+    def _open(
+        self, runner: _Runner, domain: str, link: runner_links.Link
+    ) -> None:
+        """Opens the stream of a link once its scheduler answers."""
+        scheduler = self._schedulers[link.address]
+        if not link.wanted:
+            return
+        if not scheduler.alive:
+            self.after(REDIAL_S, self._open, runner, domain, link)
+            return
+        link.owner = scheduler.name
+        link.stream = _OpenStream(self, runner, link)
+        link.retiring_since_s = None
+        self._connect(runner, domain, scheduler)
+        runner.flush()
+
+    def disconnect(self, runner: _Runner, link: runner_links.Link) -> None:
+        """Closes the stream of a link; it is dialed again while wanted."""
+        link.stream = None
+        link.down_since_s = self.now_s
+        scheduler = self._schedulers[link.address]
+        del scheduler.streams[runner.name], runner.streams[scheduler.name]
+        scheduler.state.runner_disconnected(runner.name)
+        runner.allocator.owner_disconnected(scheduler.name, self.now_s)
+        domain = runner.links.own.domain
+        self.after(REDIAL_S, self._open, runner, domain, link)
+
+    def pass_on(self, record: object) -> None:
+        """Tells all runners a record of a scheduler."""
+        for runner in self.runners:
+            runner.links.known.merge_records((record,), self.now_s)
+
+    def kill(self, name: str) -> None:
+        """Ends a scheduler and its streams."""
+        self._schedulers[name].alive = False
+        for runner in self.runners:
+            link = runner.links.links.get(name)
+            if link is not None and link.stream is not None:
+                self.disconnect(runner, link)
 
     def _repeat(self, interval_s: float, call: Callable) -> None:
         """Calls a function at an interval, from a random moment on."""
@@ -426,6 +633,7 @@
             at_s,
             STRETCH * longest_s + LATENCY_S,
             sum(self.run_times[x] for x in names) * millicores / 1000,
+            scheduler.name,
         )
         self.jobs[key] = record
         spec = work.JobSpec(
@@ -438,6 +646,21 @@
 
     # Results.
 
+    def reach(self, scheduler: str) -> int:
+        """Returns the number of runners connected to a scheduler."""
+        return len(self._schedulers[scheduler].streams)
+
+    def served_shares(self) -> dict[str, float]:
+        """Returns the share of completed jobs by scheduler."""
+        done: dict[str, int] = collections.Counter()
+        known: dict[str, int] = collections.Counter()
+        for record in self.jobs.values():
+            known[record.scheduler] += 1
+            done[record.scheduler] += isinstance(
+                record.outcome, actions.Completed
+            )
+        return {x: done[x] / known[x] for x in sorted(known)}
+
     def value(self, kind: str | None = None) -> float:
         """Returns the mean value of the jobs of a kind, or of all."""
         values = [x.value for x in self.jobs.values() if kind in (None, x.kind)]
--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -128,6 +128,9 @@
         competing_cpu: CPU that the other schedulers' waiting tasks need, in
             millicores by urgency class, up to the last class with any.
         schedulers: Number of schedulers connected to the runner, 0 if unknown.
+        others_started: CPU that was started for the other schedulers in about
+            the last second, by urgency class in steps of `rates.to_step`;
+            empty if the runner does not measure it.
     """
 
     starts_received: int
@@ -139,6 +142,7 @@
     freed_cpu: int = 0
     competing_cpu: tuple[int, ...] = ()
     schedulers: int = 0
+    others_started: tuple[int, ...] = ()
 
 
 @attrs.frozen
@@ -348,6 +352,10 @@
         incarnation: 16 hex digits, chosen anew at every process start.
         revision: Revision of the store at which the list was read.
         present: Whether the list held the address.
+        weight: Relative number of runners that it should get, in thousandths
+            of that of a host with one core; 0 if unknown.
+        weight_ms: Time at which the scheduler issued the weight, on its clock
+            in milliseconds since 1970; 0 for the one that it registered.
     """
 
     address: str
@@ -355,6 +363,8 @@
     incarnation: str
     revision: int
     present: bool
+    weight: int = 0
+    weight_ms: int = 0
 
 
 @core.message(67)
@@ -377,12 +387,14 @@
         incarnation: 16 hex digits, chosen anew at every process start.
         sequence: Time of issue on the issuer's clock in milliseconds since
             1970, which orders the announcements of an address.
+        weight: As in `SchedulerRecord`.
     """
 
     address: str
     domain: str
     incarnation: str
     sequence: int
+    weight: int = 0
 
 
 @core.message(69)
--- a/trefoilgw/platform/hosting.py
+++ b/trefoilgw/platform/hosting.py
@@ -70,6 +70,7 @@
             or hosting.DEFAULT_DESCRIPTOR_LIMIT
         ),
         unsupported=tuple(unsupported),
+        processors=_decode_processors(body),
         # Either one announces that zones, which are failure domains, may be
         # evacuated.
         follows_evacuations="places" in body.array("contracts")
@@ -90,6 +91,19 @@
     return limit_bytes or hosting.DEFAULT_MEMORY_LIMIT_BYTES
 
 
+def _decode_processors(body: fields.Fields) -> float:
+    """Returns the cores that the process may use; 0 for odd figures.
+
+    A process runs on one core at a time. `cpuShare` is the share of it that
+    the process gets, and `cores` is how many times as fast as usual it is.
+    """
+    try:
+        limits = _limits(body)
+        return limits.number("cpuShare", 1.0) * limits.number("cores", 1.0)
+    except fields.FieldError:
+        return 0.0
+
+
 @attrs.define(eq=False)
 class SettingsWatch:
     """Reloads the settings when the content of their file has changed.
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -3,6 +3,8 @@
 import logging
 import math
 from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Set
 
 import attrs
@@ -36,6 +38,11 @@
 # Time in which orders sent before a scheduler learned that its stream will be
 # closed arrive.
 RETIREMENT_S = 1.0
+# A weight that differs from the one in force by less than this ratio doesn't
+# apply. The mean of all weights changes a little with each of them.
+WEIGHT_TOLERANCE_RATIO = 1.1
+# The share that is left to each scheduler is lowered only by more than this.
+FLOOR_TOLERANCE = 1.5 / subsets.FLOOR_STEPS
 
 log = logging.getLogger(__name__)
 
@@ -81,6 +88,8 @@
         seeds: Addresses to dial while too few schedulers are known.
         known: Known schedulers.
         links: Links by address.
+        weights: Weights in force for the selection, by address.
+        floor: Share of its runners that no weight takes from a scheduler.
         on_evacuations: Called with the address of a scheduler and its set of
             evacuated domains.
     """
@@ -95,6 +104,8 @@
         factory=schedulers.KnownSchedulers
     )
     links: dict[str, Link] = attrs.field(factory=dict)
+    weights: dict[str, float] = attrs.field(factory=dict)
+    floor: float = 1.0
     on_evacuations: Callable[[str, runs.EvacuationPush], None] = (
         lambda address, message: None
     )
@@ -106,7 +117,12 @@
         """
         now_s = self.now()
         self.known.expire(now_s)
-        selected = self._selected(now_s)
+        members = self._members(now_s)
+        wanted = self._wanted_weights(members)
+        self.weights = {x: self.weights.get(x, wanted[x]) for x in members}
+        selected = self._selected(members, now_s)
+        if self._is_settled(selected, now_s):
+            selected = self._adopt_weights(members, wanted, selected, now_s)
         for address in selected - self.links.keys():
             self._dial(address, now_s)
         settled = all(
@@ -122,23 +138,103 @@
             elif settled:
                 self._retire(link, now_s)
 
-    def _selected(self, now_s: float) -> set[str]:
-        """Returns the addresses of the schedulers to keep streams to."""
-        members = self.known.members(now_s)
-        open_links = [x for x in self.links.values() if x.stream is not None]
-        runners = sum(x.runners for x in open_links)
-        limit = subsets.stream_count(
-            len(members),
-            len(open_links),
-            runners / len(open_links) if open_links else 0.0,
+    def _open_links(self) -> list[Link]:
+        """Returns the links with an open stream."""
+        return [x for x in self.links.values() if x.stream is not None]
+
+    def _mean_runners(self, links: Iterable[Link]) -> float:
+        """Returns the mean number of runners of the schedulers, 0 if unknown.
+
+        Args:
+            links: Links with an open stream.
+        """
+        return subsets.mean_choosers(
+            (x.runners, self.weights.get(x.address, 1.0)) for x in links
         )
-        if len(members) < limit or not open_links:
+
+    def _limit(self, member_count: int) -> int:
+        """Returns the number of reachable schedulers to select."""
+        links = self._open_links()
+        return subsets.stream_count(
+            member_count, len(links), self._mean_runners(links)
+        )
+
+    def _members(self, now_s: float) -> dict[str, subsets.Member]:
+        """Returns the schedulers that may be dialed, by address."""
+        members = self.known.members(now_s)
+        if len(members) < self._limit(len(members)) or not self._open_links():
             for seed in self.seeds - members.keys():
                 members[seed] = subsets.Member(seed, "")
+        return members
+
+    def _selected(
+        self, members: Mapping[str, subsets.Member], now_s: float
+    ) -> set[str]:
+        """Returns the addresses of the schedulers to keep streams to."""
         down = {
             x.address for x in self.links.values() if self._is_down(x, now_s)
         }
-        return subsets.select_members(self.own, members.values(), down, limit)
+        return subsets.select_members(
+            self.own,
+            members.values(),
+            down,
+            self._limit(len(self.known.members(now_s))),
+            self.weights,
+        )
+
+    def _is_settled(self, selected: Set[str], now_s: float) -> bool:
+        """Returns whether no stream is being opened or closed."""
+        return selected == self.links.keys() and all(
+            x.stream is not None or self._is_down(x, now_s)
+            for x in self.links.values()
+        )
+
+    def _wanted_weights(
+        self, members: Mapping[str, subsets.Member]
+    ) -> dict[str, float]:
+        """Returns the weights that follow from what the schedulers ask for."""
+        # A scheduler tells its number only after its stream has opened.
+        known = [x for x in self._open_links() if x.runners]
+        floor = subsets.floor_share(self._mean_runners(known))
+        if floor > self.floor or floor < self.floor - FLOOR_TOLERANCE:
+            self.floor = floor
+        return subsets.selection_weights(self.own, members.values(), self.floor)
+
+    def _adopt_weights(
+        self,
+        members: Mapping[str, subsets.Member],
+        wanted: Mapping[str, float],
+        selected: set[str],
+        now_s: float,
+    ) -> set[str]:
+        """Puts weights into force until one of them moves a stream.
+
+        A weight changes the place of its own scheduler only, so at most one
+        stream is opened and one closed. The next one moves after that.
+
+        Returns:
+            The addresses of the schedulers to keep streams to.
+        """
+        even = len(set(wanted.values())) <= 1
+        for address, weight in sorted(wanted.items()):
+            before = self.weights[address]
+            ratio = max(weight / before, before / weight)
+            if ratio <= (1.0 if even else WEIGHT_TOLERANCE_RATIO):
+                continue
+            self.weights[address] = weight
+            found = self._selected(members, now_s)
+            if found != selected:
+                log.info(
+                    "stream moves",
+                    extra={
+                        "address": address,
+                        "weight": round(weight, 3),
+                        "dialed": sorted(found - selected),
+                        "surplus": sorted(selected - found),
+                    },
+                )
+                return found
+        return selected
 
     def _is_down(self, link: Link, now_s: float) -> bool:
         """Returns whether a scheduler has had no stream for a while."""
@@ -168,15 +264,16 @@
     def _retire(self, link: Link, now_s: float) -> None:
         """Closes a surplus stream without losing an order.
 
-        The scheduler first learns that the runner is not usable for it. The
-        stream is closed later, and only while there are no runs.
+        The scheduler first learns that the runner is not usable for it, also
+        while it has runs there: under load it always has some. The stream is
+        closed later, and only while there are no runs.
         """
-        if self.allocator.has_runs(link.owner):
-            return
         if link.retiring_since_s is None:
             link.retiring_since_s = now_s
             self.allocator.set_retiring(link.owner, True)
             self.on_change()
+        elif self.allocator.has_runs(link.owner):
+            return
         elif now_s - link.retiring_since_s >= RETIREMENT_S:
             stream = link.stream
             self._forget(link)
@@ -291,6 +388,7 @@
             case runs.RunnerPong(alive_s=alive_s, runners=runners):
                 link.runners = runners
                 link.unanswered_s = None
+                self.allocator.set_reach(link.owner, runners)
                 self.allocator.renew_authority(link.owner, alive_s)
                 return
             case runs.StartRuns():
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -32,7 +32,9 @@
 from trefoilgw.scheduler import roster as scheduler_roster
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import core as scheduling
+from trefoilgw.scheduling import reach as scheduling_reach
 from trefoilgw.streams import redialling
+from trefoilgw.subsets import core as subsets
 from trefoilgw.timers import clock
 from trefoilgw.timers import core as timer_service
 from trefoilgw.work import core as work
@@ -72,7 +74,9 @@
         settings: Settings of the host.
         incarnation: 16 hex digits, new at every process start.
         scheduler: Queues jobs and assigns their tasks to runners.
+        reach: Weight by which the runners select this scheduler.
         waiters: Callers that wait for the outcome of a job, by the job's key.
+        ticked_s: Time of the last tick, None before the first one.
         shutting_down: Whether an orderly stop has begun, after SIGTERM or
             SIGINT.
         counts: Metrics of jobs and runs.
@@ -81,6 +85,7 @@
     settings: hosting.HostSettings
     incarnation: str = attrs.field(factory=lambda: os.urandom(8).hex())
     scheduler: scheduling.Scheduler = attrs.field(init=False)
+    reach: scheduling_reach.ReachWeight = attrs.field(init=False)
     timers: timer_service.TimerService = attrs.field(init=False)
     store: platform_store.Store = attrs.field(init=False)
     configuration_watcher: scheduler_configuration.ConfigurationWatcher = (
@@ -95,6 +100,7 @@
     callers_server: server.HttpServer = attrs.field(init=False)
     readiness_server: server.HttpServer = attrs.field(init=False)
     waiters: dict[str, list[Waiter]] = attrs.field(factory=dict)
+    ticked_s: float | None = None
     shutting_down: bool = False
     counts: scheduler_metrics.SchedulerMetrics = attrs.field(
         factory=scheduler_metrics.SchedulerMetrics
@@ -122,8 +128,15 @@
                 self.evacuations.store_told,
             )
         )
+        self.reach = scheduling_reach.ReachWeight(0)
+        self._set_host_weight(settings)
         record = runs.SchedulerRecord(
-            address, settings.domain, self.incarnation, 0, True
+            address,
+            settings.domain,
+            self.incarnation,
+            0,
+            True,
+            self.reach.weight,
         )
         self.peers = scheduler_peers.Peers(
             address,
@@ -215,6 +228,21 @@
                 "Schedulers connected",
                 lambda: len(self.peers.streams),
             ),
+            (
+                "late_seconds",
+                "Mean lateness of the ticks, which counts as a wait above 0.05",
+                lambda: self.scheduler.lateness.mean_s,
+            ),
+            (
+                "reach_weight",
+                "Weight in the selection by the runners, 1000 for one core",
+                lambda: self.reach.weight,
+            ),
+            (
+                "runners_connected",
+                "Runners with an open stream",
+                lambda: len(self.clients.runners),
+            ),
         )
         for name, description, read in gauges:
             self.registry.observable_gauge(
@@ -245,6 +273,9 @@
         self.timers.every(
             scheduler_membership.PUBLICATION_INTERVAL_S, self.membership.update
         )
+        self.timers.every(
+            scheduling_reach.MEASURE_INTERVAL_S, self._measure_reach
+        )
         eventlet.spawn_n(self._listen_when_serving)
 
     def _listen_when_serving(self) -> None:
@@ -278,10 +309,46 @@
         """Applies changed settings that take effect without a restart."""
         if settings.store_address != self.settings.store_address:
             self.store.change_address(settings.store_address)
+        if settings.processors != self.settings.processors:
+            self._set_host_weight(settings)
+            self.membership.set_weight(self.reach.weight)
         limiting.apply(self.callers_server, settings)
         self.settings = settings
         self.membership.seeds = frozenset(settings.seed_streams())
 
+    def _set_host_weight(self, settings: hosting.HostSettings) -> None:
+        """Sets the weight of the host from its processors."""
+        processors = settings.processors
+        self.reach.host_weight = subsets.host_weight(processors)
+        if abs(self.reach.host_weight - subsets.UNIT_WEIGHT * processors) > 1.0:
+            log.warning(
+                "odd processors",
+                extra={
+                    "processors": processors,
+                    "weight": self.reach.host_weight,
+                },
+            )
+
+    def _measure_reach(self) -> None:
+        """Measures the load and passes a changed weight on."""
+        if not self.reach.measure(
+            self.scheduler.runner_views.values(),
+            self.scheduler.admitted_cpu,
+            clock.boottime(),
+        ):
+            return
+        self.membership.set_weight(self.reach.weight)
+        log.info(
+            "reach weight changed",
+            extra={
+                "weight": self.reach.weight,
+                "host_weight": self.reach.host_weight,
+                "own_millicores_s": round(self.reach.own_cpu),
+                "other_millicores_s": round(self.reach.other_cpu),
+                "runners": len(self.clients.runners),
+            },
+        )
+
     def shut_down(self) -> None:
         """Stops after the open jobs were answered; blocks until then.
 
@@ -436,7 +503,12 @@
 
     def _tick(self) -> None:
         """Applies timeouts and places waiting tasks, every `TICK_S`."""
-        self.scheduler.tick(clock.boottime())
+        now_s = clock.boottime()
+        if self.ticked_s is not None:
+            late_s = now_s - self.ticked_s - TICK_S
+            self.scheduler.lateness.measure(late_s)
+        self.ticked_s = now_s
+        self.scheduler.tick(now_s)
         self.flush()
 
     def _evacuations_changed(self, domains: frozenset[str]) -> None:
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -21,10 +21,12 @@
 from trefoilgw.scheduling import evacuating
 from trefoilgw.scheduling import forecasts
 from trefoilgw.scheduling import jobs
+from trefoilgw.scheduling import lateness as scheduling_lateness
 from trefoilgw.scheduling import planning
 from trefoilgw.scheduling import runners
 from trefoilgw.scheduling import runtimes
 from trefoilgw.work import core as work
+from trefoilgw.work import rates
 
 # Added to the run number when a target has seen a higher one. Run numbers start
 # at the wall clock in milliseconds, and clocks of hosts may be seconds apart.
@@ -67,12 +69,14 @@
         run_times: Run time estimation.
         arrivals: Arrival rates of admitted jobs by queue.
         evacuated: Evacuated failure domains.
+        admitted_cpu: Rates at which admitted jobs demand CPU.
         lost_runners: Time of the last renewal of the authority at each
             disconnected runner whose runs may still go on, by its name and
             incarnation.
         largest_targets: Capacities of the targets that were reported lately.
         forecaster: Predicts how long a job would wait.
         reviews: When the waiting jobs were reviewed.
+        lateness: How late the process handles what arrives.
         dispatcher: Sends the waiting tasks to the runners.
         handled_s: Time of the last tick but one, before which everything that
             had happened has been handled.
@@ -87,12 +91,16 @@
     run_times: runtimes.RunTimes = attrs.field(factory=runtimes.RunTimes)
     arrivals: dict[str, admission.ArrivalRate] = attrs.field(factory=dict)
     evacuated: frozenset[str] = frozenset()
+    admitted_cpu: rates.CpuRates = attrs.field(factory=rates.CpuRates)
     lost_runners: dict[tuple[str, str], float] = attrs.field(factory=dict)
     largest_targets: capacities.LargestTargets = attrs.field(
         factory=capacities.LargestTargets
     )
     forecaster: forecasts.Forecaster = attrs.field(init=False)
     reviews: batches.Reviews = attrs.field(factory=batches.Reviews)
+    lateness: scheduling_lateness.Lateness = attrs.field(
+        factory=scheduling_lateness.Lateness
+    )
     dispatcher: dispatching.Dispatcher = attrs.field(init=False)
     handled_s: float = 0.0
     pending_actions: list = attrs.field(factory=list)
@@ -102,7 +110,10 @@
 
     def __attrs_post_init__(self):
         self.forecaster = forecasts.Forecaster(
-            self.waiting_jobs, self.runner_views, self.arrivals
+            self.waiting_jobs,
+            self.runner_views,
+            self.arrivals,
+            self.admitted_cpu,
         )
         self.dispatcher = dispatching.Dispatcher(
             self.domain,
@@ -156,13 +167,15 @@
                 return evacuating.REJECTED
             return actions.Rejected("no_target", 1.0)
         forecast = self.forecaster.predict(job, self.admitted.values(), now_s)
-        if forecast.wait_s > slack_s:
-            return _overload(forecast, slack_s)
+        wait_s = forecast.wait_s + self.lateness.delay_s
+        if wait_s > slack_s:
+            return _overload(forecast, slack_s, self.lateness.delay_s)
         job.predicted_wait_s = forecast.wait_s
         arrivals = self.arrivals.setdefault(
             spec.queue.name, admission.ArrivalRate(slack_s=slack_s)
         )
         arrivals.record(job.waiting_millicores(), slack_s, now_s)
+        self.admitted_cpu.record(job.urgency, job.waiting_millicores())
         self.admitted[job.key] = job
         bisect.insort(self.waiting_jobs, job, key=lambda x: x.rank)
         self.dispatcher.place(now_s)
@@ -496,6 +509,7 @@
 
         Must be called every few tens of milliseconds.
         """
+        self.admitted_cpu.decay(now_s)
         self._expire_lost_runners(now_s)
         self._end_abandoned(now_s)
         self._reject_evacuated()
@@ -561,12 +575,21 @@
         self.pending_actions.append(actions.SendMessage(runner, message))
 
 
-def _overload(forecast: forecasts.Forecast, slack_s: float) -> actions.Rejected:
-    """Returns the rejection of a job that would start too late."""
+def _overload(
+    forecast: forecasts.Forecast, slack_s: float, delay_s: float = 0.0
+) -> actions.Rejected:
+    """Returns the rejection of a job that would start too late.
+
+    Args:
+        forecast: The predicted wait for capacity.
+        slack_s: Seconds until the job must start.
+        delay_s: Delay with which this process handles what arrives.
+    """
+    wait_s = forecast.wait_s + delay_s
     return actions.Rejected(
-        "overload",
-        max(MIN_RETRY_AFTER_S, forecast.wait_s - slack_s),
-        forecast.wait_s,
+        "overload" if forecast.wait_s > slack_s else "late",
+        max(MIN_RETRY_AFTER_S, wait_s - slack_s),
+        wait_s,
         slack_s,
         forecast.ahead_millicores,
         forecast.rate,
--- a/trefoilgw/work/hosting.py
+++ b/trefoilgw/work/hosting.py
@@ -30,6 +30,8 @@
         memory_limit_bytes: Memory at which the process is ended.
         descriptor_limit: Open descriptors of the process at most.
         unsupported: Features in the settings that are not implemented.
+        processors: Cores of usual speed that the process may use, 0 if the
+            settings have no sensible figure.
         follows_evacuations: Whether the operators may evacuate failure domains.
         domains: All failure domains, empty if the settings don't list them.
     """
@@ -50,6 +52,7 @@
     memory_limit_bytes: int = DEFAULT_MEMORY_LIMIT_BYTES
     descriptor_limit: int = DEFAULT_DESCRIPTOR_LIMIT
     unsupported: tuple[str, ...] = ()
+    processors: float = 1.0
     follows_evacuations: bool = False
     domains: frozenset[str] = frozenset()
 
