Space the probes of bad targets and notice those that turn slow

Cause: one success gave a failing target its full share back, so a flapping one lost it at each turn; probes followed at once, as a target that fails at once is always free; failures mixed with successes, refusals as unhealthy and repeated crashes were no reason for doubt; the speed of a run was measured since its start, so that a half done run hid that its target had turned slow; a short probe could not end the doubt of slowness.

Change: outcomes of the last second count beside failures in a row; the speed is that of the latest part of a run; the second crash within 10 s is a reason; probes are spaced by 0.25 s, doubled with each relapse up to 4 s, and only a probe ends a doubt, two in a row after a relapse.

--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -28,6 +28,7 @@
 from trefoilgw.room import reporting
 from trefoilgw.room import runs as room_runs
 from trefoilgw.work import core as work
+from trefoilgw.work import orders
 
 
 @attrs.define(eq=False)
@@ -67,7 +68,7 @@
     runs: dict[tuple[str, int], room_runs.Run] = attrs.field(factory=dict)
     owners: dict[str, room_owners.Owner] = attrs.field(factory=dict)
     target_health: health.TargetHealth = attrs.field(
-        factory=health.TargetHealth
+        factory=lambda: health.TargetHealth()
     )
     headroom: room_headroom.Headroom = attrs.field(
         factory=room_headroom.Headroom
@@ -155,7 +156,7 @@
         self.leaving = False
         self.reachable = True
         self.runs_reconciled = False
-        self.target_health = health.TargetHealth()
+        self.target_health = self.target_health.next_life()
 
     def target_leaves(self) -> None:
         """Notes that the target ends; its runs may go on until it has."""
@@ -178,6 +179,7 @@
         Returns:
             True if its successor is registered in its place.
         """
+        self._record_loss()
         self._end_all_as_lost(reason, evidence, kept)
         self.target, successor = None, self.successor
         if successor is None:
@@ -191,8 +193,16 @@
         Its runs may go on: a connection is also refused or reset on the way to
         a target that works.
         """
+        self._record_loss()
         self.reachable = False
 
+    def _record_loss(self) -> None:
+        """Records that a target is lost that has not said that it leaves."""
+        if self.target is None or not self.reachable or self.leaving:
+            return
+        if not self.target.draining:
+            self.target_health.record_loss()
+
     def leases_expired(self, reason: str) -> None:
         """Reports all runs as lost.
 
@@ -250,6 +260,7 @@
                 run, as the target lists it.
             now_s: Current time.
         """
+        self.target_health.advance(now_s)
         stalled, progressing = room_runs.update_progress(
             self.runs, progress, now_s
         )
@@ -276,6 +287,8 @@
         """
         known = self.runs.get((task, run))
         if known is not None:
+            if reason == orders.RefusalReason.UNHEALTHY:
+                self.target_health.record_failure(known.key, known.job)
             self._end(known, work.Ending.NOT_RUN, reason, 0.0, evidence)
 
     def run_ended(
@@ -288,13 +301,19 @@
         known = self.runs.get((task, run))
         if known is None:
             return
+        run_s = now_s - known.requested_s
+        self.target_health.advance(now_s)
         if ending is work.Ending.DONE:
-            self.target_health.record_success()
+            self._record_done(known, run_s)
         elif ending is work.Ending.FAILED:
-            self.target_health.record_failure(known.job)
-        run_s = now_s - known.requested_s
+            self.target_health.record_failure(known.key, known.job)
         self._end(known, ending, known.reason, run_s, work.Evidence.ENDED)
 
+    def _record_done(self, run: room_runs.Run, run_s: float) -> None:
+        """Updates the health of the target with a run done."""
+        expected_s = run.order.expected_s
+        self.target_health.record_success(run.key, run.job, run_s, expected_s)
+
     def _end(
         self,
         run: room_runs.Run,
@@ -476,6 +495,7 @@
             owner.name, order, demand, room_runs.RunState.STARTING, now_s
         )
         self.runs[run.key] = run
+        self.target_health.record_start(run.key)
         owner.started.record(order.urgency, demand.cpu_millicores)
         self.pending_actions.append(
             actions.Start(order.task, order.run, payload)
@@ -506,7 +526,8 @@
             self._stop(duplicate)
         if duplicates:
             return "duplicate"
-        if self.target_health.suspect and self.runs:
+        self.target_health.advance(now_s)
+        if self.target_health.suspect and not self._probe_allowed():
             return "suspect"
         free = self.free()
         if not order.room.demand.fits_in(free):
@@ -519,6 +540,10 @@
                 return "headroom"
         return ""
 
+    def _probe_allowed(self) -> bool:
+        """Returns whether a suspect target may get a run now."""
+        return not self.runs and self.target_health.probe_allowed()
+
     def stop_runs(self, name: str, message: messages.StopRuns) -> None:
         """Stops attempts at the request of the scheduler that owns them."""
         for ref in message.runs:
@@ -544,6 +569,7 @@
         self.reported_ends.expire(now_s)
         self.headroom.update(self._cpu_use(), now_s)
         self.freed_cpu_rate.decay(now_s)
+        self.target_health.advance(now_s)
         for owner in list(self.owners.values()):
             owner.started.decay(now_s)
             if owner.reservations:
@@ -575,7 +601,8 @@
         """Reserves free capacity for the most urgent bids and sends the offers.
 
         A suspect target takes one task at a time: an offer for the next task
-        is made only while it has no runs and the bidder has no open offer.
+        is made only while it has no runs, the bidder has no open offer and a
+        probe is due.
         """
         if not self.usable or not any(x.bids for x in self.owners.values()):
             return
@@ -586,7 +613,7 @@
                 self._cpu_use(), urgency
             ),
             self.target_health.suspect,
-            bool(self.runs),
+            not self._probe_allowed(),
         ):
             self._offer(grant, now_s)
 
--- a/trefoilgw/room/runs.py
+++ b/trefoilgw/room/runs.py
@@ -31,6 +31,8 @@
         requested_s: Time of the request.
         progress: Share of its work that is done, 0 to 1.
         last_progress_s: Time of the last increase of `progress`.
+        marks: Times and progress of two earlier listings, for its latest speed;
+            empty in the first part of the run.
         reason: Why it is being stopped, for the scheduler and for logs; empty
             if the scheduler asked for that or if it is not being stopped.
     """
@@ -43,6 +45,7 @@
     progress: float = 0.0
     last_progress_s: float = 0.0
     reason: str = ""
+    marks: tuple[tuple[float, float], ...] = ()
 
     @property
     def key(self) -> tuple[str, int]:
@@ -56,13 +59,30 @@
 
     def measured(self, now_s: float) -> health.RunProgress:
         """Returns its progress in the time since it was requested."""
+        window_s = window_progress = 0.0
+        if len(self.marks) == 2:
+            at_s, progress = self.marks[0]
+            window_s = now_s - at_s
+            window_progress = self.progress - progress
         return health.RunProgress(
             self.job,
             max(now_s - self.requested_s, 1e-6),
             self.order.expected_s,
             self.progress,
+            window_s,
+            window_progress,
         )
 
+    def update_marks(self, now_s: float) -> None:
+        """Notes the present progress once the last mark is old enough.
+
+        The older of the two marks thus lies one to two windows back.
+        """
+        last_s = self.marks[-1][0] if self.marks else self.requested_s
+        window_s = health.speed_window_s(self.order.expected_s)
+        if now_s - last_s >= window_s:
+            self.marks = (*self.marks[-1:], (now_s, self.progress))
+
 
 def update_progress(
     runs: Mapping[tuple[str, int], Run],
@@ -86,6 +106,7 @@
         run = runs.get(key)
         if run is None or run.state is not RunState.RUNNING:
             continue
+        run.update_marks(now_s)
         if share > run.progress:
             run.progress = share
             run.last_progress_s = now_s
