Measure a target's speed at its runner and report it

Cause: a scheduler sees few runs of each runner, so its own average of the slowness is noisy and late.

Change: the runner keeps the mean logarithm of actual over expected run times with its error, shrunk while there are few runs and forgotten with age, replaced within about a second when it changes. `CapacityReport.slowness` carries it as one byte in steps of 9%; a change of it alone sends no report. The doubt of slowness compares with the target's usual speed.

--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -126,6 +126,8 @@
         others_started: CPU that was started for the other schedulers in about
             the last second, by urgency class in steps of `rates.to_step`;
             empty if the runner does not measure it.
+        slowness: Actual over expected run times at the target, as a code of
+            `work.slowness`; 0 if unknown.
     """
 
     starts_received: int
@@ -138,6 +140,7 @@
     competing_cpu: tuple[int, ...] = ()
     schedulers: int = 0
     others_started: tuple[int, ...] = ()
+    slowness: int = 0
 
 
 @attrs.frozen
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -27,6 +27,7 @@
 from trefoilgw.room import recent_ends
 from trefoilgw.room import reporting
 from trefoilgw.room import runs as room_runs
+from trefoilgw.room import speed
 from trefoilgw.work import core as work
 from trefoilgw.work import orders
 
@@ -49,6 +50,7 @@
         runs: Attempts that use capacity, by task and number.
         owners: Schedulers by incarnation.
         target_health: Health of the target, derived from its runs.
+        target_speed: Speed of the target, learned from the runs done there.
         headroom: CPU that is kept free for urgent work.
         freed_cpu_rate: Rate at which ended runs free CPU.
         reported_ends: Ends that were reported lately, by scheduler.
@@ -70,6 +72,7 @@
     target_health: health.TargetHealth = attrs.field(
         factory=lambda: health.TargetHealth()
     )
+    target_speed: speed.SpeedEstimate = attrs.field(factory=speed.SpeedEstimate)
     headroom: room_headroom.Headroom = attrs.field(
         factory=room_headroom.Headroom
     )
@@ -157,6 +160,7 @@
         self.reachable = True
         self.runs_reconciled = False
         self.target_health = self.target_health.next_life()
+        self.target_speed.forget()
 
     def target_leaves(self) -> None:
         """Notes that the target ends; its runs may go on until it has."""
@@ -310,9 +314,15 @@
         self._end(known, ending, known.reason, run_s, work.Evidence.ENDED)
 
     def _record_done(self, run: room_runs.Run, run_s: float) -> None:
-        """Updates the health of the target with a run done."""
+        """Updates the health and the speed of the target with a run done."""
         expected_s = run.order.expected_s
+        suspect = self.target_health.suspect
         self.target_health.record_success(run.key, run.job, run_s, expected_s)
+        if suspect:
+            # What was learned while the target went bad says nothing about it.
+            self.target_speed.forget()
+        else:
+            self.target_speed.record(run.job, run_s, expected_s)
 
     def _end(
         self,
@@ -570,6 +580,8 @@
         self.headroom.update(self._cpu_use(), now_s)
         self.freed_cpu_rate.decay(now_s)
         self.target_health.advance(now_s)
+        if self.target_speed.tick(now_s):
+            self.target_health.set_usual_speed(self.target_speed.speed)
         for owner in list(self.owners.values()):
             owner.started.decay(now_s)
             if owner.reservations:
@@ -670,8 +682,9 @@
                 reporting.competing_cpu(self.owners.values(), owner),
                 len(connected),
                 reporting.others_started(self.owners.values(), owner),
+                self.target_speed.code,
             )
-            if report != owner.last_report:
+            if not reporting.is_known(report, owner.last_report):
                 owner.last_report = report
                 owner.reported_s = now_s
                 self._send(owner.name, report)
--- a/trefoilgw/room/reporting.py
+++ b/trefoilgw/room/reporting.py
@@ -8,6 +8,9 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 
+import attrs
+
+from trefoilgw.messages import runs as messages
 from trefoilgw.room import owners
 from trefoilgw.work import core as work
 from trefoilgw.work import rates
@@ -54,6 +57,19 @@
     ]
 
 
+def is_known(
+    report: messages.CapacityReport, last: messages.CapacityReport | None
+) -> bool:
+    """Returns whether the last report tells the scheduler the same.
+
+    A change of the target's slowness alone is no reason for a report. While
+    the target has runs, there is soon another one.
+    """
+    if last is None or report.slowness == last.slowness:
+        return report == last
+    return attrs.evolve(report, slowness=last.slowness) == last
+
+
 def competing_cpu(
     known: Iterable[owners.Owner], reader: owners.Owner
 ) -> tuple[int, ...]:
--- a/trefoilgw/runner/metrics.py
+++ b/trefoilgw/runner/metrics.py
@@ -70,6 +70,21 @@
             "Share of the target's CPU that may be used, below 1 in a warm-up",
             metrics.unlabeled(lambda: allocator.usable_share),
         )
+        registry.observable_gauge(
+            "target_slowness",
+            "Actual over expected run times at the target",
+            metrics.unlabeled(lambda: 1.0 / allocator.target_speed.speed),
+        )
+        registry.observable_gauge(
+            "target_slowness_error",
+            "Standard error of the logarithm of the slowness, 1 if unknown",
+            metrics.unlabeled(lambda: min(1.0, allocator.target_speed.error)),
+        )
+        registry.observable_gauge(
+            "target_relapses",
+            "Times that the target was in doubt again soon after probes",
+            metrics.unlabeled(lambda: allocator.target_health.probes.relapses),
+        )
         registry.observable_gauge(
             "target_usable",
             "Whether the target takes work, by why it is in doubt",
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -54,6 +54,7 @@
         timers: Timer service.
         counts: Metrics for operators.
         suspect_reason: Why the target was suspect at the last tick.
+        odd_times_logged: Whether a line on odd run times was written.
     """
 
     settings: hosting.HostSettings
@@ -72,6 +73,7 @@
         factory=runner_metrics.RunnerMetrics
     )
     suspect_reason: health.SuspectReason = health.SuspectReason.NONE
+    odd_times_logged: bool = False
 
     def __attrs_post_init__(self):
         settings = self.settings
@@ -174,6 +176,7 @@
         """Runs the periodic tasks."""
         self.allocator.tick(clock.boottime())
         self._log_health_change()
+        self._log_odd_times()
         self.flush()
 
     def _log_health_change(self) -> None:
@@ -188,11 +191,19 @@
                 "was": self.suspect_reason.value,
                 "failed_jobs": sorted(target_health.failed_jobs),
                 "pace": round(target_health.relative_speed, 3),
+                "relapses": target_health.probes.relapses,
                 "runs": len(self.allocator.runs),
             },
         )
         self.suspect_reason = target_health.suspect_reason
 
+    def _log_odd_times(self) -> None:
+        """Logs once that run times are ignored, as no scheduler sends such."""
+        odd = self.allocator.target_speed.invalid_runs
+        if odd and not self.odd_times_logged:
+            self.odd_times_logged = True
+            log.warning("odd run times ignored", extra={"runs": odd})
+
     def _run_started(self, task: str, run: int, took_s: float) -> None:
         """Logs and counts a start that the target has confirmed."""
         self.counts.start_seconds.observe(took_s)
