Place tasks by their expected end on targets of uneven speed

Cause: slow targets were avoided alike for tasks of 0.1 s and of 1.8 s, by each scheduler's own average. Long tasks ended late on slow targets while short ones used the fast ones.

Change: schedulers take the reported speeds relative to the mean of a service's healthy runners, so that expected times can't drift with them. Where targets differ by more than noise, a runner counts by the time left at the expected end there; a task that would be late at all free targets waits until its planned start if a faster one exists. Even targets keep weights and random draws.

--- a/trefoilgw/scheduler/metrics.py
+++ b/trefoilgw/scheduler/metrics.py
@@ -106,6 +106,26 @@
             lambda: _runner_states(scheduler),
             "state",
         )
+        registry.observable_gauge(
+            "target_speed_ratio",
+            "Ratio of the fastest to the slowest target",
+            lambda: [
+                metrics.Sample(ratio, (service,))
+                for service, ratio in scheduler.fleet_speeds.spread.items()
+            ],
+            "service",
+        )
+        registry.observable_gauge(
+            "targets_uneven",
+            "Whether runs are placed by the speeds of the targets",
+            lambda: [
+                metrics.Sample(
+                    service in scheduler.fleet_speeds.uneven, (service,)
+                )
+                for service in scheduler.fleet_speeds.spread
+            ],
+            "service",
+        )
 
 
 def _waiting_millicores(
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -23,6 +23,7 @@
 from trefoilgw.scheduling import planning
 from trefoilgw.scheduling import runners
 from trefoilgw.scheduling import runtimes
+from trefoilgw.scheduling import speeds
 from trefoilgw.work import core as work
 from trefoilgw.work import rates
 
@@ -73,6 +74,7 @@
             incarnation.
         largest_targets: Capacities of the targets that were reported lately.
         forecaster: Predicts how long a job would wait.
+        fleet_speeds: Relative speeds of the targets.
         dispatcher: Sends the waiting tasks to the runners.
         handled_s: Time of the last tick but one, before which everything that
             had happened has been handled.
@@ -92,6 +94,7 @@
     largest_targets: capacities.LargestTargets = attrs.field(
         factory=capacities.LargestTargets
     )
+    fleet_speeds: speeds.FleetSpeeds = attrs.field(factory=speeds.FleetSpeeds)
     forecaster: forecasts.Forecaster = attrs.field(init=False)
     dispatcher: dispatching.Dispatcher = attrs.field(init=False)
     handled_s: float = 0.0
@@ -114,6 +117,7 @@
             self.rng,
             self._send_message,
             self._alive_until_s,
+            fleet_speeds=self.fleet_speeds,
         )
 
     def take_actions(self) -> list:
@@ -253,6 +257,7 @@
         view = self.runner_views.get(name)
         if view is not None:
             view.connected = False
+            self.fleet_speeds.changed = True
             self.lost_runners[name, view.incarnation] = view.renewed_s
 
     def reconcile_runs(
@@ -319,6 +324,7 @@
     ) -> None:
         """Stores a runner's capacity report and places waiting tasks."""
         view = self.runner_views[name]
+        self.fleet_speeds.note_report(view, report)
         view.update_report(report)
         view.expire_refusals(now_s)
         view.last_report_s = now_s
@@ -508,6 +514,8 @@
         Must be called every few tens of milliseconds.
         """
         self.admitted_cpu.decay(now_s)
+        if self.fleet_speeds.changed:
+            self.fleet_speeds.update(self.runner_views.values())
         self._expire_lost_runners(now_s)
         self._end_abandoned(now_s)
         self._reject_evacuated()
--- a/trefoilgw/scheduling/dispatching.py
+++ b/trefoilgw/scheduling/dispatching.py
@@ -17,6 +17,7 @@
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import placing
 from trefoilgw.scheduling import runners
+from trefoilgw.scheduling import speeds
 
 # Number of waiting jobs that don't fit after which placement stops. Until then
 # less urgent jobs may use the remaining capacity.
@@ -40,6 +41,7 @@
         bids_updated_s: Time of the last update of the bids.
         rotation: Changes from job to job, so that the bids of little work
             are spread over the runners.
+        fleet_speeds: Relative speeds of the targets.
     """
 
     domain: str
@@ -51,6 +53,7 @@
     bid_urgency: int | None = None
     bids_updated_s: float = 0.0
     rotation: int = 0
+    fleet_speeds: speeds.FleetSpeeds = attrs.field(factory=speeds.FleetSpeeds)
 
     def place(
         self,
@@ -77,7 +80,7 @@
             if skipped >= MAX_SKIPPED_JOBS:
                 break
             service = job.spec.queue.service
-            slack_s = job.latest_start_s - now_s
+            fastest = self.fleet_speeds.fastest_at(service)
             accepting = [
                 x for x in with_capacity if x.accepts(job.urgency, now_s)
             ]
@@ -85,7 +88,7 @@
                 view = placing.choose_runner(
                     accepting,
                     task,
-                    slack_s,
+                    placing.urgency_of(job, task, fastest, now_s),
                     service,
                     self.domain,
                     now_s,
@@ -179,6 +182,10 @@
                     remaining
                 ):
                     continue
+                fastest = self.fleet_speeds.fastest_at(job.spec.queue.service)
+                time_left = placing.urgency_of(job, task, fastest, now_s)
+                if not placing.may_fill(view, task, time_left):
+                    continue
                 remaining = remaining.minus(demand)
                 self._mark_sent(job, task, view, now_s)
                 batch.setdefault(job, []).append(task)
--- a/trefoilgw/scheduling/placing.py
+++ b/trefoilgw/scheduling/placing.py
@@ -5,10 +5,18 @@
 best runner, all would choose the same one, and most of the tasks would be
 refused. They therefore choose at random, and prefer capacity that is likely to
 be free still.
+
+Where targets differ in speed, a long run with little slack ends in time only at
+some of them, and a short run everywhere. Each runner counts by the time that
+would be left at the expected end of the run there, so that long runs go where
+they end soon and short ones use what remains.
 """
 
 import random
 from collections.abc import Iterable
+from collections.abc import Sequence
+
+import attrs
 
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import runners
@@ -22,10 +30,64 @@
 MIN_PROBE_SLACK_S = 0.5
 
 
+@attrs.define
+class Urgency:
+    """What the choice of a runner needs to know of the time left for a task.
+
+    Attributes:
+        slack_s: Seconds until the task should start at a target of mean speed.
+        spare_s: Seconds from its expected end at such a target, if it starts
+            now, until the end of its job is due.
+        fastest: Least slowness of the healthy targets of its service.
+    """
+
+    slack_s: float
+    spare_s: float
+    fastest: float = 1.0
+
+    def spare_at(self, view: runners.RunnerView, task: jobs.Task) -> float:
+        """Returns the seconds that would be left at a runner, maybe below 0."""
+        return self.spare_s - task.expected_s * (view.slowness - 1.0)
+
+    def should_wait(self, best_spare_s: float, task: jobs.Task) -> bool:
+        """Returns whether a task should wait for a faster target.
+
+        It does so only until its latest planned start, and only if it ends
+        late at all targets that are free and in time at another one. After
+        that any target is better than none.
+
+        Args:
+            best_spare_s: Seconds that would be left at the best free target.
+            task: The task.
+        """
+        if best_spare_s > 0.0 or self.slack_s <= 0.0:
+            return False
+        return self.spare_s - task.expected_s * (self.fastest - 1.0) > 0.0
+
+
+def urgency_of(
+    job: jobs.Job, task: jobs.Task, fastest: float, now_s: float
+) -> Urgency:
+    """Returns the time left for a task.
+
+    Args:
+        job: Its job. A task that is shorter than the longest one has more time.
+        task: The task.
+        fastest: Least slowness of the healthy targets of its service.
+        now_s: Current time.
+    """
+    shorter_s = job.expected_s - task.expected_s
+    return Urgency(
+        job.latest_start_s - now_s,
+        job.reject_after_s - now_s + shorter_s,
+        fastest,
+    )
+
+
 def choose_runner(
     views: Iterable[runners.RunnerView],
     task: jobs.Task,
-    slack_s: float,
+    urgency: Urgency,
     service: str,
     domain: str,
     now_s: float,
@@ -39,7 +101,7 @@
     Args:
         views: Candidate runners.
         task: The task.
-        slack_s: Seconds until the task should start.
+        urgency: Time left for the task.
         service: Service that must run it.
         domain: Failure domain of the scheduler.
         now_s: Current time.
@@ -58,12 +120,63 @@
         for x in fitting
         if x.suspect and now_s - x.probed_s >= PROBE_INTERVAL_S
     ]
-    if probes and not task.excluded_runners and slack_s >= MIN_PROBE_SLACK_S:
+    if (
+        probes
+        and not task.excluded_runners
+        and (urgency.slack_s >= MIN_PROBE_SLACK_S)
+    ):
         return probes[0]
     if not healthy:
         return None
-    weights = [_weight(x, task.millicores, domain) for x in healthy]
-    return rng.choices(healthy, weights)[0]
+    weights = _weights(healthy, task, urgency, domain)
+    return rng.choices(healthy, weights)[0] if weights else None
+
+
+def may_fill(
+    view: runners.RunnerView, task: jobs.Task, urgency: Urgency
+) -> bool:
+    """Returns whether a task may use capacity that a runner offers."""
+    if view.fleet_slowness is None:
+        return True
+    return not urgency.should_wait(urgency.spare_at(view, task), task)
+
+
+def _weights(
+    views: Sequence[runners.RunnerView],
+    task: jobs.Task,
+    urgency: Urgency,
+    domain: str,
+) -> list[float]:
+    """Returns the relative probabilities of runners for a task.
+
+    Args:
+        views: The runners.
+        task: The task.
+        urgency: Time left for the task.
+        domain: Failure domain of the scheduler.
+
+    Returns:
+        An empty list if the task should wait for a faster target.
+
+    Notes:
+        Where targets differ, a runner where the task ends late has no weight
+        while there is a better one. Otherwise the square of the time left
+        there takes the place of the slowness.
+    """
+    first = views[0].fleet_slowness
+    if first is not None:
+        spares_s = [urgency.spare_at(x, task) for x in views]
+        best_s = max(spares_s)
+        if urgency.should_wait(best_s, task):
+            return []
+        if best_s > 0.0 and any(x.fleet_slowness != first for x in views):
+            needed = max(1, task.millicores)
+            return [
+                (x.free().cpu_millicores / needed * max(0.0, spare_s)) ** 2
+                * (LOCAL_WEIGHT if x.domain == domain else 1.0)
+                for x, spare_s in zip(views, spares_s, strict=True)
+            ]
+    return [_weight(x, task.millicores, domain) for x in views]
 
 
 def _weight(view: runners.RunnerView, millicores: int, domain: str) -> float:
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -46,7 +46,11 @@
         last_report_s: Time of its latest report, or at which its stream opened
             if that is later.
         log_slowness: Moving average of the logarithm of actual over expected
-            run times.
+            run times of this scheduler's runs.
+        fleet_slowness: Run times relative to those at the mean target of its
+            service, as the runners report them; None while these are even.
+        odd_slowness: Whether it has reported an invalid slowness on the open
+            stream.
         refused_until_s: End of the time in which it reserves its headroom for
             more urgent work, by the urgency class that it refused.
         bid: Last bid sent to it.
@@ -71,6 +75,8 @@
     ping_received_s: float = 0.0
     last_report_s: float = 0.0
     log_slowness: float = 0.0
+    fleet_slowness: float | None = None
+    odd_slowness: bool = False
     refused_until_s: dict[int, float] = attrs.field(factory=dict)
     bid: messages.Bid = NO_BID
     bid_sent_s: float = 0.0
@@ -94,7 +100,12 @@
 
     @property
     def slowness(self) -> float:
-        """Actual over expected run times on the runner; 1 is normal."""
+        """Actual over expected run times on the runner; 1 is normal.
+
+        The runner sees more runs than this scheduler, so its word counts.
+        """
+        if self.fleet_slowness is not None:
+            return self.fleet_slowness
         return math.exp(self.log_slowness)
 
     def serves(self, service: str) -> bool:
@@ -205,6 +216,8 @@
         self.incarnation = incarnation
         self.connected = True
         self.report = None
+        self.fleet_slowness = None
+        self.odd_slowness = False
         self.starts_sent = 0
         self.unreported_demands.clear()
         self.bid = NO_BID
