--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -29,7 +29,9 @@
 from trefoilgw.room import recent_ends
 from trefoilgw.room import reporting
 from trefoilgw.room import runs as room_runs
+from trefoilgw.room import speed
 from trefoilgw.work import core as work
+from trefoilgw.work import orders
 
 
 @attrs.define(eq=False)
@@ -50,6 +52,7 @@
         runs: Attempts that use capacity, by task and number.
         owners: Schedulers by incarnation.
         target_health: Health of the target, derived from its runs.
+        target_speed: Speed of the target, learned from the runs done there.
         headroom: CPU that is kept free for urgent work.
         freed_cpu_rate: Rate at which ended runs free CPU.
         reported_ends: Ends that were reported lately, by scheduler.
@@ -70,8 +73,9 @@
     runs: dict[tuple[str, int], room_runs.Run] = attrs.field(factory=dict)
     owners: dict[str, room_owners.Owner] = attrs.field(factory=dict)
     target_health: health.TargetHealth = attrs.field(
-        factory=health.TargetHealth
+        factory=lambda: health.TargetHealth()
     )
+    target_speed: speed.SpeedEstimate = attrs.field(factory=speed.SpeedEstimate)
     headroom: room_headroom.Headroom = attrs.field(
         factory=room_headroom.Headroom
     )
@@ -161,7 +165,8 @@
         self.leaving = False
         self.reachable = True
         self.runs_reconciled = False
-        self.target_health = health.TargetHealth()
+        self.target_health = self.target_health.next_life()
+        self.target_speed.forget()
         self.backfilling.observed = backfill.ObservedRunTimes()
 
     def target_leaves(self) -> None:
@@ -185,6 +190,7 @@
         Returns:
             True if its successor is registered in its place.
         """
+        self._record_loss()
         self._end_all_as_lost(reason, evidence, kept)
         self.target, successor = None, self.successor
         if successor is None:
@@ -198,8 +204,16 @@
         Its runs may go on: a connection is also refused or reset on the way to
         a target that works.
         """
+        self._record_loss()
         self.reachable = False
 
+    def _record_loss(self) -> None:
+        """Records that a target is lost that has not said that it leaves."""
+        if self.target is None or not self.reachable or self.leaving:
+            return
+        if not self.target.draining:
+            self.target_health.record_loss()
+
     def leases_expired(self, reason: str) -> None:
         """Reports all runs as lost.
 
@@ -257,6 +271,7 @@
                 run, as the target lists it.
             now_s: Current time.
         """
+        self.target_health.advance(now_s)
         stalled, progressing = room_runs.update_progress(
             self.runs, progress, now_s
         )
@@ -283,6 +298,8 @@
         """
         known = self.runs.get((task, run))
         if known is not None:
+            if reason == orders.RefusalReason.UNHEALTHY:
+                self.target_health.record_failure(known.key, known.job)
             self._end(known, work.Ending.NOT_RUN, reason, 0.0, evidence)
 
     def run_ended(
@@ -295,16 +312,26 @@
         known = self.runs.get((task, run))
         if known is None:
             return
+        run_s = now_s - known.requested_s
+        self.target_health.advance(now_s)
         if ending is work.Ending.DONE:
-            self.target_health.record_success()
-            self.backfilling.observed.record(
-                now_s - known.requested_s, known.order.expected_s
-            )
+            self._record_done(known, run_s)
         elif ending is work.Ending.FAILED:
-            self.target_health.record_failure(known.job)
-        run_s = now_s - known.requested_s
+            self.target_health.record_failure(known.key, known.job)
         self._end(known, ending, known.reason, run_s, work.Evidence.ENDED)
 
+    def _record_done(self, run: room_runs.Run, run_s: float) -> None:
+        """Updates the health and the speed of the target with a run done."""
+        expected_s = run.order.expected_s
+        self.backfilling.observed.record(run_s, expected_s)
+        suspect = self.target_health.suspect
+        self.target_health.record_success(run.key, run.job, run_s, expected_s)
+        if suspect:
+            # What was learned while the target went bad says nothing about it.
+            self.target_speed.forget()
+        else:
+            self.target_speed.record(run.job, run_s, expected_s)
+
     def _end(
         self,
         run: room_runs.Run,
@@ -493,6 +520,7 @@
         )
         self.runs[run.key] = run
         self.backfilling.count_start(order, offer, now_s)
+        self.target_health.record_start(run.key)
         owner.started.record(order.urgency, demand.cpu_millicores)
         self.pending_actions.append(
             actions.Start(order.task, order.run, payload)
@@ -523,7 +551,8 @@
             self._stop(duplicate)
         if duplicates:
             return "duplicate"
-        if self.target_health.suspect and self.runs:
+        self.target_health.advance(now_s)
+        if self.target_health.suspect and not self._probe_allowed():
             return "suspect"
         return self._room_refusal(order, offer, now_s)
 
@@ -549,6 +578,10 @@
             return "reserved"
         return ""
 
+    def _probe_allowed(self) -> bool:
+        """Returns whether a suspect target may get a run now."""
+        return not self.runs and self.target_health.probe_allowed()
+
     def stop_runs(self, name: str, message: messages.StopRuns) -> None:
         """Stops attempts at the request of the scheduler that owns them."""
         for ref in message.runs:
@@ -574,6 +607,9 @@
         self.reported_ends.expire(now_s)
         self.headroom.update(self._cpu_use(), now_s)
         self.freed_cpu_rate.decay(now_s)
+        self.target_health.advance(now_s)
+        if self.target_speed.tick(now_s):
+            self.target_health.set_usual_speed(self.target_speed.speed)
         for owner in list(self.owners.values()):
             owner.started.decay(now_s)
             if owner.reservations:
@@ -605,7 +641,8 @@
         """Reserves free capacity for the most urgent bids and sends the offers.
 
         A suspect target takes one task at a time: an offer for the next task
-        is made only while it has no runs and the bidder has no open offer.
+        is made only while it has no runs, the bidder has no open offer and a
+        probe is due.
         """
         if not self.usable or not any(x.bids for x in self.owners.values()):
             self.backfilling.look(now_s)
@@ -619,7 +656,7 @@
                 )
             ),
             self.target_health.suspect,
-            bool(self.runs),
+            not self._probe_allowed(),
             lambda demand: self._reserve(demand, now_s),
             now_s,
         )
@@ -699,6 +736,7 @@
                 reporting.competing_cpu(self.owners.values(), owner),
                 len(connected),
                 reporting.others_started(self.owners.values(), owner),
+                self.target_speed.code,
             )
             if reporting.is_news(report, owner.last_report):
                 owner.last_report = report
--- a/trefoilgw/room/offers.py
+++ b/trefoilgw/room/offers.py
@@ -52,9 +52,9 @@
         reserve_millicores: Returns the CPU that work of an urgency class must
             leave free.
         suspect: Whether the target is suspect. It then takes one task at a
-            time: there is an offer for the next task only while it has no runs
-            and the bidder has no open offer.
-        busy: Whether the target has runs.
+            time: there is an offer for the next task only while a probe is
+            allowed and the bidder has no open offer.
+        busy: Whether a suspect target may get no probe now.
         reserve: Returns the reservation of a task that does not fit.
         now_s: Current time.
     """
--- a/trefoilgw/room/reporting.py
+++ b/trefoilgw/room/reporting.py
@@ -64,10 +64,14 @@
 
     What was started for the others alone is no reason for a report. It changes
     with each start and decays as long as the rate of freed CPU, which is one.
+    Neither is the target's slowness: while it has runs, there is soon another
+    report.
     """
     if last is None:
         return True
-    same = attrs.evolve(report, others_started=last.others_started)
+    same = attrs.evolve(
+        report, others_started=last.others_started, slowness=last.slowness
+    )
     return same != last
 
 
--- a/trefoilgw/scheduling/dispatching.py
+++ b/trefoilgw/scheduling/dispatching.py
@@ -18,6 +18,7 @@
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import placing
 from trefoilgw.scheduling import runners
+from trefoilgw.scheduling import speeds
 from trefoilgw.work import core as work
 
 # Number of waiting jobs that don't fit after which placement stops. Until then
@@ -42,6 +43,7 @@
         bids_updated_s: Time of the last update of the bids.
         rotation: Changes from job to job, so that the bids of little work
             are spread over the runners.
+        fleet_speeds: Relative speeds of the targets.
     """
 
     domain: str
@@ -53,6 +55,7 @@
     bid_urgency: int | None = None
     bids_updated_s: float = 0.0
     rotation: int = 0
+    fleet_speeds: speeds.FleetSpeeds = attrs.field(factory=speeds.FleetSpeeds)
 
     def place(
         self,
@@ -113,11 +116,12 @@
         """
         planned = []
         probed: dict[str, float] = {}
+        fastest = self.fleet_speeds.fastest_at(job.spec.queue.service)
         for task in job.waiting():
             view = placing.choose_runner(
                 views,
                 task,
-                job.latest_start_s - now_s,
+                placing.urgency_of(job, task, fastest, now_s),
                 job.spec.queue.service,
                 self.domain,
                 now_s,
@@ -212,7 +216,15 @@
             if job.urgency > offer.urgency:
                 continue
             waiting = job.waiting()
-            chosen, rest = _fill(waiting, offer, name, remaining)
+            fastest = self.fleet_speeds.fastest_at(job.spec.queue.service)
+            usable = [
+                x
+                for x in waiting
+                if placing.may_fill(
+                    view, x, placing.urgency_of(job, x, fastest, now_s)
+                )
+            ]
+            chosen, rest = _fill(usable, offer, name, remaining)
             if job.is_held and len(chosen) < len(waiting):
                 continue
             remaining = rest
