Count each refusal as unhealthy for the health of a target

Cause: a refused task comes back at once and is sent again, so a target that refused all starts refused 88 starts of 12 jobs before a third job made it suspect.

Change: each refused start counts like the failure of another job. Failures are no longer collected while the target is in doubt.

--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -292,7 +292,7 @@
         known = self.runs.get((task, run))
         if known is not None:
             if reason == orders.RefusalReason.UNHEALTHY:
-                self.target_health.record_failure(known.key, known.job)
+                self.target_health.record_refusal(known.key)
             self._end(known, work.Ending.NOT_RUN, reason, 0.0, evidence)
 
     def run_ended(
--- a/trefoilgw/room/health.py
+++ b/trefoilgw/room/health.py
@@ -258,21 +258,29 @@
                 self._judge_speed(speed)
 
     def record_failure(self, key: tuple[str, int], job: str) -> None:
-        """Records a run that failed or that the target refused as unhealthy.
+        """Records a failed run of a job.
 
         The target becomes suspect after `FAILED_JOBS_LIMIT` different jobs, in
         a row or as a large share of the recent outcomes.
         """
-        self.failed_jobs.add(job)
-        self.recent.append(Outcome(self.now_s, job, False))
         if self.suspect:
             if key == self.probe:
                 self.probe = None
                 self.probes.failed(self.now_s)
             return
+        self.failed_jobs.add(job)
+        self.recent.append(Outcome(self.now_s, job, False))
         if len(self.failed_jobs) >= FAILED_JOBS_LIMIT or self._fails_often():
             self._doubt(SuspectReason.FAILING)
 
+    def record_refusal(self, key: tuple[str, int]) -> None:
+        """Records a start that the target refused as unhealthy.
+
+        No job is the cause of that, so each refusal counts like a failure of
+        another job.
+        """
+        self.record_failure(key, f"{key[0]} {key[1]}")
+
     def _fails_often(self) -> bool:
         """Returns whether a large share of the recent outcomes are failures."""
         failed = [x.job for x in self.recent if not x.done]
--- a/trefoilgw/room/tests/test_health.py
+++ b/trefoilgw/room/tests/test_health.py
@@ -92,14 +92,28 @@
         self.assertFalse(self.health.suspect)
 
     def test_refusals_as_unhealthy_count_as_failures(self):
-        """A target that refuses all starts would be tried again and again."""
-        for _ in range(health.FAILED_JOBS_LIMIT):
-            task = self.start()
+        """A target that refuses all starts would be tried again and again.
+
+        Each task that it refuses comes back at once, so few jobs are enough
+        for many refusals.
+        """
+        for number in range(health.FAILED_JOBS_LIMIT):
+            fixtures.start_runs(
+                self.allocator, A, "j.0.0.0", run=number, now_s=self.now_s
+            )
             self.allocator.run_refused(
-                task, 1, "unhealthy", evidence=work.Evidence.NOT_RUN
+                "j.0.0.0", number, "unhealthy", evidence=work.Evidence.NOT_RUN
             )
         self.assertTrue(self.health.suspect)
 
+    def test_failures_in_doubt_are_not_collected(self):
+        """A target may stay bad for hours, with a probe every second."""
+        self.fail_until_suspect()
+        for _ in range(20):
+            self.seconds_to_next_probe(work.Ending.FAILED)
+        limit = health.FAILED_JOBS_LIMIT
+        self.assertEqual(limit, len(self.health.failed_jobs))
+
     def test_own_report_ends_no_suspicion(self):
         """A target may say that it is ready while it fails everything."""
         self.fail_until_suspect()
