--- a/tools/standins/platform_target.py
+++ b/tools/standins/platform_target.py
@@ -45,6 +45,7 @@
         late_s: Delay in seconds of the starts of `lose_starts`.
         draining: The target reports that it is about to leave.
         unavailable: Every call gets status 503, and nothing is done.
+        refuse_starts: Every start gets status 503, and nothing is done.
         mute_every: Every call with a number that is a multiple of this is
             carried out and gets no answer; 0 for none.
         left: The target reports nothing more.
@@ -57,6 +58,7 @@
     late_s: float = 0.0
     draining: bool = False
     unavailable: bool = False
+    refuse_starts: bool = False
     mute_every: int = 0
     left: bool = False
 
@@ -301,7 +303,9 @@
             eventlet.spawn_after(target.faults.late_s, target.start, body)
             eventlet.sleep(60.0)
             status, response = 500, {}
-        elif target.faults.unavailable:
+        elif target.faults.unavailable or (
+            target.faults.refuse_starts and path == "/run-start"
+        ):
             status, response = 503, {}
         else:
             calls = {
