--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -91,6 +91,7 @@
             second; the others' clocks are exact.
         limits: Limits of each host as they stand in the settings, none if
             empty.
+        report_interval_s: Time between the reports of a target.
     """
 
     launcher: processes.Launcher
@@ -110,6 +111,7 @@
     clock_rate: float = 1.0
     evacuations: bool = False
     limits: dict[str, float] = attrs.field(factory=dict)
+    report_interval_s: float = platform_target.REPORT_INTERVAL_S
     _cut_count: int = 0
     _lock: threading.Lock = attrs.field(factory=threading.Lock)
 
@@ -199,6 +201,8 @@
             str(self.target_cores),
             "--clock-rate",
             str(clock_rate),
+            "--report-interval",
+            str(self.report_interval_s),
             "--record",
             str(self.record_path(number)),
         )
--- a/tools/standins/platform_target.py
+++ b/tools/standins/platform_target.py
@@ -330,11 +330,13 @@
         return 200, {"runs": runs}
 
 
-def send_reports(target: Target, address: str, service: str) -> None:
+def send_reports(
+    target: Target, address: str, service: str, interval_s: float
+) -> None:
     """Sends reports to the runner until killed; spawn it as a greenthread."""
     sequence = 0
     while True:
-        eventlet.sleep(REPORT_INTERVAL_S if sequence else 0.0)
+        eventlet.sleep(interval_s if sequence else 0.0)
         if target.faults.left:
             continue
         sequence += 1
@@ -375,6 +377,12 @@
         default=1.0,
         help="seconds of its steady clock in a second",
     )
+    parser.add_argument(
+        "--report-interval",
+        type=float,
+        default=REPORT_INTERVAL_S,
+        help="seconds from one report to the next",
+    )
     options = parser.parse_args()
     instance = options.instance or f"i-{options.listen}"
     target = Target(instance, options.cores * 1000)
@@ -383,7 +391,13 @@
     target.record = options.record
     sock, address = listening.listen(options.listen)
     eventlet.spawn_n(target.advance_runs)
-    eventlet.spawn_n(send_reports, target, options.reports, options.service)
+    eventlet.spawn_n(
+        send_reports,
+        target,
+        options.reports,
+        options.service,
+        options.report_interval,
+    )
     print(json.dumps({"ready": True, "http": address}), flush=True)
     wsgi.server(sock, Application(target), log_output=False, debug=False)
 
