scheduling: count on less capacity while most runners are new

Cause: after a loss of all hosts every scheduler took the whole free capacity for its own, expected all targets within 0.4 s although they report every 1.5 s, and assumed that runs which had just started free capacity at a steady rate. What was admitted beyond the capacity was late or was rejected after a long wait. Change: scheduling.recovering predicts, while most of the connected runners are new, from the scheduler's share of the free capacity, the rate at which targets have reported so far, and the expected ends of its own runs. Each tick it also rejects admitted jobs that can't start in time any more.

--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -160,14 +160,7 @@
             return actions.Rejected("no_target", 1.0)
         forecast = self.forecaster.predict(job, self.admitted.values(), now_s)
         if forecast.wait_s > slack_s:
-            return actions.Rejected(
-                "overload",
-                max(MIN_RETRY_AFTER_S, forecast.wait_s - slack_s),
-                forecast.wait_s,
-                slack_s,
-                forecast.ahead_millicores,
-                forecast.rate,
-            )
+            return _rejected(forecast, slack_s)
         job.predicted_wait_s = forecast.wait_s
         arrivals = self.arrivals.setdefault(
             spec.queue.name, admission.ArrivalRate(slack_s=slack_s)
@@ -322,6 +315,7 @@
         view.update_report(report)
         view.expire_refusals(now_s)
         view.last_report_s = now_s
+        self.forecaster.joining.reported(view, now_s)
         self.largest_targets.record(
             report.service, name, report.capacity.demand, now_s
         )
@@ -512,6 +506,7 @@
         self._end_abandoned(now_s)
         self._reject_evacuated()
         self._reject_overdue(now_s)
+        self._reject_late(now_s)
         self.dispatcher.place(now_s)
         self.handled_s = self._ticked_s
         self._ticked_s = now_s
@@ -556,6 +551,25 @@
                     job, actions.Rejected("deadline", MIN_RETRY_AFTER_S)
                 )
 
+    def _reject_late(self, now_s: float) -> None:
+        """Rejects admitted jobs for which less capacity came than expected."""
+        admitted = self.admitted.values()
+        for job, forecast in self.forecaster.late_jobs(admitted, now_s):
+            slack_s = job.reject_after_s - now_s
+            self._answer(job, _rejected(forecast, slack_s))
+
     def _send_message(self, runner: str, message: object) -> None:
         """Queues a message to a runner as an action."""
         self.pending_actions.append(actions.SendMessage(runner, message))
+
+
+def _rejected(forecast: forecasts.Forecast, slack_s: float) -> actions.Rejected:
+    """Returns the rejection of a job that would wait too long."""
+    return actions.Rejected(
+        "overload",
+        max(MIN_RETRY_AFTER_S, forecast.wait_s - slack_s),
+        forecast.wait_s,
+        slack_s,
+        forecast.ahead_millicores,
+        forecast.rate,
+    )
--- a/trefoilgw/scheduling/forecasts.py
+++ b/trefoilgw/scheduling/forecasts.py
@@ -2,9 +2,9 @@
 
 Load pattern: after an outage of the whole site all callers submit at once. No
 run has ended yet, so the runners report no freed capacity, and most of them
-have no report of their targets yet. The prediction therefore also includes
-the capacity of runners that have just connected and the runs that are expected
-to end.
+have no report of their targets yet. While most of the runners are new, the
+prediction is that of `recovering`; later, it still includes the capacity of
+single runners that have just connected and the runs that are expected to end.
 """
 
 from collections.abc import Iterable
@@ -15,6 +15,7 @@
 
 from trefoilgw.scheduling import admission
 from trefoilgw.scheduling import jobs
+from trefoilgw.scheduling import recovering
 from trefoilgw.scheduling import runners
 from trefoilgw.work import rates
 
@@ -50,12 +51,16 @@
         arrivals: Arrival rates of admitted jobs by queue.
         admitted_cpu: Rates at which admitted jobs demand CPU, by urgency
             class.
+        joining: When runners have become usable after they connected.
     """
 
     waiting_jobs: Sequence[jobs.Job]
     runner_views: Mapping[str, runners.RunnerView]
     arrivals: Mapping[str, admission.ArrivalRate]
     admitted_cpu: rates.CpuRates = attrs.field(factory=rates.CpuRates)
+    joining: recovering.JoiningTimes = attrs.field(
+        factory=recovering.JoiningTimes
+    )
 
     def predict(
         self,
@@ -71,6 +76,8 @@
             now_s: Current time.
         """
         service = job.spec.queue.service
+        if self.is_recovering(now_s):
+            return self._predict_recovery(job, admitted, now_s)
         serving = [x for x in self.runner_views.values() if x.serves(service)]
         healthy = [x for x in serving if not x.suspect]
         ahead = self._waiting_ahead(job) + _other_demand_ahead(job, serving)
@@ -89,6 +96,62 @@
         wait_s = admission.predict_wait_s(needed, rate, urgent_rate)
         return Forecast(wait_s, ahead, rate)
 
+    def is_recovering(self, now_s: float) -> bool:
+        """Returns whether too little is known of most of the runners."""
+        return self.joining.is_recovering(self.runner_views.values(), now_s)
+
+    def _predict_recovery(
+        self, job: jobs.Job, admitted: Iterable[jobs.Job], now_s: float
+    ) -> Forecast:
+        """Predicts the wait of a new job while most of the runners are new."""
+        ahead = self._waiting_ahead(job)
+        supply = self._supply(
+            job.spec.queue.service, admitted, job.expected_s, now_s
+        )
+        wait_s = supply.wait_s(ahead + job.waiting_millicores())
+        return Forecast(wait_s, ahead, supply.within(1.0))
+
+    def _supply(
+        self,
+        service: str,
+        admitted: Iterable[jobs.Job],
+        default_run_s: float,
+        now_s: float,
+    ) -> recovering.Supply:
+        """Returns the capacity of a service that can be counted on."""
+        return recovering.make_supply(
+            service,
+            tuple(self.runner_views.values()),
+            self.joining,
+            admitted,
+            default_run_s,
+            now_s,
+        )
+
+    def late_jobs(
+        self, admitted: Iterable[jobs.Job], now_s: float
+    ) -> list[tuple[jobs.Job, Forecast]]:
+        """Returns admitted jobs that can't start in time, with their waits.
+
+        There are none unless most of the runners are new.
+        """
+        if not self.waiting_jobs or not self.is_recovering(now_s):
+            return []
+        found = []
+        for service in {x.spec.queue.service for x in self.waiting_jobs}:
+            waiting = [
+                x for x in self.waiting_jobs if x.spec.queue.service == service
+            ]
+            supply = self._supply(service, admitted, 0.0, now_s)
+            for job, needed in recovering.late_jobs(waiting, supply, now_s):
+                forecast = Forecast(
+                    supply.wait_s(needed),
+                    needed - job.waiting_millicores(),
+                    supply.within(1.0),
+                )
+                found.append((job, forecast))
+        return found
+
     def _urgent_rate(
         self,
         urgency: int,
