--- a/trefoilgw/scheduler/configuration.py
+++ b/trefoilgw/scheduler/configuration.py
@@ -21,6 +21,8 @@
 WATCH_WAIT_S = 1.5
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
+# Longest pause while no configuration is known, since nothing is served then.
+MAX_STARTING_RETRY_S = 0.2
 
 # Log lines are filtered by this name.
 log = logging.getLogger("trefoilgw.scheduler.configuring")
@@ -105,7 +107,9 @@
                 log.exception("configuration update failed")
                 revision = 0
             eventlet.sleep(pause_s * self.rng.uniform(0.7, 1.3))
-            pause_s = min(MAX_RETRY_S, pause_s * 2)
+            starting = self.current is None
+            limit_s = MAX_STARTING_RETRY_S if starting else MAX_RETRY_S
+            pause_s = min(limit_s, pause_s * 2)
 
     def _fetch(self, revision: int):
         """Reads the document, or waits for a change after a revision."""
