scheduler, runner: log what a start has waited for

Cause: after a loss of all hosts the logs did not show which step of the start took the time. Change: one line 'serving' with the seconds to the configuration, the first stream, the first report, the open port and the target's answer, the same as a gauge, and the gauge 'recovering'.

--- a/tools/recovery_series.py
+++ b/tools/recovery_series.py
@@ -37,6 +37,7 @@
     "configuration in force",
     "runner joined",
     "open to callers",
+    "serving",
     "scheduler joined",
     "target joined",
 )
--- a/trefoilgw/processes/startup.py
+++ b/trefoilgw/processes/startup.py
@@ -1,7 +1,13 @@
 """Prepares the interpreter before the modules of a program are imported."""
 
+import time
+
 from trefoilgw.processes import unused_modules
 
+# Start of the process on the clock of `timers.clock`, which can't be imported
+# before `prepare`.
+BEGAN_S = time.clock_gettime(time.CLOCK_BOOTTIME)
+
 
 def prepare() -> None:
     """Blocks unused modules and makes the standard library yield to eventlet.
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -17,6 +17,7 @@
 from trefoilgw.platform import reports
 from trefoilgw.platform import targets
 from trefoilgw.processes import core as processes
+from trefoilgw.processes import steps as start_steps
 from trefoilgw.room import actions
 from trefoilgw.room import core as room
 from trefoilgw.room import health
@@ -54,6 +55,8 @@
         timers: Timer service.
         counts: Metrics for operators.
         suspect_reason: Why the target was suspect at the last tick.
+        steps: What the process waited for at its start.
+        serving: Whether the target has been usable for a scheduler.
     """
 
     settings: hosting.HostSettings
@@ -72,6 +75,8 @@
         factory=runner_metrics.RunnerMetrics
     )
     suspect_reason: health.SuspectReason = health.SuspectReason.NONE
+    steps: start_steps.StartSteps = attrs.field(factory=start_steps.StartSteps)
+    serving: bool = False
 
     def __attrs_post_init__(self):
         settings = self.settings
@@ -107,6 +112,7 @@
             settings,
         )
         self.counts.register_gauges(self.allocator)
+        self.steps.register_gauge(self.registry)
         limiting.register_metrics(self.registry, self.reports_server)
 
     @property
@@ -174,8 +180,29 @@
         """Runs the periodic tasks."""
         self.allocator.tick(clock.boottime())
         self._log_health_change()
+        if not self.serving:
+            self._log_serving()
         self.flush()
 
+    def _log_serving(self) -> None:
+        """Logs what the process has waited for once it can run a task."""
+        links = self.links.links.values()
+        self.serving = self.steps.check(
+            stream=any(x.stream is not None for x in links),
+            report=self.allocator.target is not None,
+            usable=self.allocator.usable,
+        )
+        if self.serving:
+            seconds = self.steps.seconds
+            log.info(
+                "serving",
+                extra={
+                    "stream_s": seconds["stream"],
+                    "report_s": seconds["report"],
+                    "usable_s": seconds["usable"],
+                },
+            )
+
     def _log_health_change(self) -> None:
         """Logs a change of the reason why the target is suspect."""
         target_health = self.allocator.target_health
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -21,6 +21,7 @@
 from trefoilgw.platform import callers as platform_callers
 from trefoilgw.platform import store as platform_store
 from trefoilgw.processes import core as processes
+from trefoilgw.processes import steps as start_steps
 from trefoilgw.scheduler import clients as scheduler_clients
 from trefoilgw.scheduler import configuration as scheduler_configuration
 from trefoilgw.scheduler import decision_log
@@ -76,6 +77,7 @@
         shutting_down: Whether an orderly stop has begun, after SIGTERM or
             SIGINT.
         counts: Metrics of jobs and runs.
+        steps: What the process waited for at its start.
     """
 
     settings: hosting.HostSettings
@@ -99,6 +101,7 @@
     counts: scheduler_metrics.SchedulerMetrics = attrs.field(
         factory=scheduler_metrics.SchedulerMetrics
     )
+    steps: start_steps.StartSteps = attrs.field(factory=start_steps.StartSteps)
 
     def __attrs_post_init__(self):
         settings = self.settings
@@ -196,6 +199,7 @@
     def _add_gauges(self) -> None:
         """Registers gauges that are read from the state of the components."""
         self.counts.register_gauges(self.scheduler)
+        self.steps.register_gauge(self.registry)
         self.evacuations.register_gauges(self.registry)
         gauges = (
             (
@@ -215,6 +219,13 @@
                 "Schedulers connected",
                 lambda: len(self.peers.streams),
             ),
+            (
+                "recovering",
+                "Whether too little is known of most of the runners",
+                lambda: int(
+                    self.scheduler.forecaster.is_recovering(clock.boottime())
+                ),
+            ),
         )
         for name, description, read in gauges:
             self.registry.observable_gauge(
@@ -255,15 +266,32 @@
         picks another scheduler.
         """
         deadline_s = clock.boottime() + MAX_LISTEN_DELAY_S
-        while clock.boottime() < deadline_s and not self._can_serve():
+        while not self._can_serve() and clock.boottime() < deadline_s:
             eventlet.sleep(TICK_S)
         self.callers_server.listen(self.settings.callers_address)
+        self.steps.check(listening=True)
         log.info("open to callers", extra={"serving": self._can_serve()})
+        while not self._can_serve():
+            eventlet.sleep(TICK_S)
+        seconds = self.steps.seconds
+        log.info(
+            "serving",
+            extra={
+                "configuration_s": seconds["configuration"],
+                "stream_s": seconds["stream"],
+                "report_s": seconds["report"],
+                "listening_s": seconds["listening"],
+            },
+        )
 
     def _can_serve(self) -> bool:
         """Returns whether there is a usable runner and a configuration."""
-        usable = any(x.usable for x in self.scheduler.runner_views.values())
-        return usable and self._configuration() is not None
+        views = self.scheduler.runner_views.values()
+        return self.steps.check(
+            configuration=self._configuration() is not None,
+            stream=any(x.connected for x in views),
+            report=any(x.usable for x in views),
+        )
 
     def _configuration(self) -> work.Configuration | None:
         """Returns the configuration by which jobs may be served, if any.
