--- a/tools/recovery_series.py
+++ b/tools/recovery_series.py
@@ -1,16 +1,16 @@
 """Plays a loss of all processes under load and prints a series of the return.
 
-``python -m tools.recovery_series`` starts a deployment of real processes, kills
-schedulers, runners and targets at once while callers submit jobs, and starts
-them again. It prints by half seconds since then how the jobs that were
-submitted ended, and the steps of the restart. Callers submit each job once. A
-job is in time if it is answered within its queue's objective.
+``python -m tools.recovery_series`` starts a deployment of real processes and
+kills schedulers, runners and, with ``--loss power``, targets at once while
+callers submit jobs. It starts them again and prints by half seconds since then
+how the jobs that were submitted ended, and the steps of the start as the
+programs log them. Callers submit each job once. A job is in time if it is
+answered within its queue's objective.
 """
 
 import argparse
 import collections
 import concurrent.futures
-import datetime
 import json
 import math
 import pathlib
@@ -27,38 +27,19 @@
 STEP_S = 0.5
 LOAD_BEFORE_S = 2.0
 LATE_SCHEDULER_S = 2.0
+# Long enough that the programs have started without the store.
+STORE_AWAY_S = 6.0
 SECOND_LOSS_S = 1.5
 CALLER_LIMIT_S = 6.0
 MAX_CALLERS = 600
 FAULTS = ("none", "store", "half", "late", "second")
-# Steps of a process, as its log names them.
-EVENTS = (
-    "started",
-    "configuration in force",
-    "runner joined",
-    "open to callers",
-    "serving",
-    "scheduler joined",
-    "target joined",
-)
-
-
-@attrs.frozen
-class Kind:
-    """A kind of job: queue, number of tasks, run time and objective."""
-
-    queue: str
-    tasks: int
-    run_s: float
-    objective_s: float
-
-
-# Objective: stretch of the queue times the run time, and its latency.
+# Queue, number of tasks, run time and stretch of the queue.
 KINDS = (
-    Kind("preview", 2, 0.1, 1.6 * 0.1 + 0.2),
-    Kind("check", 2, 0.3, 2.0 * 0.3 + 0.2),
-    Kind("proof", 4, 0.6, 3.0 * 0.6 + 0.2),
+    ("preview", 2, 0.1, 1.6),
+    ("check", 2, 0.3, 2.0),
+    ("proof", 4, 0.6, 3.0),
 )
+LATENCY_S = 0.2
 
 
 @attrs.define(eq=False)
@@ -71,7 +52,6 @@
         rng: Source of the load.
         returned_s: Time at which the processes were started again.
         results: Time of the submission, duration and outcome of each job.
-        starts: Wall clock at the start of each process.
     """
 
     deployment: deployments.Deployment
@@ -79,7 +59,6 @@
     rng: random.Random
     returned_s: float = math.inf
     results: list[tuple[float, float, str]] = attrs.field(factory=list)
-    starts: dict[str, float] = attrs.field(factory=dict)
 
     def play(self) -> None:
         """Plays load, loss and return."""
@@ -97,16 +76,19 @@
                 self._lose_all()
                 self._return()
             if self.options.fault == "store":
-                time.sleep(LATE_SCHEDULER_S)
+                time.sleep(STORE_AWAY_S)
                 self.deployment.set_store_faults()
             load.result()
 
     def _lose_all(self) -> None:
-        """Kills all schedulers, runners and targets at once."""
+        """Kills all programs, and targets on hosts that lose power."""
+        kept = ("store",)
+        if self.options.loss == "processes":
+            kept = ("store", "target")
         lost = [
             x
             for name, x in self.deployment.launcher.processes.items()
-            if name != "store"
+            if not name.startswith(kept)
         ]
         for process in lost:
             process.kill()
@@ -116,24 +98,15 @@
     def _return(self) -> None:
         """Starts the processes again."""
         deployment, fault = self.deployment, self.options.fault
-        runners = deployment.runners // (2 if fault == "half" else 1)
-        for number in range(runners):
-            deployment.launch_target(number)
-            self._start(f"runner-{number}", deployment.start_runner, number)
-        for number in range(deployment.schedulers):
-            if number == 0 and fault == "late":
-                continue
-            self._start(
-                f"scheduler-{number}", deployment.start_scheduler, number
-            )
+        for number in range(deployment.runners // (1 + (fault == "half"))):
+            if self.options.loss == "power":
+                deployment.launch_target(number)
+            deployment.start_runner(number)
+        for number in range(fault == "late", deployment.schedulers):
+            deployment.start_scheduler(number)
         if fault == "late":
             time.sleep(LATE_SCHEDULER_S)
-            self._start("scheduler-0", deployment.start_scheduler, 0)
-
-    def _start(self, name: str, start, number: int) -> None:
-        """Starts a process and notes when."""
-        self.starts[name] = time.time()
-        start(number)
+            deployment.start_scheduler(0)
 
     def _feed(self, callers: concurrent.futures.Executor) -> None:
         """Submits jobs until the end of the series."""
@@ -145,15 +118,16 @@
             number = self.rng.randrange(self.deployment.schedulers)
             callers.submit(self._call, kind, number)
 
-    def _call(self, kind: Kind, number: int) -> None:
+    def _call(self, kind: tuple, number: int) -> None:
         """Submits a job once and notes its end."""
-        body = deployments.job_body(kind.tasks, kind.run_s)
+        queue, tasks, run_s, stretch = kind
+        body = deployments.job_body(tasks, run_s)
         started_s = time.monotonic()
         try:
             status, answer = self.deployment.call(
                 number,
                 "POST",
-                f"/{kind.queue}/{deployments.new_key()}",
+                f"/{queue}/{deployments.new_key()}",
                 body,
                 CALLER_LIMIT_S,
             )
@@ -166,7 +140,7 @@
             reason = answer.get("reason", "").partition(":")[0]
             outcome = f"{status} {reason}".strip()
             if status == 200:
-                late = took_s > kind.objective_s
+                late = took_s > stretch * run_s + LATENCY_S
                 outcome = "late" if late else "in time"
         took_s = time.monotonic() - started_s
         self.results.append((started_s, took_s, outcome))
@@ -205,27 +179,18 @@
             f"longest time to a rejection {max(held, default=0.0):.2f} s",
         ]
         steps: dict[tuple[str, str], list[float]] = {}
-        for name, start_s in self.starts.items():
-            kind = name.partition("-")[0]
-            for event, at_s in self._first_events(name).items():
-                steps.setdefault((kind, event), []).append(at_s - start_s)
-        for (kind, event), values in sorted(steps.items()):
-            lines.append(
-                f"{kind} {event}: {min(values):.2f} to {max(values):.2f} s "
-                f"after the start of the process"
-            )
+        for name in self.deployment.launcher.processes:
+            for line in self.deployment.log_lines(name):
+                record = json.loads(line) if line[:1] == "{" else {}
+                if record.get("message") == "serving":
+                    for field in (x for x in record if x.endswith("_s")):
+                        key = (record["program"], field)
+                        steps.setdefault(key, []).append(record[field])
+        for (program, field), values in sorted(steps.items()):
+            text = f"{min(values):.2f} to {max(values):.2f}"
+            lines.append(f"{program} {field} {text}")
         return lines
 
-    def _first_events(self, name: str) -> dict[str, float]:
-        """Returns the wall clock of the first line of each event of a log."""
-        found: dict[str, float] = {}
-        for line in self.deployment.log_lines(name):
-            record = json.loads(line)
-            if record.get("message") in EVENTS:
-                at = datetime.datetime.fromisoformat(record["time"])
-                found.setdefault(record["message"], at.timestamp())
-        return found
-
 
 def main() -> None:
     """Plays a series and prints it."""
@@ -236,6 +201,9 @@
     parser.add_argument("--seconds", type=float, default=10.0)
     parser.add_argument("--report-interval", type=float, default=1.5)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--loss", choices=("power", "processes"), default="power"
+    )
     parser.add_argument("--fault", choices=FAULTS, default="none")
     options = parser.parse_args()
     processes.exit_on_sigterm()
--- a/trefoilgw/scheduling/forecasts.py
+++ b/trefoilgw/scheduling/forecasts.py
@@ -7,6 +7,7 @@
 single runners that have just connected and the runs that are expected to end.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -65,7 +66,7 @@
     def predict(
         self,
         job: jobs.Job,
-        admitted: Iterable[jobs.Job],
+        admitted: Collection[jobs.Job],
         now_s: float,
     ) -> Forecast:
         """Predicts the wait of a new job.
@@ -101,7 +102,7 @@
         return self.joining.is_recovering(self.runner_views.values(), now_s)
 
     def _predict_recovery(
-        self, job: jobs.Job, admitted: Iterable[jobs.Job], now_s: float
+        self, job: jobs.Job, admitted: Collection[jobs.Job], now_s: float
     ) -> Forecast:
         """Predicts the wait of a new job while most of the runners are new."""
         ahead = self._waiting_ahead(job)
@@ -114,7 +115,7 @@
     def _supply(
         self,
         service: str,
-        admitted: Iterable[jobs.Job],
+        admitted: Collection[jobs.Job],
         default_run_s: float,
         now_s: float,
     ) -> recovering.Supply:
@@ -129,7 +130,7 @@
         )
 
     def late_jobs(
-        self, admitted: Iterable[jobs.Job], now_s: float
+        self, admitted: Collection[jobs.Job], now_s: float
     ) -> list[tuple[jobs.Job, Forecast]]:
         """Returns admitted jobs that can't start in time, with their waits.
 
--- a/trefoilgw/scheduling/recovering.py
+++ b/trefoilgw/scheduling/recovering.py
@@ -6,13 +6,15 @@
 work of the others shows in it. What is admitted beyond the capacity is late or
 is rejected after a long wait.
 
-While that lasts, a scheduler counts on its share of the free capacity, on the
-targets that will report in time at the rate at which others have reported, and
-on the expected ends of its own runs. It rejects the rest on arrival, and also
-jobs that it has admitted and that can't start in time any more.
+While that lasts, a scheduler counts on its share of the free capacity (on all
+of it for a first job), on the targets that will report in time at the rate at
+which others have reported, and on the expected ends of its own runs. It rejects
+the rest on arrival, and also jobs that it has admitted and that can't start in
+time any more.
 """
 
 import math
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -212,7 +214,7 @@
     service: str,
     views: Sequence[runners.RunnerView],
     joining: JoiningTimes,
-    admitted: Iterable[jobs.Job],
+    admitted: Collection[jobs.Job],
     default_run_s: float,
     now_s: float,
 ) -> Supply:
@@ -228,11 +230,14 @@
     """
     usable = [x for x in views if x.usable]
     serving = [x for x in usable if x.report.service == service]
+    ends, mean_run_s = _expected_ends(service, admitted, default_run_s, now_s)
+    # The share limits the sum of the work, not the size of a single job.
+    idle = not any(x.spec.queue.service == service for x in admitted)
     free = 0.0
     for view in serving:
         if view.suspect:
             continue
-        if joining.shows_others(view, now_s):
+        if idle or joining.shows_others(view, now_s):
             free += view.free().cpu_millicores
         else:
             free += _free_share(view)
@@ -240,7 +245,6 @@
     freed_rate = sum(
         x.report.freed_cpu / max(1, x.report.schedulers) for x in serving
     )
-    ends, mean_run_s = _expected_ends(service, admitted, default_run_s, now_s)
     return Supply(
         free,
         sum(joining.is_joining(x, now_s) for x in views),
--- a/trefoilgw/scheduling/tests/test_recovering.py
+++ b/trefoilgw/scheduling/tests/test_recovering.py
@@ -59,6 +59,12 @@
         self.assertLessEqual(admitted * 2, len(RUNNERS) * 4 // 8 + 2)
         self.assertGreaterEqual(admitted, 1)
 
+    def test_first_job_may_use_all_free_capacity(self):
+        """A job larger than the share was rejected although all was idle."""
+        self.report(RUNNERS, 10.01, schedulers=8)
+        self.assertEqual(1, self.submit(1, 10.02, tasks=32, run_s=2.0))
+        self.assertEqual(0, self.submit(1, 10.03, tasks=2, run_s=1.0))
+
     def test_idle_capacity_is_used_once_the_others_have_left_it(self):
         """A share for each would leave capacity idle if the load is uneven."""
         self.report(RUNNERS, 10.01, schedulers=8)
