--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -87,6 +87,7 @@
         relays: The relays, if any.
         limits: Limits of each host as they stand in the settings, none if
             empty.
+        report_interval_s: Time between the reports of a target.
     """
 
     launcher: processes.Launcher
@@ -104,6 +105,7 @@
     clock_rate: float = 1.0
     evacuations: bool = False
     limits: dict[str, float] = attrs.field(factory=dict)
+    report_interval_s: float = platform_target.REPORT_INTERVAL_S
     relays: host_relays.Relays = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -197,6 +199,8 @@
             str(self.target_cores),
             "--clock-rate",
             str(clock_rate),
+            "--report-interval",
+            str(self.report_interval_s),
             "--record",
             str(self.record_path(number)),
         )
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -330,6 +330,7 @@
         view.update_report(report)
         view.expire_refusals(now_s)
         view.last_report_s = now_s
+        self.forecaster.joining.reported(view, now_s)
         self.largest_targets.record(
             report.service, name, report.capacity.demand, now_s
         )
@@ -523,6 +524,7 @@
         self._reject_evacuated()
         self._reject_overdue(now_s)
         self._review_waiting(now_s)
+        self._reject_late(now_s)
         self.dispatcher.place(now_s)
         self.handled_s = self._ticked_s
         self._ticked_s = now_s
@@ -578,6 +580,13 @@
             slack_s = max(0.0, job.latest_start_s - now_s)
             self._answer(job, _overload(forecast, slack_s))
 
+    def _reject_late(self, now_s: float) -> None:
+        """Rejects admitted jobs for which less capacity came than expected."""
+        admitted = self.admitted.values()
+        for job, forecast in self.forecaster.late_jobs(admitted, now_s):
+            slack_s = job.reject_after_s - now_s
+            self._answer(job, _overload(forecast, slack_s))
+
     def _send_message(self, runner: str, message: object) -> None:
         """Queues a message to a runner as an action."""
         self.pending_actions.append(actions.SendMessage(runner, message))
