scheduling: don't take runners that connect again for new ones

Cause: after a reset of all connections every runner counted as new, although the same process and its target were there all the while.

--- a/trefoilgw/scheduling/recovering.py
+++ b/trefoilgw/scheduling/recovering.py
@@ -43,46 +43,62 @@
 WAIT_STEPS = 16
 
 
+@attrs.frozen
+class Joined:
+    """When a runner became usable.
+
+    Attributes:
+        incarnation: Incarnation of the runner.
+        joined_s: Time of its connection.
+        usable_s: Time of the first report that showed it usable.
+    """
+
+    incarnation: str
+    joined_s: float
+    usable_s: float
+
+
 @attrs.define(eq=False)
 class JoiningTimes:
     """When runners have become usable after they connected.
 
+    A runner that connects again is not new: its target is known, and so is what
+    runs there.
+
     Attributes:
-        usable_s: Time of the connection and time from which the runner was
-            usable on it, by name.
+        joined: What is known of the runners that have been usable, by name.
     """
 
-    usable_s: dict[str, tuple[float, float]] = attrs.field(factory=dict)
+    joined: dict[str, Joined] = attrs.field(factory=dict)
 
     def reported(self, view: runners.RunnerView, now_s: float) -> None:
         """Records the first report of a runner that shows it usable."""
-        if not view.usable:
-            return
-        joined_s, _ = self.usable_s.get(view.name, (None, None))
-        if joined_s != view.joined_s:
-            self.usable_s[view.name] = (view.joined_s, now_s)
+        if view.usable and self._find(view) is None:
+            self.joined[view.name] = Joined(
+                view.incarnation, view.joined_s, now_s
+            )
 
-    def delay_s(self, view: runners.RunnerView) -> float | None:
-        """Returns the time from connecting to usable, None before that."""
-        joined_s, usable_s = self.usable_s.get(view.name, (None, 0.0))
-        return usable_s - joined_s if joined_s == view.joined_s else None
+    def _find(self, view: runners.RunnerView) -> Joined | None:
+        """Returns what is known of a runner, None before it was usable."""
+        found = self.joined.get(view.name)
+        same = found is not None and found.incarnation == view.incarnation
+        return found if same else None
 
     def is_joining(self, view: runners.RunnerView, now_s: float) -> bool:
         """Returns whether the first report of a runner's target is awaited."""
         return (
             view.connected
             and not view.evacuated
-            and self.delay_s(view) is None
+            and self._find(view) is None
             and now_s - view.joined_s < MAX_JOINING_S
         )
 
     def is_new(self, view: runners.RunnerView, now_s: float) -> bool:
         """Returns whether too little is known of a runner's rates."""
-        delay_s = self.delay_s(view)
-        if delay_s is None:
+        found = self._find(view)
+        if found is None:
             return self.is_joining(view, now_s)
-        usable_for_s = now_s - view.joined_s - delay_s
-        return usable_for_s < admission.RATE_WINDOW_S
+        return now_s - found.usable_s < admission.RATE_WINDOW_S
 
     def shows_others(self, view: runners.RunnerView, now_s: float) -> bool:
         """Returns whether what others have started shows in the reports.
@@ -91,10 +107,8 @@
         use its share of the free capacity until later reports, which are sent
         if something has changed, show what the others have left.
         """
-        delay_s = self.delay_s(view)
-        if delay_s is None:
-            return False
-        return now_s - view.joined_s - delay_s >= SHARING_S
+        found = self._find(view)
+        return found is not None and now_s - found.usable_s >= SHARING_S
 
     def is_recovering(
         self, views: Iterable[runners.RunnerView], now_s: float
@@ -114,11 +128,13 @@
         reports = 0
         waited_s = 0.0
         for view in views:
-            if not view.connected or now_s - view.joined_s >= MAX_JOINING_S:
+            found = self._find(view)
+            joined_s = view.joined_s if found is None else found.joined_s
+            if not view.connected or now_s - joined_s >= MAX_JOINING_S:
                 continue
-            delay_s = self.delay_s(view)
-            reports += delay_s is not None
-            waited_s += now_s - view.joined_s if delay_s is None else delay_s
+            reports += found is not None
+            until_s = now_s if found is None else found.usable_s
+            waited_s += until_s - joined_s
         if not reports:
             return 0.0
         return reports / waited_s if waited_s > 0.0 else math.inf
--- a/trefoilgw/scheduling/tests/test_recovering.py
+++ b/trefoilgw/scheduling/tests/test_recovering.py
@@ -90,6 +90,16 @@
         self.scheduler.runner_connected("r0", "i2", "d1", 12.0)
         self.assertFalse(self.scheduler.forecaster.is_recovering(12.1))
 
+    def test_connections_that_were_reset_change_nothing(self):
+        """The runners and their targets were there all the while."""
+        self.report(RUNNERS, 10.01)
+        for name in RUNNERS:
+            self.scheduler.runner_disconnected(name)
+            self.scheduler.runner_connected(name, "i1", "d1", 12.0)
+        self.assertFalse(self.scheduler.forecaster.is_recovering(12.1))
+        self.report(RUNNERS, 12.2)
+        self.assertFalse(self.scheduler.forecaster.is_recovering(12.3))
+
 
 class JoiningTest(RecoveryTestCase):
     def count(self, now_s):
