tools: wait until each scheduler can use all runners at the start

Cause: deployments counted as ready once a job of four tasks a runner was done. A scheduler may now admit it before the last runner has joined, since short runs follow each other within its slack. test_metrics_count_jobs_and_runs then found 2 of 3 runners (1 of 2 runs on a machine with a load above 35), and test_hanging_target may have failed for that reason. Change: start also waits until every scheduler reports all runners as usable, if runners connect to all schedulers. No check of a test has changed.

--- a/tools/deployments.py
+++ b/tools/deployments.py
@@ -17,6 +17,7 @@
 
 from tools import processes
 from tools.standins import platform_target
+from trefoilgw.subsets import core as subsets
 
 # Name, priority, most attempts and stretch of each route.
 QUEUES = (
@@ -145,7 +146,26 @@
         for number in range(self.runners):
             self.process(f"target-{number}").wait_ready()
         hosts = self.schedulers + self.runners
-        self.wait_serving(READY_TIMEOUT_S * max(1.0, hosts / SMALL_HOSTS))
+        timeout_s = READY_TIMEOUT_S * max(1.0, hosts / SMALL_HOSTS)
+        self.wait_serving(timeout_s)
+        if self.schedulers <= subsets.SCHEDULERS_PER_RUNNER:
+            self.wait_for_runners(timeout_s)
+
+    def wait_for_runners(self, timeout_s: float = READY_TIMEOUT_S) -> None:
+        """Waits until each scheduler can use every runner.
+
+        A job may be done before the last runner has joined.
+
+        Raises:
+            TimeoutError: A scheduler can't use them all in time.
+        """
+        line = f'trefoilgw_runners{{state="usable"}} {self.runners:.1f}\n'
+        deadline_s = time.monotonic() + timeout_s
+        for number in range(self.schedulers):
+            while line not in self.metrics(self.scheduler_ip(number)):
+                if time.monotonic() > deadline_s:
+                    raise TimeoutError(f"scheduler {number} lacks runners")
+                time.sleep(POLL_INTERVAL_S)
 
     def scheduler_ip(self, number: int) -> str:
         """Returns the IP address of a scheduler's host."""
@@ -623,7 +643,7 @@
         """Waits until every scheduler has completed a job.
 
         The job of a small deployment has four tasks per runner, so that it runs
-        on every target.
+        on every target that is there.
 
         Raises:
             TimeoutError: A scheduler did not serve the job in time.
