Close a target's idle connections only after two time-outs

Cause: targets lose single answers, and each time-out closed all idle connections of the pool. Change: the pool of a target's calls waits for a second time-out; an answer in between on a connection that is older than the first shows that the connections have not gone silent. The store's pool closes them after the first, as before.

--- a/trefoilgw/platform/connections.py
+++ b/trefoilgw/platform/connections.py
@@ -45,6 +45,14 @@
     detail: str
 
 
+class _Connection(http.client.HTTPConnection):
+    """A connection with its number in the order of opening."""
+
+    def __init__(self, address: str, number: int):
+        super().__init__(address)
+        self.number = number
+
+
 @attrs.define(eq=False)
 class ConnectionPool:
     """Connections to one address, which greenthreads may use concurrently.
@@ -52,10 +60,18 @@
     Attributes:
         address: ``ip:port`` of the server.
         limit: Maximum number of calls at a time; further calls wait.
+        time_out_limit: Number of time-outs after which all idle connections are
+            closed, as they may have gone silent too. An answer in between on a
+            connection that is older than the first of them shows that they
+            have not.
     """
 
     address: str
     limit: int
+    time_out_limit: int = 1
+    _opened: int = 0
+    _time_outs: int = 0
+    _doubted: int = 0
     _free: semaphore.Semaphore = attrs.field(init=False)
     _idle: collections.deque = attrs.field(factory=collections.deque)
 
@@ -81,9 +97,7 @@
                 for the wait until fewer than `limit` calls are in progress.
         """
         with self._free:
-            connection = self._take_idle() or http.client.HTTPConnection(
-                self.address
-            )
+            connection = self._take_idle() or self._make_connection()
             connected = connection.sock is not None
             try:
                 with eventlet.Timeout(timeout_s, TimeoutError("timed out")):
@@ -96,18 +110,36 @@
             except (OSError, http.client.HTTPException) as error:
                 connection.close()
                 if isinstance(error, TimeoutError):
-                    # The idle connections may have gone silent as well. Each
-                    # would cost its caller one more time limit.
-                    self.close()
+                    self._timed_out(connection)
                 reached = connected or isinstance(error, TimeoutError)
                 return Failure(reached, f"{type(error).__name__}: {error}")
+            if connection.number <= self._doubted:
+                self._time_outs = 0
             if response.will_close:
                 connection.close()
             else:
                 self._idle.append(connection)
             return Response(response.status, data)
 
-    def _take_idle(self) -> http.client.HTTPConnection | None:
+    def _make_connection(self) -> _Connection:
+        """Returns a new connection, which is not open yet."""
+        self._opened += 1
+        return _Connection(self.address, self._opened)
+
+    def _timed_out(self, connection: _Connection) -> None:
+        """Closes the idle connections after enough time-outs.
+
+        Each silent one would cost its caller one more time limit.
+        """
+        if not self._time_outs:
+            self._doubted = self._opened
+        if connection.number <= self._doubted:
+            self._time_outs += 1
+        if self._time_outs >= self.time_out_limit:
+            self._time_outs = 0
+            self.close()
+
+    def _take_idle(self) -> _Connection | None:
         """Returns an idle connection, the one used last, or None."""
         while self._idle:
             connection = self._idle.pop()
--- a/trefoilgw/platform/targets.py
+++ b/trefoilgw/platform/targets.py
@@ -16,6 +16,9 @@
 
 # Up to two connections wait in `hold`; the others are for starts and stops.
 MAX_CONNECTIONS = 6
+# A single call without an answer is common here, and costs little time. Closing
+# all connections after each would open them anew.
+TIME_OUT_LIMIT = 2
 # The target is on the same host and answers within a few milliseconds.
 ORDER_TIMEOUT_S = 0.04
 # Time that `hold` may take in addition to its requested wait.
@@ -50,7 +53,9 @@
     _pool: connections.ConnectionPool = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        self._pool = connections.ConnectionPool(self.address, MAX_CONNECTIONS)
+        self._pool = connections.ConnectionPool(
+            self.address, MAX_CONNECTIONS, TIME_OUT_LIMIT
+        )
 
     def start(
         self,
--- a/trefoilgw/platform/tests/test_connections.py
+++ b/trefoilgw/platform/tests/test_connections.py
@@ -137,6 +137,27 @@
         self.assertEqual(connections.Response(200, b"ok"), self.call(0.05))
         self.assertEqual(3, self.server.accepted)
 
+    def test_lost_answer_keeps_idle_connections(self):
+        """Targets lose single answers; each cost all other connections."""
+        self.pool = connections.ConnectionPool(self.server.address, 4, 2)
+        self.open_connections(4)
+        for _ in range(3):
+            self.server.answers.append(None)
+            self.assertIsInstance(self.call(0.05), connections.Failure)
+            self.assertEqual(connections.Response(200, b"ok"), self.call())
+        self.assertEqual(4, self.server.accepted)
+
+    def test_answer_on_a_new_connection_keeps_the_doubt(self):
+        """The old ones may be silent all the same."""
+        self.pool = connections.ConnectionPool(self.server.address, 3, 2)
+        self.open_connections(3)
+        self.server.silent = 3
+        self.assertIsInstance(self.call(0.05), connections.Failure)
+        calls = [eventlet.spawn(self.call, 0.05) for _ in range(3)]
+        answers = [x.wait() for x in calls]
+        self.assertEqual(1, answers.count(connections.Response(200, b"ok")))
+        self.assertEqual(connections.Response(200, b"ok"), self.call(0.05))
+
     def test_other_failures_keep_idle_connections(self):
         """Only a silent connection shows nothing of itself when it is taken."""
         self.open_connections(2)
