--- a/trefoilgw/tests/run_ends_processes.py
+++ b/trefoilgw/tests/run_ends_processes.py
@@ -10,6 +10,7 @@
 import greenlet
 
 from trefoilgw.messages import runs as messages
+from trefoilgw.metrics import core as metrics
 from trefoilgw.room import owners
 from trefoilgw.runner import links
 from trefoilgw.runner import program
@@ -237,6 +238,7 @@
 class Counts:
     """Takes the place of the runner's metrics."""
 
+    registry: metrics.Registry = attrs.field(factory=metrics.Registry)
     start_seconds: object = attrs.field(
         factory=lambda: types.SimpleNamespace(observe=lambda value: None)
     )
