--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -118,8 +118,8 @@
         starts_received: Number of `StartRuns` messages that the runner has
             received on this stream.
         usable: False while no run may be started.
-        suspect: True while the target's runs fail, stall or are slow; only
-            probes are sent to it.
+        suspect: True while the target's runs fail, stall or are slow, or it
+            is lost repeatedly; only probes are sent to it.
         service: Service of the target.
         capacity: Total capacity of the target.
         free: Capacity that is neither in use nor reserved.
