--- a/trefoilgw/room/probation.py
+++ b/trefoilgw/room/probation.py
@@ -15,11 +15,12 @@
 PROBE_INTERVAL_S = 0.25
 # Bound of the interval, and so of the time in which a recovery goes unnoticed.
 MAX_PROBE_INTERVAL_S = 4.0
-# A target that becomes suspect within this time of being trusted flaps.
+# A target that becomes suspect within this time of being trusted has relapsed.
+# `health` counts losses of the target over the same time.
 FLAP_MEMORY_S = 10.0
-# Successes in a row that a flapping target needs. Long tasks serve as probes,
-# so each more would keep a sound target from its work for seconds.
-FLAPPING_PASSES = 2
+# Successes in a row that a target needs after a relapse. Long tasks serve as
+# probes, so each more would keep a sound target from its work for seconds.
+RELAPSE_PASSES = 2
 
 
 @attrs.define
@@ -49,13 +50,13 @@
     @property
     def needed_passes(self) -> int:
         """Number of probes that must pass in a row."""
-        return FLAPPING_PASSES if self.relapses else 1
+        return RELAPSE_PASSES if self.relapses else 1
 
     def begin(self, now_s: float) -> None:
         """Begins as the target becomes suspect.
 
-        The first probe may follow at once, that of a flapping target only
-        after the interval.
+        The first probe may follow at once, after a relapse only after the
+        interval.
         """
         self.passes = 0
         if now_s - self.trusted_s < FLAP_MEMORY_S:
