--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -102,7 +102,8 @@
     def slowness(self) -> float:
         """Actual over expected run times on the runner; 1 is normal.
 
-        The runner sees more runs than this scheduler, so its word counts.
+        The runner sees more runs than this scheduler, so its report takes
+        precedence.
         """
         if self.fleet_slowness is not None:
             return self.fleet_slowness
