--- a/trefoilgw/scheduling/batches.py
+++ b/trefoilgw/scheduling/batches.py
@@ -4,8 +4,8 @@
 task fits, many jobs have some tasks running and wait for the others, all end
 late, and none of them can be rejected any more. A job that has not started
 therefore gets no first task if its last one would start too late, unless all
-its tasks fit at once; and it is rejected once even its last allowed moment is
-out of reach.
+its tasks fit at once; and it is rejected once its last task is expected to
+start after `Job.reject_after_s`.
 """
 
 import math
@@ -41,7 +41,7 @@
 def review(
     predicted: Iterable[tuple[jobs.Job, forecasts.Forecast]], now_s: float
 ) -> list[tuple[jobs.Job, forecasts.Forecast]]:
-    """Updates which jobs may start by parts, and returns the hopeless ones.
+    """Updates which jobs may start by parts, and returns those to reject.
 
     Args:
         predicted: Waiting jobs, with the wait until their last task has room.
@@ -50,7 +50,7 @@
     Returns:
         The jobs that have not started and can't end in time any more.
     """
-    hopeless = []
+    too_late = []
     for job, forecast in predicted:
         if job.started:
             continue
@@ -59,5 +59,5 @@
             len(job.tasks) > 1 and last_start_s > job.latest_start_s
         )
         if last_start_s > job.reject_after_s:
-            hopeless.append((job, forecast))
-    return hopeless
+            too_late.append((job, forecast))
+    return too_late
