--- a/trefoilgw/scheduling/forecasts.py
+++ b/trefoilgw/scheduling/forecasts.py
@@ -20,7 +20,7 @@
 from trefoilgw.scheduling import recovering
 from trefoilgw.scheduling import runners
 from trefoilgw.work import rates
-from trefoilgw.work import urgency
+from trefoilgw.work import urgency as urgencies
 
 # A runner is expected to report its target within this time after connecting.
 MAX_JOINING_S = 0.4
@@ -300,7 +300,7 @@
 
 def _other_demand_by_class(views: Sequence[runners.RunnerView]) -> list[int]:
     """Returns what `_other_demand_ahead` is for a job of each class."""
-    totals = [0] * urgency.CLASS_COUNT
+    totals = [0] * urgencies.CLASS_COUNT
     for view in views:
         for index, millicores in enumerate(view.report.competing_cpu):
             totals[index] += millicores
