--- a/trefoilgw/scheduling/placing.py
+++ b/trefoilgw/scheduling/placing.py
@@ -123,7 +123,7 @@
     if (
         probes
         and not task.excluded_runners
-        and (urgency.slack_s >= MIN_PROBE_SLACK_S)
+        and urgency.slack_s >= MIN_PROBE_SLACK_S
     ):
         return probes[0]
     if not healthy:
--- a/trefoilgw/scheduling/recovering.py
+++ b/trefoilgw/scheduling/recovering.py
@@ -21,6 +21,7 @@
 
 import attrs
 
+from trefoilgw.messages import runs as messages
 from trefoilgw.scheduling import admission
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import runners
@@ -273,7 +274,7 @@
     )
 
 
-def _share(view: runners.RunnerView, capacity) -> float:
+def _share(view: runners.RunnerView, capacity: messages.Room) -> float:
     """Returns an equal share of some capacity of a runner, in millicores."""
     return capacity.cpu_millicores / max(1, view.report.schedulers)
 
