--- a/trefoilgw/scheduling/reach.py
+++ b/trefoilgw/scheduling/reach.py
@@ -7,8 +7,8 @@
 
 A scheduler starts with the weight of its host. It raises the weight step by
 step while it starts much more CPU at a runner than the other schedulers there
-do on average, and lowers it while it starts much less. Callers pass the weight
-on and the runners select by it.
+do on average, and lowers it while it starts much less. The program passes the
+weight on and the runners select by it.
 """
 
 from collections.abc import Iterable
