--- a/trefoilgw/platform/connections.py
+++ b/trefoilgw/platform/connections.py
@@ -71,7 +71,8 @@
     time_out_limit: int = 1
     _opened: int = 0
     _time_outs: int = 0
-    _doubted: int = 0
+    # Number of the newest connection at the first of `_time_outs` time-outs.
+    _newest_suspect: int = 0
     _free: semaphore.Semaphore = attrs.field(init=False)
     _idle: collections.deque = attrs.field(factory=collections.deque)
 
@@ -113,7 +114,7 @@
                     self._timed_out(connection)
                 reached = connected or isinstance(error, TimeoutError)
                 return Failure(reached, f"{type(error).__name__}: {error}")
-            if connection.number <= self._doubted:
+            if connection.number <= self._newest_suspect:
                 self._time_outs = 0
             if response.will_close:
                 connection.close()
@@ -132,8 +133,8 @@
         Each silent one would cost its caller one more time limit.
         """
         if not self._time_outs:
-            self._doubted = self._opened
-        if connection.number <= self._doubted:
+            self._newest_suspect = self._opened
+        if connection.number <= self._newest_suspect:
             self._time_outs += 1
         if self._time_outs >= self.time_out_limit:
             self._time_outs = 0
