--- a/trefoilgw/subsets/core.py
+++ b/trefoilgw/subsets/core.py
@@ -6,7 +6,7 @@
 runner therefore keeps streams to a few schedulers, and each scheduler to a few
 others. Hosts differ in processors by a factor of four and callers are spread
 unevenly, so schedulers have weights, by which they get more or fewer runners.
-All functions are pure; callers dial the selected addresses.
+All functions are pure; the programs dial the selected addresses.
 """
 
 import hashlib
