Let one forecast reject the waiting jobs during a recovery

The review also rejected jobs that may have run, which test_jobs_that_may_have_run_are_kept shows.

Change: the review waits until most runners are known, and skips jobs that may have run.

--- a/trefoilgw/scheduling/batches.py
+++ b/trefoilgw/scheduling/batches.py
@@ -52,7 +52,7 @@
     """
     too_late = []
     for job, forecast in predicted:
-        if job.started:
+        if job.started or job.may_have_run:
             continue
         last_start_s = now_s + forecast.wait_s
         job.whole_only = (
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -570,8 +570,14 @@
                 )
 
     def _review_waiting(self, now_s: float) -> None:
-        """Rejects jobs whose tasks can't all start in time any more."""
-        if not self.waiting_jobs or not self.reviews.is_due(now_s):
+        """Rejects jobs whose tasks can't all start in time any more.
+
+        While most runners are new, `_reject_late` decides instead, by what it
+        can count on.
+        """
+        if not self.waiting_jobs or self.forecaster.is_recovering(now_s):
+            return
+        if not self.reviews.is_due(now_s):
             return
         predicted = self.forecaster.predict_waiting(
             self.admitted.values(), now_s
--- a/trefoilgw/scheduling/forecasts.py
+++ b/trefoilgw/scheduling/forecasts.py
@@ -22,7 +22,9 @@
 from trefoilgw.work import rates
 from trefoilgw.work import urgency as urgencies
 
-# A runner is expected to report its target within this time after connecting.
+# A single runner that has just connected is expected to report its target within
+# this time, as one that connects again does. `recovering` has its own limit for
+# runners that have all just started.
 MAX_JOINING_S = 0.4
 # Rates of other schedulers that differ from the own one by less than this
 # count as equal. The rates of a second fluctuate by as much.
