--- a/trefoilgw/scheduling/forecasts.py
+++ b/trefoilgw/scheduling/forecasts.py
@@ -22,7 +22,7 @@
 from trefoilgw.work import rates
 from trefoilgw.work import urgency as urgencies
 
-# A single runner that has just connected is expected to report its target within
+# A single runner that has just connected is expected to report its target in
 # this time, as one that connects again does. `recovering` has its own limit for
 # runners that have all just started.
 MAX_JOINING_S = 0.4
