Rename what a reading of the whole change stumbled on

Cause: some names said little or had a second meaning: `Urgency` held times while `urgency` is a class elsewhere, `run_limit_s` was the end of a lease in one place and a run time in others, `busy` meant that no probe is allowed, `only` nothing.

Change: TimeLeft, run_lease_limit_s, probe_blocked, OfferInputs, keep_more_urgent and _refresh_kept_bid. Behaviour is unchanged.

--- a/tools/tests/test_backfill_replay.py
+++ b/tools/tests/test_backfill_replay.py
@@ -90,12 +90,12 @@
         )
 
 
-def _first_fit(bids, free, situation, blocked, observed):
+def _first_fit(bids, free, inputs, blocked, observed):
     """Yields offers to all bids that fit, as if nothing were blocked."""
     for owner, bid in bids:
         remaining = bid.total_demand.minus(owner.reserved_for(bid.urgency))
         usable = free.minus(
-            offers.work.Demand(situation.reserve_millicores(bid.urgency))
+            offers.work.Demand(inputs.reserve_millicores(bid.urgency))
         )
         if remaining.cpu_millicores <= 0:
             continue
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -73,6 +73,7 @@
     runs: dict[tuple[str, int], room_runs.Run] = attrs.field(factory=dict)
     owners: dict[str, room_owners.Owner] = attrs.field(factory=dict)
     target_health: health.TargetHealth = attrs.field(
+        # Looked up late, so that trials can replace the class.
         factory=lambda: health.TargetHealth()
     )
     target_speed: speed.SpeedEstimate = attrs.field(factory=speed.SpeedEstimate)
@@ -376,7 +377,7 @@
         ends = [self.owners[x].authority_until_s for x in names]
         return min(ends, default=-math.inf) + room_owners.STOP_ALLOWANCE_S
 
-    def run_limit_s(self, task: str, run: int) -> float:
+    def run_lease_limit_s(self, task: str, run: int) -> float:
         """Returns when the lease of a run must end at the latest.
 
         It is over for a run that has ended.
@@ -472,7 +473,7 @@
         owner.starts_received += 1
         offer = owner.reservations.pop(message.offer, None)
         if offer is not None and not message.groups:
-            owner.drop_bids(offer.urgency, only=offer.backfill)
+            owner.drop_bids(offer.urgency, keep_more_urgent=offer.backfill)
         rest = work.Demand() if offer is None else offer.capacity
         for group in message.groups:
             for order in group.orders:
@@ -647,7 +648,7 @@
         if not self.usable or not any(x.bids for x in self.owners.values()):
             self.backfilling.look(now_s)
             return
-        situation = offers.Situation(
+        inputs = offers.OfferInputs(
             self.target.capacity,
             self.free(),
             functools.cache(
@@ -661,7 +662,7 @@
             now_s,
         )
         for grant in offers.grants(
-            self.owners.values(), situation, self.backfilling
+            self.owners.values(), inputs, self.backfilling
         ):
             self._offer(grant, now_s)
 
--- a/trefoilgw/room/offers.py
+++ b/trefoilgw/room/offers.py
@@ -43,7 +43,7 @@
 
 
 @attrs.frozen
-class Situation:
+class OfferInputs:
     """What the offers depend on besides the bids.
 
     Attributes:
@@ -54,7 +54,7 @@
         suspect: Whether the target is suspect. It then takes one task at a
             time: there is an offer for the next task only while a probe is
             allowed and the bidder has no open offer.
-        busy: Whether a suspect target may get no probe now.
+        probe_blocked: Whether a suspect target may get no probe now.
         reserve: Returns the reservation of a task that does not fit.
         now_s: Current time.
     """
@@ -63,14 +63,14 @@
     free: work.Demand
     reserve_millicores: Callable[[int], int]
     suspect: bool
-    busy: bool
+    probe_blocked: bool
     reserve: Callable[[work.Demand], backfill.Reservation | None]
     now_s: float
 
 
 def grants(
     known: Iterable[owners.Owner],
-    situation: Situation,
+    inputs: OfferInputs,
     backfilling: backfill.Backfilling,
 ) -> Iterable[Grant]:
     """Yields what to offer, most urgent bids first.
@@ -80,25 +80,25 @@
 
     Args:
         known: All schedulers.
-        situation: What the offers depend on besides.
+        inputs: What the offers depend on besides.
         backfilling: Gets the blocked task.
     """
     previous = backfilling.blocked
-    backfilling.look(situation.now_s)
-    free = situation.free
-    now_s = situation.now_s
+    backfilling.look(inputs.now_s)
+    free = inputs.free
+    now_s = inputs.now_s
     bids = [(x, bid) for x in known if x.may_bid(now_s) for bid in x.bids]
     bids.sort(key=lambda x: x[1].latest_start_s)
     for index, (owner, bid) in enumerate(bids):
         remaining = bid.total_demand.minus(owner.reserved_for(bid.urgency))
-        if situation.suspect:
-            if situation.busy or owner.reservations:
+        if inputs.suspect:
+            if inputs.probe_blocked or owner.reservations:
                 return
             remaining = bid.next_demand
         if remaining.cpu_millicores <= 0:
             continue
         if not bid.next_demand.fits_in(free):
-            if not bid.next_demand.fits_in(situation.capacity):
+            if not bid.next_demand.fits_in(inputs.capacity):
                 continue
             # Freed capacity must accumulate for the most urgent task.
             backfilling.block(
@@ -110,16 +110,16 @@
                 ),
                 previous,
             )
-            if not situation.suspect:
+            if not inputs.suspect:
                 yield from _backfill(
                     bids[index + 1 :],
                     free,
-                    situation,
+                    inputs,
                     bid.next_demand,
                     backfilling.observed,
                 )
             return
-        reserve = work.Demand(situation.reserve_millicores(bid.urgency))
+        reserve = work.Demand(inputs.reserve_millicores(bid.urgency))
         usable = free.minus(reserve)
         if bid.next_demand.fits_in(usable):
             capacity = _share(remaining, usable)
@@ -143,7 +143,7 @@
 def _backfill(
     bids: Iterable[tuple[owners.Owner, owners.Bid]],
     free: work.Demand,
-    situation: Situation,
+    inputs: OfferInputs,
     blocked: work.Demand,
     observed: backfill.ObservedRunTimes,
 ) -> Iterable[Grant]:
@@ -158,20 +158,18 @@
         remaining = bid.total_demand.minus(owner.reserved_for(bid.urgency))
         if remaining.cpu_millicores <= 0:
             continue
-        usable = free.minus(
-            work.Demand(situation.reserve_millicores(bid.urgency))
-        )
+        usable = free.minus(work.Demand(inputs.reserve_millicores(bid.urgency)))
         if not bid.next_demand.fits_in(usable):
             continue
         if reservation is None:
-            reservation = situation.reserve(blocked)
+            reservation = inputs.reserve(blocked)
             if reservation is None:
                 return
             extra = reservation.extra
         ends_by_s = math.inf
         if bid.next_demand.fits_in(extra):
             usable = usable.capped(extra)
-        elif _ends_in_time(bid, reservation, observed, situation.now_s):
+        elif _ends_in_time(bid, reservation, observed, inputs.now_s):
             ends_by_s = reservation.start_s
         else:
             continue
--- a/trefoilgw/room/owners.py
+++ b/trefoilgw/room/owners.py
@@ -163,7 +163,9 @@
         is_free = free.cpu_millicores >= FREE_SHARE * capacity
         return last.suspect != suspect or (took_for_busy and is_free)
 
-    def drop_bids(self, urgency: int, *, only: bool = False) -> None:
+    def drop_bids(
+        self, urgency: int, *, keep_more_urgent: bool = False
+    ) -> None:
         """Removes the bids of a class and of all more urgent ones.
 
         A scheduler that declines an offer has no such work left, and tells of
@@ -171,13 +173,13 @@
 
         Args:
             urgency: The class.
-            only: Whether to keep those of more urgent classes, as the offer
-                was made before such work that is blocked.
+            keep_more_urgent: Whether those of more urgent classes stay, as the
+                offer was made before such work that is blocked.
         """
         self.bids = tuple(
             x
             for x in self.bids
-            if x.urgency > urgency or (only and x.urgency < urgency)
+            if x.urgency > urgency or (keep_more_urgent and x.urgency < urgency)
         )
 
     def disconnect(self, now_s: float) -> None:
--- a/trefoilgw/room/tests/test_backfill_replay.py
+++ b/trefoilgw/room/tests/test_backfill_replay.py
@@ -252,13 +252,11 @@
         return chosen
 
 
-def first_fit(bids, free, situation, blocked, observed):
+def first_fit(bids, free, inputs, blocked, observed):
     """Yields offers to all bids that fit, as if nothing were blocked."""
     for owner, bid in bids:
         remaining = bid.total_demand.minus(owner.reserved_for(bid.urgency))
-        usable = free.minus(
-            work.Demand(situation.reserve_millicores(bid.urgency))
-        )
+        usable = free.minus(work.Demand(inputs.reserve_millicores(bid.urgency)))
         if remaining.cpu_millicores > 0 and bid.next_demand.fits_in(usable):
             capacity = remaining.capped(usable)
             yield offers.Grant(owner, bid.urgency, capacity, True)
--- a/trefoilgw/runner/driving.py
+++ b/trefoilgw/runner/driving.py
@@ -202,7 +202,7 @@
         """
         for _ in range(AUTHORITY_CHECKS):
             reason = self.allocator.start_refusal(task, run, self.now())
-            limit_s = self.allocator.run_limit_s(task, run)
+            limit_s = self.allocator.run_lease_limit_s(task, run)
             if reason or self.lease.end_s <= limit_s:
                 return reason
             eventlet.sleep(RETRY_INTERVAL_S)
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -334,11 +334,11 @@
         self.largest_targets.record(
             report.service, name, report.capacity.demand, now_s
         )
-        self._update_left_bid(view)
+        self._refresh_kept_bid(view)
         # No waiting task fitted in what was known of the other runners.
         self.dispatcher.place(now_s, (view,))
 
-    def _update_left_bid(self, view: runners.RunnerView) -> None:
+    def _refresh_kept_bid(self, view: runners.RunnerView) -> None:
         """Makes the bids be updated if a runner kept one while not usable."""
         if view.bid.demands and self.dispatcher.bid_urgency is None:
             # It was not usable when the other bids were withdrawn.
@@ -353,7 +353,7 @@
         for view in self.runner_views.values():
             view.evacuated = view.domain in domains
             if not view.evacuated:
-                self._update_left_bid(view)
+                self._refresh_kept_bid(view)
         for job in self.waiting_jobs:
             for task in job.waiting():
                 self._end_exclusions(task)
--- a/trefoilgw/scheduling/dispatching.py
+++ b/trefoilgw/scheduling/dispatching.py
@@ -121,7 +121,7 @@
             view = placing.choose_runner(
                 views,
                 task,
-                placing.urgency_of(job, task, fastest, now_s),
+                placing.time_left_of(job, task, fastest, now_s),
                 job.spec.queue.service,
                 self.domain,
                 now_s,
@@ -221,7 +221,7 @@
                 x
                 for x in waiting
                 if placing.may_fill(
-                    view, x, placing.urgency_of(job, x, fastest, now_s)
+                    view, x, placing.time_left_of(job, x, fastest, now_s)
                 )
             ]
             chosen, rest = _fill(usable, offer, name, remaining)
@@ -235,7 +235,7 @@
                 break
         self._send_batch(view, batch, offer.number, now_s)
         if not batch:
-            view.drop_bids(offer.urgency, only=offer.backfill)
+            view.drop_bids(offer.urgency, keep_more_urgent=offer.backfill)
         self._send_bids(now_s)
 
     def _send_bids(self, now_s: float) -> None:
--- a/trefoilgw/scheduling/placing.py
+++ b/trefoilgw/scheduling/placing.py
@@ -31,7 +31,7 @@
 
 
 @attrs.define
-class Urgency:
+class TimeLeft:
     """What the choice of a runner needs to know of the time left for a task.
 
     Attributes:
@@ -65,9 +65,9 @@
         return self.spare_s - task.expected_s * (self.fastest - 1.0) > 0.0
 
 
-def urgency_of(
+def time_left_of(
     job: jobs.Job, task: jobs.Task, fastest: float, now_s: float
-) -> Urgency:
+) -> TimeLeft:
     """Returns the time left for a task.
 
     Args:
@@ -77,7 +77,7 @@
         now_s: Current time.
     """
     shorter_s = job.expected_s - task.expected_s
-    return Urgency(
+    return TimeLeft(
         job.latest_start_s - now_s,
         job.reject_after_s - now_s + shorter_s,
         fastest,
@@ -87,7 +87,7 @@
 def choose_runner(
     views: Iterable[runners.RunnerView],
     task: jobs.Task,
-    urgency: Urgency,
+    time_left: TimeLeft,
     service: str,
     domain: str,
     now_s: float,
@@ -101,7 +101,7 @@
     Args:
         views: Candidate runners.
         task: The task.
-        urgency: Time left for the task.
+        time_left: Time left for the task.
         service: Service that must run it.
         domain: Failure domain of the scheduler.
         now_s: Current time.
@@ -123,28 +123,28 @@
     if (
         probes
         and not task.excluded_runners
-        and urgency.slack_s >= MIN_PROBE_SLACK_S
+        and time_left.slack_s >= MIN_PROBE_SLACK_S
     ):
         return probes[0]
     if not healthy:
         return None
-    weights = _weights(healthy, task, urgency, domain)
+    weights = _weights(healthy, task, time_left, domain)
     return rng.choices(healthy, weights)[0] if weights else None
 
 
 def may_fill(
-    view: runners.RunnerView, task: jobs.Task, urgency: Urgency
+    view: runners.RunnerView, task: jobs.Task, time_left: TimeLeft
 ) -> bool:
     """Returns whether a task may use capacity that a runner offers."""
     if view.fleet_slowness is None:
         return True
-    return not urgency.should_wait(urgency.spare_at(view, task), task)
+    return not time_left.should_wait(time_left.spare_at(view, task), task)
 
 
 def _weights(
     views: Sequence[runners.RunnerView],
     task: jobs.Task,
-    urgency: Urgency,
+    time_left: TimeLeft,
     domain: str,
 ) -> list[float]:
     """Returns the relative probabilities of runners for a task.
@@ -152,7 +152,7 @@
     Args:
         views: The runners.
         task: The task.
-        urgency: Time left for the task.
+        time_left: Time left for the task.
         domain: Failure domain of the scheduler.
 
     Returns:
@@ -165,9 +165,9 @@
     """
     first = views[0].fleet_slowness
     if first is not None:
-        spares_s = [urgency.spare_at(x, task) for x in views]
+        spares_s = [time_left.spare_at(x, task) for x in views]
         best_s = max(spares_s)
-        if urgency.should_wait(best_s, task):
+        if time_left.should_wait(best_s, task):
             return []
         if best_s > 0.0 and any(x.fleet_slowness != first for x in views):
             needed = max(1, task.millicores)
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -176,20 +176,24 @@
             for refused_class, until_s in self.refused_until_s.items()
         )
 
-    def drop_bids(self, urgency: int, *, only: bool = False) -> None:
+    def drop_bids(
+        self, urgency: int, *, keep_more_urgent: bool = False
+    ) -> None:
         """Notes that the runner drops the bids of a class and above.
 
         It does so when it learns that an offer is declined.
 
         Args:
             urgency: The class.
-            only: Whether it keeps those of more urgent classes.
+            keep_more_urgent: Whether it keeps those of more urgent
+                classes.
         """
         self.bid = messages.Bid(
             tuple(
                 x
                 for x in self.bid.demands
-                if x.urgency > urgency or (only and x.urgency < urgency)
+                if x.urgency > urgency
+                or (keep_more_urgent and x.urgency < urgency)
             )
         )
 
--- a/trefoilgw/scheduling/tests/test_placing.py
+++ b/trefoilgw/scheduling/tests/test_placing.py
@@ -14,7 +14,7 @@
 DRAWS = 4000
 # Four standard deviations of a share that is drawn that often.
 TOLERANCE = 0.04
-TIME_LEFT = placing.Urgency(0.1, 0.2)
+TIME_LEFT = placing.TimeLeft(0.1, 0.2)
 
 
 def make_view(
@@ -79,7 +79,7 @@
         )
         for speed in (None, 0.7, 1.0, 1.9):
             found, wanted = random.Random(3), random.Random(3)
-            time_left = placing.Urgency(0.1, 0.2, speed or 1.0)
+            time_left = placing.TimeLeft(0.1, 0.2, speed or 1.0)
             for number in range(200):
                 views = [
                     make_view(
@@ -105,7 +105,7 @@
             make_view("mean", slowness=1.0),
             make_view("fast", slowness=0.7),
             run_s=1.8,
-            time_left=placing.Urgency(0.4, 0.7, 0.7),
+            time_left=placing.TimeLeft(0.4, 0.7, 0.7),
         )
         self.assertNotIn("slow", found)
         self.assertGreater(found["fast"], 0.7)
@@ -117,10 +117,10 @@
             make_view("fast", slowness=0.7),
         )
         short = shares(
-            *views, run_s=0.1, time_left=placing.Urgency(0.1, 0.12, 0.7)
+            *views, run_s=0.1, time_left=placing.TimeLeft(0.1, 0.12, 0.7)
         )
         long = shares(
-            *views, run_s=1.8, time_left=placing.Urgency(0.7, 1.1, 0.7)
+            *views, run_s=1.8, time_left=placing.TimeLeft(0.7, 1.1, 0.7)
         )
         self.assertGreater(short["slow"], 2 * long["slow"])
 
@@ -129,7 +129,7 @@
         found = shares(
             make_view("slow", slowness=1.4),
             run_s=1.8,
-            time_left=placing.Urgency(0.4, 0.8, 0.7),
+            time_left=placing.TimeLeft(0.4, 0.8, 0.7),
         )
         self.assertEqual({"slow": 1.0}, found)
 
@@ -146,7 +146,7 @@
                     slow,
                     fast,
                     run_s=1.8,
-                    time_left=placing.Urgency(slack_s, 0.7, fastest),
+                    time_left=placing.TimeLeft(slack_s, 0.7, fastest),
                 )
                 self.assertEqual({wanted: 1.0}, found)
 
@@ -156,7 +156,7 @@
             make_view("slow", slowness=1.4),
             make_view("fast", slowness=0.7),
             run_s=1.8,
-            time_left=placing.Urgency(-0.9, -0.8, 0.7),
+            time_left=placing.TimeLeft(-0.9, -0.8, 0.7),
         )
         self.assertAlmostEqual(0.8, found["fast"], delta=TOLERANCE)
 
@@ -164,6 +164,6 @@
         """The job ends with its longest task."""
         job = jobs.Job(fixtures.job("j", tasks=2), [], 1, 1.0, 5.4, 5.6, 2)
         task = jobs.Task(job.spec.tasks[0], 0.3, 1)
-        time_left = placing.urgency_of(job, task, 0.8, 5.0)
+        time_left = placing.time_left_of(job, task, 0.8, 5.0)
         self.assertAlmostEqual(0.4, time_left.slack_s)
         self.assertAlmostEqual(1.3, time_left.spare_s)
