End the fleet when a script's program is terminated

Cause: SIGTERM to the program alone ended it without its cleanup, and five programs of its fleet went on.

Change: the program of a case ends its fleet on SIGTERM.

--- a/review/lib-2/case.py
+++ b/review/lib-2/case.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import signal
 import sys
 import traceback
 from collections.abc import Callable
@@ -30,6 +31,8 @@
         warm_up: Whether each front serves a small job first.
         **sizes: Sizes of the fleet.
     """
+    # Whoever ends the program must not leave the fleet behind.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     made = None
     status = COULD_NOT_RUN
     try:
