Take jobs as probes while all targets are in doubt

Cause: only a task that passes as a probe ends a doubt, and only admitted jobs have tasks. The forecast counted the capacity of healthy targets only, which is none, so that every job was rejected, and the review of the waiting jobs ended those that could have been probes.

Change: each target that awaits a probe counts as room for one task, at admission, in the review of the waiting jobs and during a recovery. The reports of a runner tell when a probe is due, and bids go to such targets first. The rule is by service and doesn't ask why the targets are in doubt.

--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -133,6 +133,7 @@
             empty if the runner does not measure it.
         slowness: Actual over expected run times at the target, as a code of
             `work.slowness`; 0 if unknown.
+        probe_due: Whether a suspect target takes a probe now.
     """
 
     starts_received: int
@@ -146,6 +147,7 @@
     schedulers: int = 0
     others_started: tuple[int, ...] = ()
     slowness: int = 0
+    probe_due: bool = True
 
 
 @attrs.frozen
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -717,6 +717,7 @@
         along with the ends of its runs, in the same write.
         """
         usable, suspect = self.usable, self.target_health.suspect
+        probe_due = not suspect or self._probe_allowed()
         connected = [x for x in self.owners.values() if x.connected]
         free = self.free()
         due = reporting.due_owners(connected, usable, suspect, free, now_s)
@@ -738,6 +739,7 @@
                 len(connected),
                 reporting.others_started(self.owners.values(), owner),
                 self.target_speed.code,
+                probe_due,
             )
             if reporting.is_news(report, owner.last_report):
                 owner.last_report = report
--- a/trefoilgw/room/tests/test_health.py
+++ b/trefoilgw/room/tests/test_health.py
@@ -3,6 +3,7 @@
 import math
 import unittest
 
+from trefoilgw.messages import runs as messages
 from trefoilgw.room import health
 from trefoilgw.room import probation
 from trefoilgw.room.tests import fixtures
@@ -77,6 +78,30 @@
         self.allocator.offer_capacity(self.now_s)
         self.assertEqual(1, len(self.allocator.take_actions()))
 
+    def test_schedulers_are_told_when_a_probe_is_due(self):
+        """Else they reject the job for it, or admit jobs that wait in vain."""
+        self.fail_until_suspect()
+        self.assertEqual([(True, True)], self.reported())
+        self.run_once(work.Ending.FAILED)
+        self.now_s += probation.PROBE_INTERVAL_S / 2
+        self.allocator.tick(self.now_s)
+        self.assertEqual([(True, False)], self.reported())
+        self.now_s += probation.PROBE_INTERVAL_S
+        self.allocator.tick(self.now_s)
+        self.assertEqual([(True, True)], self.reported())
+        self.start()
+        self.now_s += 0.1
+        self.assertEqual([(True, False)], self.reported())
+
+    def reported(self):
+        """Returns what the next reports say of the doubt and the probe."""
+        self.allocator.take_actions()
+        self.allocator.report_capacity(self.now_s)
+        sent = fixtures.sent_messages(
+            self.allocator.take_actions(), messages.CapacityReport
+        )
+        return [(x.suspect, x.probe_due) for _, x in sent]
+
     def test_target_that_fails_half_of_its_runs_is_suspect(self):
         """Each success hides the failures if only those in a row count."""
         for number in range(12):
--- a/trefoilgw/scheduling/bidding.py
+++ b/trefoilgw/scheduling/bidding.py
@@ -99,7 +99,10 @@
         return selected
     others = [x for x in views if not x.bid.demands]
     start = rotation % len(others)
-    return selected + (others[start:] + others[:start])[:missing]
+    others = others[start:] + others[:start]
+    # A target in doubt offers nothing until its next probe is due.
+    others.sort(key=lambda x: x.suspect and not x.awaits_probe)
+    return selected + others[:missing]
 
 
 def _task_count(bid: messages.Bid) -> int:
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -23,6 +23,7 @@
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling import lateness as scheduling_lateness
 from trefoilgw.scheduling import planning
+from trefoilgw.scheduling import probing
 from trefoilgw.scheduling import runners
 from trefoilgw.scheduling import runtimes
 from trefoilgw.scheduling import speeds
@@ -608,6 +609,10 @@
         slack_s: Seconds until the job must start.
         delay_s: Delay with which this process handles what arrives.
     """
+    if forecast.in_doubt:
+        return actions.Rejected(
+            "in_doubt", probing.RETRY_AFTER_S, slack_s=slack_s
+        )
     wait_s = forecast.wait_s + delay_s
     return actions.Rejected(
         "overload" if forecast.wait_s > slack_s else "late",
--- a/trefoilgw/scheduling/forecasts.py
+++ b/trefoilgw/scheduling/forecasts.py
@@ -5,6 +5,8 @@
 have no report of their targets yet. While most of the runners are new, the
 prediction is that of `recovering`; later, it still includes the capacity of
 single runners that have just connected and the runs that are expected to end.
+While all targets of a service are in doubt, `probing` tells which jobs need not
+wait.
 """
 
 import itertools
@@ -17,6 +19,7 @@
 
 from trefoilgw.scheduling import admission
 from trefoilgw.scheduling import jobs
+from trefoilgw.scheduling import probing
 from trefoilgw.scheduling import recovering
 from trefoilgw.scheduling import runners
 from trefoilgw.work import rates
@@ -39,11 +42,19 @@
         wait_s: Seconds until the last task of the job has capacity.
         ahead_millicores: Capacity needed by more urgent waiting work.
         rate: Capacity freed per second, in millicores.
+        in_doubt: Whether nothing can be predicted, as all targets are in doubt
+            and the job is none of those for the next probes.
     """
 
     wait_s: float
     ahead_millicores: int
     rate: float
+    in_doubt: bool = False
+
+
+# Forecasts while all targets of a service are in doubt.
+_NEXT_PROBE = Forecast(0.0, 0, 0.0)
+_IN_DOUBT = Forecast(admission.MAX_PREDICTED_WAIT_S, 0, 0.0, True)
 
 
 @attrs.define(eq=False)
@@ -80,9 +91,28 @@
             admitted: All admitted jobs of this scheduler.
             now_s: Current time.
         """
-        service = job.spec.queue.service
         if self.is_recovering(now_s):
-            return self._predict_recovery(job, admitted, now_s)
+            forecast = self._predict_recovery(job, admitted, now_s)
+        else:
+            forecast = self._predict_steady(job, admitted, now_s)
+        if forecast.wait_s <= job.latest_start_s - now_s:
+            return forecast
+        doubted = self._doubted(job.spec.queue.service)
+        if not doubted:
+            return forecast
+        if probing.may_probe(job, self.waiting_jobs, doubted):
+            return _NEXT_PROBE
+        return _IN_DOUBT
+
+    def _doubted(self, service: str) -> list[runners.RunnerView]:
+        """Returns the runners of a service if they are all in doubt."""
+        return probing.all_in_doubt(self.runner_views.values(), service)
+
+    def _predict_steady(
+        self, job: jobs.Job, admitted: Collection[jobs.Job], now_s: float
+    ) -> Forecast:
+        """Predicts the wait of a new job from the freed capacity."""
+        service = job.spec.queue.service
         serving = [x for x in self.runner_views.values() if x.serves(service)]
         healthy = [x for x in serving if not x.suspect]
         ahead = self._waiting_ahead(job) + _other_demand_ahead(job, serving)
@@ -125,6 +155,7 @@
             others = _other_demand_by_class(serving)
             available = self._joining_millicores(serving, now_s)
             available += sum(max(0, x.free().cpu_millicores) for x in healthy)
+            next_probes = self._next_probes(service)
             ahead = 0
             for job in self.waiting_jobs:
                 if job.spec.queue.service != service:
@@ -133,7 +164,18 @@
                 ahead += job.waiting_millicores()
                 needed = before + job.waiting_millicores() - available
                 wait_s = admission.predict_wait_s(needed, rate, 0.0)
-                yield job, Forecast(wait_s, before, rate)
+                if healthy or wait_s <= 0.0:
+                    yield job, Forecast(wait_s, before, rate)
+                else:
+                    yield job, _NEXT_PROBE if job in next_probes else _IN_DOUBT
+
+    def _next_probes(self, service: str) -> list[jobs.Job]:
+        """Returns the waiting jobs for probes of targets all in doubt."""
+        doubted = self._doubted(service)
+        waiting = [
+            x for x in self.waiting_jobs if x.spec.queue.service == service
+        ]
+        return probing.probing_jobs(waiting, doubted) if doubted else []
 
     def is_recovering(self, now_s: float) -> bool:
         """Returns whether too little is known of most of the runners."""
@@ -182,7 +224,10 @@
                 x for x in self.waiting_jobs if x.spec.queue.service == service
             ]
             supply = self._supply(service, admitted, 0.0, now_s)
+            next_probes = self._next_probes(service)
             for job, needed in recovering.late_jobs(waiting, supply, now_s):
+                if job in next_probes:
+                    continue
                 forecast = Forecast(
                     supply.wait_s(needed),
                     needed - job.waiting_millicores(),
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -98,6 +98,19 @@
         """Whether the runner gets probes only."""
         return self.report is not None and self.report.suspect
 
+    @property
+    def awaits_probe(self) -> bool:
+        """Whether a task that is sent now would start as a probe.
+
+        What was sent since the last report may be one.
+        """
+        return (
+            self.suspect
+            and self.report.probe_due
+            and not self.blocked
+            and not self.unreported_demands
+        )
+
     @property
     def slowness(self) -> float:
         """Actual over expected run times on the runner; 1 is normal.
--- a/trefoilgw/scheduling/tests/fixtures.py
+++ b/trefoilgw/scheduling/tests/fixtures.py
@@ -37,6 +37,7 @@
     competing_cpu=(),
     schedulers=0,
     others_started=(),
+    **changes,
 ):
     return messages.CapacityReport(
         starts_received,
@@ -49,6 +50,7 @@
         competing_cpu,
         schedulers,
         others_started,
+        **changes,
     )
 
 
