End a doubt with a probe too short to be measured

Callers would see: targets that had stood still or been slow got no work any more, although their probes were done.

Cause: a doubt of standing still ended only by progress that a listing showed, and one of slowness only by a measured speed, which takes a run of 0.1 s. Probes that end before are neither.

Change: a probe that is done ends the doubt of standing still, and one that is done within 0.1 s that of slowness. Runs from before the doubt still end none.

--- a/tools/tests/test_doubt_replay.py
+++ b/tools/tests/test_doubt_replay.py
@@ -75,6 +75,13 @@
         """They are in doubt as flapping when they are up for good."""
         self.check(period_s=0.7)
 
+    def test_short_tasks_only(self):
+        """Their speed and their progress are hardly ever seen."""
+        kinds = (fleet_trial.Kind("tiny", 5.0, 4, 0.05),)
+        for trouble in ({"slowness": 8.0}, {"slowness": 1e6}, {"fails": True}):
+            with self.subTest(**trouble):
+                self.check(kinds=kinds, **trouble)
+
     def test_jobs_beyond_the_probes_are_rejected_at_once(self):
         """If all are admitted, most wait in vain until they are late."""
         in_force = play(1, fails=True)
--- a/trefoilgw/room/health.py
+++ b/trefoilgw/room/health.py
@@ -234,8 +234,9 @@
     ) -> None:
         """Records a successful run, which clears the failures.
 
-        A suspicion of failing or flapping ends by probes only. Runs that have
-        begun before it may still succeed.
+        A suspicion ends by probes only. Runs that have begun before it may
+        still succeed. A probe that was too short for its speed or progress to
+        be seen was neither slow nor stalled.
 
         Args:
             key: Task and number of the run.
@@ -252,7 +253,13 @@
             return
         self.probe = None
         match self.suspect_reason:
-            case SuspectReason.FAILING | SuspectReason.FLAPPING:
+            case (
+                SuspectReason.FAILING
+                | SuspectReason.FLAPPING
+                | SuspectReason.STALLED
+            ):
+                self._probe_passed()
+            case SuspectReason.SLOW if run_s < MIN_SPEED_AGE_S:
                 self._probe_passed()
             case SuspectReason.SLOW if speed is not None:
                 self._judge_speed(speed)
--- a/trefoilgw/room/tests/test_health.py
+++ b/trefoilgw/room/tests/test_health.py
@@ -222,6 +222,21 @@
         self.assertFalse(self.health.suspect)
 
 
+class StalledTest(TargetCase):
+    def test_probe_that_ends_before_it_is_listed_ends_the_suspicion(self):
+        """A short probe never shows its progress."""
+        self.health.suspect_reason = health.SuspectReason.STALLED
+        self.assertTrue(self.run_once(work.Ending.DONE))
+        self.assertFalse(self.health.suspect)
+
+    def test_run_from_before_the_suspicion_does_not_end_it(self):
+        """It may have been nearly done when the target came to a halt."""
+        old = self.start()
+        self.health.suspect_reason = health.SuspectReason.STALLED
+        self.allocator.run_ended(old, 1, work.Ending.DONE, self.now_s)
+        self.assertTrue(self.health.suspect)
+
+
 class SlowTest(TargetCase):
     def poll(self, shares):
         """Lists the progress of runs."""
@@ -263,6 +278,13 @@
         self.assertTrue(self.run_once(work.Ending.DONE, 0.9))
         self.assertFalse(self.health.suspect)
 
+    def test_probe_too_short_to_be_measured_ends_the_suspicion(self):
+        """A service of short tasks only would have no other probe."""
+        self.health.suspect_reason = health.SuspectReason.SLOW
+        run_s = health.MIN_SPEED_AGE_S / 2
+        self.assertTrue(self.run_once(work.Ending.DONE, run_s))
+        self.assertFalse(self.health.suspect)
+
     def test_target_of_a_slow_kind_is_judged_by_its_usual_speed(self):
         """It would else be suspect whenever three short estimates meet."""
         found = [health.RunProgress(f"j{x}", 1.0, 1.0, 0.35) for x in range(3)]
