Probe a target in doubt although all jobs are urgent

Callers would see: less room than there is, until load exceeds it. Operators are told that a target comes back by itself.

Cause: beside healthy targets, only tasks with 0.5 s of slack were sent as probes, or those that waited and bid. While all jobs are urgent and fit elsewhere, neither comes, and one target in doubt after the other is lost.

Change: a target that has awaited a probe for 4 s gets any task that has not failed before.

Result: two of the three tests of OneOfManyTest failed before (no probe in 10 s).

--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -328,9 +328,10 @@
         """Stores a runner's capacity report and places waiting tasks."""
         view = self.runner_views[name]
         self.fleet_speeds.note_report(view, report)
+        last = view.report
         view.update_report(report)
+        view.note_report_time(last, now_s)
         view.expire_refusals(now_s)
-        view.last_report_s = now_s
         self.forecaster.joining.reported(view, now_s)
         self.largest_targets.record(
             report.service, name, report.capacity.demand, now_s
--- a/trefoilgw/scheduling/placing.py
+++ b/trefoilgw/scheduling/placing.py
@@ -28,6 +28,9 @@
 PROBE_INTERVAL_S = 1.0
 # Slack that a task needs to serve as a probe, since a probe may fail late.
 MIN_PROBE_SLACK_S = 0.5
+# Time that a target awaits a probe from which on any task may serve as one: no
+# other may ever come.
+PROBE_PATIENCE_S = 4.0
 
 
 @attrs.define
@@ -118,13 +121,13 @@
     probes = [
         x
         for x in fitting
-        if x.suspect and now_s - x.probed_s >= PROBE_INTERVAL_S
+        if x.suspect
+        and now_s - x.probed_s >= PROBE_INTERVAL_S
+        and (
+            time_left.slack_s >= MIN_PROBE_SLACK_S or _awaits_any_task(x, now_s)
+        )
     ]
-    if (
-        probes
-        and not task.excluded_runners
-        and time_left.slack_s >= MIN_PROBE_SLACK_S
-    ):
+    if probes and not task.excluded_runners:
         return probes[0]
     if not healthy:
         return None
@@ -132,6 +135,12 @@
     return rng.choices(healthy, weights)[0] if weights else None
 
 
+def _awaits_any_task(view: runners.RunnerView, now_s: float) -> bool:
+    """Returns whether a target has awaited a probe for long."""
+    awaited_s = now_s - view.awaiting_since_s
+    return view.awaits_probe and awaited_s >= PROBE_PATIENCE_S
+
+
 def may_fill(
     view: runners.RunnerView, task: jobs.Task, time_left: TimeLeft
 ) -> bool:
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -56,6 +56,8 @@
         bid: Last bid sent to it.
         bid_sent_s: Time at which that bid was sent.
         probed_s: Time at which it last got a task while suspect.
+        awaiting_since_s: Time of the report since which a probe is due, if one
+            is.
     """
 
     name: str
@@ -81,6 +83,7 @@
     bid: messages.Bid = NO_BID
     bid_sent_s: float = 0.0
     probed_s: float = -1e9
+    awaiting_since_s: float = -math.inf
     _free: work.Demand | None = None
 
     @property
@@ -170,6 +173,19 @@
             x for x in self.unreported_demands if x[0] > report.starts_received
         ]
 
+    def note_report_time(
+        self, last: messages.CapacityReport | None, now_s: float
+    ) -> None:
+        """Notes when the latest report has arrived.
+
+        Args:
+            last: The report before it, None if it is the first one.
+            now_s: Current time.
+        """
+        self.last_report_s = now_s
+        if last is None or not (last.suspect and last.probe_due):
+            self.awaiting_since_s = now_s
+
     def refuse_until(self, urgency: int, until_s: float) -> None:
         """Excludes an urgency class and all less urgent ones for a time."""
         self.refused_until_s[urgency] = until_s
--- a/trefoilgw/scheduling/tests/test_probing.py
+++ b/trefoilgw/scheduling/tests/test_probing.py
@@ -9,6 +9,7 @@
 from trefoilgw.messages import runs as messages
 from trefoilgw.scheduling import actions
 from trefoilgw.scheduling import jobs
+from trefoilgw.scheduling import placing
 from trefoilgw.scheduling.tests import fixtures
 from trefoilgw.work import core as work
 
@@ -28,9 +29,9 @@
 
 
 def make_scheduler(names=NAMES, now_s=JOINED_S, **changes):
-    """Returns a scheduler whose runners are all in doubt."""
+    """Returns a scheduler whose runners are all in doubt from 0 on."""
     scheduler = fixtures.make_scheduler(*names, now_s=now_s)
-    report(scheduler, names, now_s, **changes)
+    report(scheduler, names, 0.0, **changes)
     return scheduler
 
 
@@ -193,6 +194,49 @@
         self.assert_probed(scheduler)
 
 
+class OneOfManyTest(unittest.TestCase):
+    """A target in doubt beside healthy ones that have room for all jobs."""
+
+    def setUp(self):
+        self.scheduler = fixtures.make_scheduler("r1", "r2", now_s=JOINED_S)
+        report(self.scheduler, ("r1",), 0.0)
+
+    def first_probe_s(self, **changes):
+        """Submits urgent jobs until one is a probe; returns when it was."""
+        for number in range(200):
+            now_s = 0.05 * number
+            submit(self.scheduler, f"j{number}", now_s, **changes)
+            ((name, task, run),) = fixtures.sent(self.scheduler.take_actions())
+            if name == "r1":
+                return now_s
+            fixtures.end_run(
+                self.scheduler, name, task, run, work.Ending.DONE, now_s + 0.04
+            )
+            free = fixtures.make_report(starts_received=number + 1)
+            self.scheduler.capacity_reported(name, free, now_s)
+        return None
+
+    def test_probe_though_all_jobs_are_urgent(self):
+        """The target would be lost until there is more load than room."""
+        self.assertAlmostEqual(
+            placing.PROBE_PATIENCE_S, self.first_probe_s(), delta=0.1
+        )
+
+    def test_no_probe_while_the_runner_refuses_them(self):
+        """The task would come back and start late elsewhere."""
+        report(self.scheduler, ("r1",), 0.0, probe_due=False)
+        self.assertIsNone(self.first_probe_s())
+
+    def test_patience_begins_again_with_each_probe(self):
+        """A failing target must not get an urgent task as soon as it may."""
+        for now_s in (1.0, 2.0, 3.0):
+            report(self.scheduler, ("r1",), now_s, probe_due=False)
+            report(self.scheduler, ("r1",), now_s + 0.5)
+        self.assertAlmostEqual(
+            3.5 + placing.PROBE_PATIENCE_S, self.first_probe_s(), delta=0.1
+        )
+
+
 class WaitingTest(unittest.TestCase):
     def scheduler_in_doubt(self, count, now_s=JOINED_S, **changes):
         """Returns a scheduler with waiting jobs at targets now in doubt."""
