Place tasks without CPU where all CPU is taken

Cause: the weight of a runner was the CPU tasks that fit, which is 0 where the job's other tasks have just taken all CPU. A task without CPU fits there, and if all weights are 0 the draw raises.

Change: such a task counts as fitting once wherever it fits, also beside targets of uneven speed, so that at least one weight is above 0.

Weights of tasks with CPU are as before, which test_equal_speeds_leave_the_choice_as_it_is compares draw by draw.

--- a/trefoilgw/scheduling/placing.py
+++ b/trefoilgw/scheduling/placing.py
@@ -165,9 +165,11 @@
         domain: Failure domain of the scheduler.
 
     Returns:
-        An empty list if the task should wait for a faster target.
+        An empty list if the task should wait for a faster target. Else at
+        least one is above 0.
 
     Notes:
+        The free CPU says nothing of the room for a task that needs none.
         Where targets differ, a runner where the task ends late has no weight
         while there is a better one. Otherwise the square of the time left
         there takes the place of the slowness.
@@ -179,15 +181,24 @@
         if time_left.should_wait(best_s, task):
             return []
         if best_s > 0.0 and any(x.fleet_slowness != first for x in views):
-            needed = max(1, task.millicores)
             return [
-                (x.free().cpu_millicores / needed * max(0.0, spare_s)) ** 2
+                (_fitting_tasks(x, task.millicores) * max(0.0, spare_s)) ** 2
                 * (LOCAL_WEIGHT if x.domain == domain else 1.0)
                 for x, spare_s in zip(views, spares_s, strict=True)
             ]
     return [_weight(x, task.millicores, domain) for x in views]
 
 
+def _fitting_tasks(view: runners.RunnerView, millicores: int) -> float:
+    """Returns how many tasks fit in the free CPU; 1 if they need none.
+
+    Args:
+        view: A runner with capacity for one of them.
+        millicores: Processor capacity that each of them needs.
+    """
+    return view.free().cpu_millicores / millicores if millicores > 0 else 1.0
+
+
 def _weight(view: runners.RunnerView, millicores: int, domain: str) -> float:
     """Returns the relative probability of a runner.
 
@@ -201,6 +212,5 @@
         capacity, which other schedulers are about to fill, is seldom chosen.
         Slow runners are chosen less by the same power.
     """
-    fitting_tasks = view.free().cpu_millicores / max(1, millicores)
-    weight = (fitting_tasks / view.slowness) ** 2
+    weight = (_fitting_tasks(view, millicores) / view.slowness) ** 2
     return weight * LOCAL_WEIGHT if view.domain == domain else weight
--- a/trefoilgw/scheduling/tests/test_placing.py
+++ b/trefoilgw/scheduling/tests/test_placing.py
@@ -66,6 +66,23 @@
         for share in found.values():
             self.assertAlmostEqual(0.25, share, delta=TOLERANCE)
 
+    def test_task_without_cpu_fits_where_all_cpu_is_taken(self):
+        """The weights of such runners were all 0, which no draw accepts."""
+        full = (make_view("r1", 0), make_view("r2", 0))
+        for views in (full, (make_view("r3", 0, slowness=1.4), *full)):
+            found = shares(*views, millicores=0)
+            self.assertNotIn(None, found)
+        uneven = (
+            make_view("r1", 0, slowness=0.7),
+            make_view("r2", 4000, slowness=1.4),
+        )
+        self.assertNotIn(None, shares(*uneven, millicores=0))
+
+    def test_task_without_cpu_prefers_no_runner_with_free_cpu(self):
+        """How much CPU is free says nothing of the room for it."""
+        found = shares(make_view("r1", 0), make_view("r2", 4000), millicores=0)
+        self.assertAlmostEqual(0.5, found["r1"], delta=TOLERANCE)
+
     def test_no_runner_without_capacity(self):
         """A task that can't start must wait and bid instead."""
         self.assertEqual({None: 1.0}, shares(make_view("r1", 500)))
