End only the job whose placement fails unexpectedly

Cause: the error left the choice of runners halfway. What was planned for the job's other tasks stayed charged to the runners' views, and no order to a runner without room corrects its view. Jobs placed before in the same call were marked as sent and never sent. The job stayed admitted although its caller had its answer, and each tick failed at it again, after which the scheduler no longer counted as alive and its runs were stopped.

Change: the plan is taken back, the error is logged, and the job is answered: as rejected if it has certainly not run, else as unfinished, and its runs are stopped. The other jobs are placed. The same holds for offers. A submission that fails leaves no job. A part of the tick that fails keeps no other from its work.

--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -34,6 +34,9 @@
 # at the wall clock in milliseconds, and clocks of hosts may be seconds apart.
 RUN_NUMBER_SKIP = 60_000
 MIN_RETRY_AFTER_S = 0.1
+# Time after which a job that failed with an unexpected error may be submitted
+# again. It may be the cause, so it should not come back at once.
+ERROR_RETRY_AFTER_S = 1.0
 # Refusal reasons of a runner that keeps its free capacity for more urgent work,
 # and the time that the scheduler waits for an offer before it retries.
 HEADROOM_REASONS = frozenset({"headroom", "reserved"})
@@ -126,6 +129,7 @@
             self.rng,
             self._send_message,
             self._alive_until_s,
+            self._give_up_unplaceable,
             fleet_speeds=self.fleet_speeds,
         )
 
@@ -183,7 +187,12 @@
         self.admitted_cpu.record(job.urgency, job.waiting_millicores())
         self.admitted[job.key] = job
         bisect.insort(self.waiting_jobs, job, key=lambda x: x.rank)
-        self.dispatcher.place(now_s)
+        try:
+            self.dispatcher.place(now_s)
+        except Exception:
+            # Its caller gets an error, so nobody waits for it.
+            self.cancel(job.key)
+            raise
         return job
 
     def _refuse_too_large(
@@ -234,6 +243,14 @@
         self._remove(job)
         self.pending_actions.append(actions.Answer(job, outcome))
 
+    def _give_up_unplaceable(self, job: jobs.Job) -> None:
+        """Answers a job for which the choice of a runner has failed."""
+        if job.has_certainly_not_run():
+            outcome = actions.Rejected("internal_error", ERROR_RETRY_AFTER_S)
+        else:
+            outcome = actions.Unfinished("internal_error")
+        self._answer(job, outcome)
+
     # Runners.
 
     def runner_connected(
@@ -516,20 +533,32 @@
     def tick(self, now_s: float) -> None:
         """Expires lost runners, rejects overdue jobs and places waiting tasks.
 
-        Must be called every few tens of milliseconds.
+        Must be called every few tens of milliseconds. An unexpected error in
+        one part is logged and keeps no other from its work: without the end of
+        abandoned jobs, tasks could run twice, and without the note that this
+        process is alive all its runs would be stopped.
         """
+        for part in (
+            self._update_rates,
+            self._expire_lost_runners,
+            self._end_abandoned,
+            self._reject_overdue,
+            self._review_waiting,
+            self._reject_late,
+            self.dispatcher.place,
+        ):
+            try:
+                part(now_s)
+            except Exception:
+                log.exception("update failed", extra={"part": part.__name__})
+        self.handled_s = self._ticked_s
+        self._ticked_s = now_s
+
+    def _update_rates(self, now_s: float) -> None:
+        """Lets the rates decay and compares the speeds of the targets."""
         self.admitted_cpu.decay(now_s)
         if self.fleet_speeds.changed:
             self.fleet_speeds.update(self.runner_views.values())
-        self._expire_lost_runners(now_s)
-        self._end_abandoned(now_s)
-        self._reject_evacuated()
-        self._reject_overdue(now_s)
-        self._review_waiting(now_s)
-        self._reject_late(now_s)
-        self.dispatcher.place(now_s)
-        self.handled_s = self._ticked_s
-        self._ticked_s = now_s
 
     def _expire_lost_runners(self, now_s: float) -> None:
         """Requeues tasks of lost runners whose runs have certainly ended."""
@@ -564,7 +593,8 @@
                 self._answer(job, actions.Unfinished("caller_wait_over"))
 
     def _reject_overdue(self, now_s: float) -> None:
-        """Rejects jobs that have not started and would end late."""
+        """Rejects jobs that have not started and can't or would end late."""
+        self._reject_evacuated()
         for job in list(self.waiting_jobs):
             if not job.started and now_s > job.reject_after_s:
                 self._answer(
--- a/trefoilgw/scheduling/dispatching.py
+++ b/trefoilgw/scheduling/dispatching.py
@@ -3,8 +3,12 @@
 A task goes at once to a runner whose last report shows room for it. Otherwise
 it waits, and the runners are told of it by bids; the offers that answer them
 are filled in order of urgency.
+
+An unexpected error in the choice for one job concerns that job only: what was
+planned for it is taken back, it is given up, and the others are placed.
 """
 
+import logging
 import random
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -25,6 +29,8 @@
 # less urgent jobs may use the remaining capacity.
 MAX_SKIPPED_JOBS = 4
 
+log = logging.getLogger(__name__)
+
 
 @attrs.define(eq=False)
 class Dispatcher:
@@ -38,6 +44,7 @@
         send_message: Sends a message to a runner, given its name.
         alive_until_s: Returns until when this process has certainly not been
             paused, given the current time.
+        give_up: Ends a waiting job for which no runner can be chosen.
         bid_urgency: Most urgent class of the last bids, None while nothing
             waits.
         bids_updated_s: Time of the last update of the bids.
@@ -52,6 +59,7 @@
     rng: random.Random
     send_message: Callable[[str, object], None]
     alive_until_s: Callable[[float], float]
+    give_up: Callable[[jobs.Job], None]
     bid_urgency: int | None = None
     bids_updated_s: float = 0.0
     rotation: int = 0
@@ -84,7 +92,11 @@
             accepting = [
                 x for x in with_capacity if x.accepts(job.urgency, now_s)
             ]
-            planned, whole = self._plan(job, accepting, now_s)
+            try:
+                planned, whole = self._plan(job, accepting, now_s)
+            except Exception:
+                self._give_up_after_error(job)
+                continue
             skipped += not whole
             for task, view in planned:
                 self._mark_sent(job, task, view, now_s)
@@ -113,35 +125,49 @@
         Returns:
             Tasks and their runners, and whether these are all waiting tasks.
             A job that may start as a whole only gets all or none.
+
+        Raises:
+            Exception: Any unexpected error; the views are as before.
         """
         planned = []
         probed: dict[str, float] = {}
         fastest = self.fleet_speeds.fastest_at(job.spec.queue.service)
-        for task in job.waiting():
-            view = placing.choose_runner(
-                views,
-                task,
-                placing.time_left_of(job, task, fastest, now_s),
-                job.spec.queue.service,
-                self.domain,
-                now_s,
-                self.rng,
-            )
-            if view is None:
-                break
-            view.add_unreported(task.spec.demand)
-            probed.setdefault(view.name, view.probed_s)
-            if view.suspect:
-                view.probed_s = now_s
-            planned.append((task, view))
-        else:
-            return planned, True
-        if not job.is_held:
-            return planned, False
-        for _, view in reversed(planned):
-            view.remove_last_unreported()
-            view.probed_s = probed[view.name]
-        return [], False
+        whole = False
+        try:
+            for task in job.waiting():
+                view = placing.choose_runner(
+                    views,
+                    task,
+                    placing.time_left_of(job, task, fastest, now_s),
+                    job.spec.queue.service,
+                    self.domain,
+                    now_s,
+                    self.rng,
+                )
+                if view is None:
+                    break
+                view.add_unreported(task.spec.demand)
+                probed.setdefault(view.name, view.probed_s)
+                if view.suspect:
+                    view.probed_s = now_s
+                planned.append((task, view))
+            else:
+                whole = True
+        except Exception:
+            _take_back(planned, probed)
+            raise
+        if not whole and job.is_held:
+            _take_back(planned, probed)
+            planned = []
+        return planned, whole
+
+    def _give_up_after_error(self, job: jobs.Job) -> None:
+        """Logs the present exception and ends the job that it concerns.
+
+        The error would most likely come again with each attempt to place it.
+        """
+        log.exception("job can't be placed", extra={"job": job.key})
+        self.give_up(job)
 
     def _mark_sent(
         self,
@@ -215,17 +241,13 @@
                 continue
             if job.urgency > offer.urgency:
                 continue
-            waiting = job.waiting()
-            fastest = self.fleet_speeds.fastest_at(job.spec.queue.service)
-            usable = [
-                x
-                for x in waiting
-                if placing.may_fill(
-                    view, x, placing.time_left_of(job, x, fastest, now_s)
-                )
-            ]
-            chosen, rest = _fill(usable, offer, name, remaining)
-            if job.is_held and len(chosen) < len(waiting):
+            try:
+                usable = self._usable_tasks(job, view, now_s)
+                chosen, rest = _fill(usable, offer, name, remaining)
+            except Exception:
+                self._give_up_after_error(job)
+                continue
+            if job.is_held and len(chosen) < len(job.waiting()):
                 continue
             remaining = rest
             for task in chosen:
@@ -238,6 +260,19 @@
             view.drop_bids(offer.urgency, keep_more_urgent=offer.backfill)
         self._send_bids(now_s)
 
+    def _usable_tasks(
+        self, job: jobs.Job, view: runners.RunnerView, now_s: float
+    ) -> list[jobs.Task]:
+        """Returns the waiting tasks that may use what a runner offers."""
+        fastest = self.fleet_speeds.fastest_at(job.spec.queue.service)
+        return [
+            x
+            for x in job.waiting()
+            if placing.may_fill(
+                view, x, placing.time_left_of(job, x, fastest, now_s)
+            )
+        ]
+
     def _send_bids(self, now_s: float) -> None:
         """Updates the bids at the runners if the waiting work has changed."""
         first = self.waiting_jobs[0].urgency if self.waiting_jobs else None
@@ -262,6 +297,21 @@
                     self.send_message(view.name, bid)
 
 
+def _take_back(
+    planned: Iterable[tuple[jobs.Task, runners.RunnerView]],
+    probed: Mapping[str, float],
+) -> None:
+    """Undoes what a plan has changed in the views.
+
+    Args:
+        planned: Tasks and their runners, in the order in which they were added.
+        probed: When each of the runners had its last probe before.
+    """
+    for _, view in reversed(list(planned)):
+        view.remove_last_unreported()
+        view.probed_s = probed[view.name]
+
+
 def _fill(
     tasks: Iterable[jobs.Task],
     offer: messages.Offer,
