Carry out all actions although one of them fails

Cause: an unexpected error while a scheduler or runner carried out its actions lost those that came after it: orders of tasks that were marked as sent, starts whose room stayed in use, and answers that callers wait for. A job whose submission failed after it was admitted ran on without a caller.

Change: each action is carried out for itself and an error is logged. A stream that has lost a message is closed, as the next one begins with what both sides know. A caller that gets an error no longer counts as waiting, so that its job is cancelled unless another caller waits for it.

--- a/trefoilgw/room/actions.py
+++ b/trefoilgw/room/actions.py
@@ -44,3 +44,6 @@
     owner: str
     message: object
     again: bool = False
+
+
+Action = Start | Stop | SendMessage
--- a/trefoilgw/runner/links.py
+++ b/trefoilgw/runner/links.py
@@ -293,6 +293,12 @@
                 if self._ping_due_s(link) - now_s <= EARLY_PING_S:
                     self._ping(link, now_s)
 
+    def close(self, owner: str, reason: str) -> None:
+        """Closes the stream to a scheduler if it is open."""
+        for link in list(self.links.values()):
+            if link.owner == owner and link.stream is not None:
+                link.stream.close(reason)
+
     def ping(self) -> None:
         """Pings the schedulers, and closes streams that are not answered.
 
--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -161,22 +161,36 @@
         eventlet.sleep(TICK_S)
 
     def flush(self) -> None:
-        """Offers and reports free capacity and carries out pending actions."""
+        """Offers and reports free capacity and carries out pending actions.
+
+        An unexpected error in one of them is logged; the others are carried
+        out. A stream that has lost a message is closed, as the next one begins
+        with what the scheduler has to know.
+        """
         now_s = clock.boottime()
         self.allocator.offer_capacity(now_s)
         self.allocator.report_capacity(now_s)
         for action in self.allocator.take_actions():
-            match action:
-                case actions.SendMessage(
-                    owner=owner, message=message, again=again
-                ):
-                    if isinstance(message, runs.RunEnded) and not again:
-                        self._run_ended(message)
-                    self.links.send(owner, message)
-                case actions.Start(task=task, run=run, payload=payload):
-                    eventlet.spawn_n(self.driver.start, task, run, payload)
-                case actions.Stop(task=task, run=run):
-                    eventlet.spawn_n(self.driver.stop, task, run)
+            try:
+                self._perform(action)
+            except Exception:
+                log.exception(
+                    "action failed", extra={"action": type(action).__name__}
+                )
+                if isinstance(action, actions.SendMessage):
+                    self.links.close(action.owner, "action failed")
+
+    def _perform(self, action: actions.Action) -> None:
+        """Carries out one action."""
+        match action:
+            case actions.SendMessage(owner=owner, message=message, again=again):
+                self.links.send(owner, message)
+                if isinstance(message, runs.RunEnded) and not again:
+                    self._run_ended(message)
+            case actions.Start(task=task, run=run, payload=payload):
+                eventlet.spawn_n(self.driver.start, task, run, payload)
+            case actions.Stop(task=task, run=run):
+                eventlet.spawn_n(self.driver.stop, task, run)
 
     def _tick(self) -> None:
         """Runs the periodic tasks."""
--- a/trefoilgw/runner/tests/test_program.py
+++ b/trefoilgw/runner/tests/test_program.py
@@ -5,6 +5,7 @@
 from unittest import mock
 
 import attrs
+import eventlet
 
 from trefoilgw.evacuation import log_lines
 from trefoilgw.messages import runs
@@ -12,6 +13,7 @@
 from trefoilgw.platform.tests import test_decoding
 from trefoilgw.room.tests import fixtures
 from trefoilgw.room.tests.fixtures import A
+from trefoilgw.runner import driving
 from trefoilgw.runner import links
 from trefoilgw.runner import program
 from trefoilgw.timers import clock
@@ -34,6 +36,35 @@
         self.assertEqual(1, sum(runner.counts.ended.values.values()))
 
 
+class UnexpectedErrorTest(unittest.TestCase):
+    def test_one_action_that_fails_loses_no_other(self):
+        """A start that is never sent would use its room for ever."""
+        document = json.dumps(test_decoding.SETTINGS).encode()
+        runner = program.Runner(hosting.decode(document))
+        allocator = runner.allocator = fixtures.make_allocator(A)
+        started = []
+        fixtures.start_confirmed(allocator, A, "j.0.0.0")
+        allocator.run_ended("j.0.0.0", 1, work.Ending.FAILED, 0.5)
+        orders = tuple(fixtures.make_order(f"k.0.0.{x}") for x in range(2))
+        groups = (runs.RunGroup("p", orders),)
+        allocator.start_runs(A, runs.StartRuns(0, groups), 0.5)
+        stream = mock.Mock()
+        stream.send.side_effect = ValueError
+        runner.links.links["s1"] = links.Link("s1", 0.0, A, stream)
+        start = mock.patch.object(
+            driving.TargetDriver,
+            "start",
+            lambda _, task, *__: started.append(task),
+        )
+        with start, self.assertLogs(program.log, "ERROR") as logged:
+            runner.flush()
+            eventlet.sleep(0.0)
+        # The end of the run goes out again on the next stream.
+        stream.close.assert_called()
+        self.assertEqual({"action failed"}, {x.msg for x in logged.records})
+        self.assertEqual(["k.0.0.0", "k.0.0.1"], started)
+
+
 class EvacuationTest(unittest.TestCase):
     def setUp(self):
         document = json.dumps(test_decoding.SETTINGS).encode()
--- a/trefoilgw/scheduler/clients.py
+++ b/trefoilgw/scheduler/clients.py
@@ -78,6 +78,12 @@
         if isinstance(message, runs.StartRuns):
             self.ordered_s.setdefault(runner, self.now())
 
+    def close(self, runner: str, reason: str) -> None:
+        """Closes the stream of a runner if it is open."""
+        stream = self.runners.get(runner)
+        if stream is not None:
+            stream.close(reason)
+
     def broadcast(self, message: object, runners: bool = True) -> None:
         """Sends a message to all connected peers and, by default, runners."""
         frame = codec.encode(message)
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -423,12 +423,19 @@
             decision_log.log_job_rejected(spec, result, waiting_count, version)
             self.counts.job_rejected(spec.queue.name, result.reason)
             return result
-        decision_log.log_job_admitted(result, waiting_count, version, now_s)
         waiter = Waiter(connection)
         self.waiters.setdefault(spec.key, []).append(waiter)
-        connection.watch(lambda: self._caller_disconnected(spec.key, waiter))
-        self.flush()
-        return waiter.outcome.wait()
+        try:
+            decision_log.log_job_admitted(result, waiting_count, version, now_s)
+            connection.watch(
+                lambda: self._caller_disconnected(spec.key, waiter)
+            )
+            self.flush()
+            return waiter.outcome.wait()
+        except Exception:
+            # The caller gets an error, so it no longer waits for the job.
+            self._caller_disconnected(spec.key, waiter)
+            raise
 
     def drop_closed_callers(self, pause_s: float) -> None:
         """Cancels the jobs of callers that left during a pause.
@@ -504,24 +511,38 @@
     # Scheduling.
 
     def flush(self) -> None:
-        """Performs all actions that the scheduler has decided on."""
+        """Performs all actions that the scheduler has decided on.
+
+        An unexpected error in one of them is logged; the others are performed.
+        A stream that has lost a message is closed: the runner connects again
+        and tells which orders it has.
+        """
         for action in self.scheduler.take_actions():
-            match action:
-                case actions.SendMessage(runner=runner, message=message):
-                    if isinstance(message, runs.StartRuns) and message.groups:
-                        view = self.scheduler.runner_views[runner]
-                        decision_log.log_tasks_sent(
-                            view, message, clock.boottime()
-                        )
-                    self.clients.send(runner, message)
-                case actions.Repeated():
-                    decision_log.log_task_repeated(action)
-                    self.counts.task_repeated(action.end)
-                case actions.Answer(job=job, outcome=outcome):
-                    now_s = clock.boottime()
-                    decision_log.log_job_ended(job, outcome, now_s)
-                    self.counts.job_ended(job, outcome, now_s)
-                    self._answer_waiters(job.key, outcome)
+            try:
+                self._perform(action)
+            except Exception:
+                log.exception(
+                    "action failed", extra={"action": type(action).__name__}
+                )
+                if isinstance(action, actions.SendMessage):
+                    self.clients.close(action.runner, "action failed")
+
+    def _perform(self, action: actions.Action) -> None:
+        """Performs an action; records of it come after what others await."""
+        match action:
+            case actions.SendMessage(runner=runner, message=message):
+                self.clients.send(runner, message)
+                if isinstance(message, runs.StartRuns) and message.groups:
+                    view = self.scheduler.runner_views[runner]
+                    decision_log.log_tasks_sent(view, message, clock.boottime())
+            case actions.Repeated():
+                decision_log.log_task_repeated(action)
+                self.counts.task_repeated(action.end)
+            case actions.Answer(job=job, outcome=outcome):
+                self._answer_waiters(job.key, outcome)
+                now_s = clock.boottime()
+                decision_log.log_job_ended(job, outcome, now_s)
+                self.counts.job_ended(job, outcome, now_s)
 
     def _record_run_end(self, runner: str, ended: runs.RunEnded) -> None:
         """Counts the last end of a task; logs it unless the task was done."""
--- a/trefoilgw/scheduler/tests/test_program.py
+++ b/trefoilgw/scheduler/tests/test_program.py
@@ -85,6 +85,73 @@
         self.assertEqual({"stays"}, parts.scheduler.admitted.keys())
 
 
+class BrokenError(Exception):
+    """Stands for any error of the program."""
+
+
+class UnexpectedErrorTest(unittest.TestCase):
+    def setUp(self):
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        self.parts = make_program()
+
+    def test_one_action_that_fails_loses_no_other(self):
+        """An order that is never sent leaves its task waiting for ever."""
+        outcomes = []
+        for key in ("j", "k"):
+            caller = FakeCaller().connection
+            eventlet.spawn(
+                lambda *args: outcomes.append(self.parts.submit(*args)),
+                fixtures.job(key),
+                caller,
+            )
+        eventlet.sleep(0.0)
+        broken = mock.patch.object(
+            decision_log, "log_job_ended", side_effect=[BrokenError, None]
+        )
+        for task in ("j.0.0.0", "k.0.0.0"):
+            run = self.parts.scheduler.admitted[task[0]].tasks[0].run
+            ended = runs.RunEnded(task, run, "done", "", 0.4, "ended")
+            self.parts.scheduler.run_ended("r1", ended, 0.5)
+        with broken:
+            self.parts.flush()
+        eventlet.sleep(0.0)
+        self.assertEqual([actions.Completed()] * 2, outcomes)
+        self.assertEqual({}, self.parts.waiters)
+
+    def test_stream_that_has_lost_an_order_is_closed(self):
+        """The runner tells on the next one that it does not have it."""
+        stream = mock.Mock()
+        stream.send.side_effect = BrokenError
+        self.parts.clients.runners["r1"] = stream
+        self.parts.scheduler.submit(fixtures.job("j"), 1, 0.0)
+        self.parts.flush()
+        stream.close.assert_called_once()
+
+    def test_job_without_a_caller_is_cancelled(self):
+        """Its caller got an error and may submit it elsewhere."""
+        caller = FakeCaller().connection
+        caller = attrs.evolve(caller, watch=mock.Mock(side_effect=BrokenError))
+        with self.assertRaises(BrokenError):
+            self.parts.submit(fixtures.job("j"), caller)
+        self.assertEqual({}, self.parts.scheduler.admitted)
+        self.assertEqual({}, self.parts.waiters)
+
+    def test_second_caller_keeps_the_job(self):
+        """It submitted the same job and still waits for it."""
+        eventlet.spawn(
+            self.parts.submit, fixtures.job("j"), FakeCaller().connection
+        )
+        eventlet.sleep(0.0)
+        broken = attrs.evolve(
+            FakeCaller().connection, watch=mock.Mock(side_effect=BrokenError)
+        )
+        with self.assertRaises(BrokenError):
+            self.parts.submit(fixtures.job("j"), broken)
+        self.assertEqual({"j"}, self.parts.scheduler.admitted.keys())
+        self.assertEqual(1, len(self.parts.waiters["j"]))
+
+
 class WeightTest(unittest.TestCase):
     def gauge(self, parts, name):
         """Returns the value of a gauge as it is served."""
--- a/trefoilgw/scheduling/actions.py
+++ b/trefoilgw/scheduling/actions.py
@@ -91,3 +91,6 @@
 
     job: jobs.Job
     outcome: Outcome
+
+
+Action = SendMessage | Repeated | Answer
