Offer room without CPU to tasks that need none

Callers would see: a job with a task that needs no CPU ends late or not at all while its targets are busy.

A bid whose tasks need no CPU never got an offer, as nothing of its CPU remained to be offered, and CPU kept free for urgent work refused its tasks, as less than no CPU was left to them.

Change: such a bid gets one offer at a time for its memory and accelerators, the scheduler fills it with as many tasks as fit, and headroom leaves memory alone. For tasks with CPU all conditions are as before.

--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -571,7 +571,9 @@
             reserve = self.headroom.required_millicores(
                 self._cpu_use(), order.urgency
             )
-            if not order.room.demand.fits_in(free.minus(work.Demand(reserve))):
+            if not order.room.demand.fits_in(
+                room_headroom.usable(free, reserve)
+            ):
                 return "headroom"
         if self.backfilling.delays_blocked(
             order, offer, lambda demand: self._reserve(demand, now_s), now_s
--- a/trefoilgw/room/headroom.py
+++ b/trefoilgw/room/headroom.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from trefoilgw.work import core as work
 from trefoilgw.work import urgency as urgencies
 
 # Time constant of the exponential moving averages.
@@ -68,6 +69,22 @@
         return headroom if headroom >= MIN_HEADROOM_MILLICORES else 0
 
 
+def usable(free: work.Demand, required_millicores: int) -> work.Demand:
+    """Returns what a run may use that must leave some CPU free.
+
+    The memory may be used in any case: a run without CPU takes none from more
+    urgent ones.
+
+    Args:
+        free: Capacity that is neither in use nor reserved.
+        required_millicores: CPU that the run must leave free.
+    """
+    millicores = free.cpu_millicores
+    if required_millicores > 0:
+        millicores = max(min(0, millicores), millicores - required_millicores)
+    return attrs.evolve(free, cpu_millicores=millicores)
+
+
 def _millicores_by_class(used: Iterable[tuple[int, int]]) -> list[int]:
     """Returns the use of each class in millicores."""
     totals = [0] * urgencies.CLASS_COUNT
--- a/trefoilgw/room/offers.py
+++ b/trefoilgw/room/offers.py
@@ -12,6 +12,7 @@
 import attrs
 
 from trefoilgw.room import backfill
+from trefoilgw.room import headroom
 from trefoilgw.room import owners
 from trefoilgw.work import core as work
 
@@ -95,7 +96,7 @@
             if inputs.probe_blocked or owner.reservations:
                 return
             remaining = bid.next_demand
-        if remaining.cpu_millicores <= 0:
+        elif owner.covers(bid):
             continue
         if not bid.next_demand.fits_in(free):
             if not bid.next_demand.fits_in(inputs.capacity):
@@ -119,8 +120,7 @@
                     backfilling.observed,
                 )
             return
-        reserve = work.Demand(inputs.reserve_millicores(bid.urgency))
-        usable = free.minus(reserve)
+        usable = headroom.usable(free, inputs.reserve_millicores(bid.urgency))
         if bid.next_demand.fits_in(usable):
             capacity = _share(remaining, usable)
         elif now_s - bid.latest_start_s >= MAX_OVERDUE_S:
@@ -155,10 +155,10 @@
     for owner, bid in bids:
         if not bid.next_demand.fits_in(free):
             continue
-        remaining = bid.total_demand.minus(owner.reserved_for(bid.urgency))
-        if remaining.cpu_millicores <= 0:
+        if owner.covers(bid):
             continue
-        usable = free.minus(work.Demand(inputs.reserve_millicores(bid.urgency)))
+        remaining = bid.total_demand.minus(owner.reserved_for(bid.urgency))
+        usable = headroom.usable(free, inputs.reserve_millicores(bid.urgency))
         if not bid.next_demand.fits_in(usable):
             continue
         if reservation is None:
--- a/trefoilgw/room/owners.py
+++ b/trefoilgw/room/owners.py
@@ -141,6 +141,16 @@
             if x.urgency == urgency
         )
 
+    def covers(self, bid: Bid) -> bool:
+        """Returns whether its open offers are enough for one of its bids.
+
+        The tasks of a bid without CPU get one offer at a time.
+        """
+        wanted = bid.total_demand.cpu_millicores
+        if wanted > 0:
+            return self.reserved_for(bid.urgency).cpu_millicores >= wanted
+        return any(x.urgency == bid.urgency for x in self.reservations.values())
+
     def expire_reservations(self, now_s: float) -> None:
         """Frees the capacity of offers that were not answered in time."""
         for reservation in list(self.reservations.values()):
--- a/trefoilgw/room/tests/test_core.py
+++ b/trefoilgw/room/tests/test_core.py
@@ -496,6 +496,52 @@
         self.assertEqual([B], [owner for owner, _ in offers])
 
 
+class TaskWithoutCpuTest(unittest.TestCase):
+    """Tasks that need memory only, at a target whose CPU is all in use."""
+
+    ROOM = messages.Room(0, 64, 0)
+
+    def setUp(self):
+        self.allocator = fixtures.make_allocator(A, B)
+        tasks = [f"j.0.0.{x}" for x in range(4)]
+        fixtures.start_confirmed(self.allocator, A, *tasks, urgency=0)
+        self.assertEqual(0, self.allocator.free().cpu_millicores)
+        self.allocator.take_actions()
+
+    def offers(self, now_s=0.1):
+        self.allocator.offer_capacity(now_s)
+        return fixtures.sent_messages(
+            self.allocator.take_actions(), messages.Offer
+        )
+
+    def test_bid_gets_an_offer(self):
+        """Under full load no CPU is ever free for long."""
+        fixtures.update_bid(self.allocator, B, 0.5, tasks=2, need=self.ROOM)
+        ((owner, offer),) = self.offers()
+        self.assertEqual((B, messages.Room(0, 128, 0)), (owner, offer.room))
+        issued = fixtures.start_runs(
+            self.allocator, B, "k.0.0.0", offer=offer.number, need=self.ROOM
+        )
+        self.assertEqual(["k.0.0.0"], fixtures.started_tasks(issued))
+
+    def test_open_offer_covers_the_bid(self):
+        """Else there would be another offer with each event."""
+        fixtures.update_bid(self.allocator, B, 0.5, tasks=2, need=self.ROOM)
+        self.assertEqual(1, len(self.offers()))
+        self.assertEqual([], self.offers())
+
+    def test_task_may_use_memory_beside_cpu_headroom(self):
+        """CPU that is kept free for urgent work is none that it takes."""
+        # More urgent runs have used twice as much on average as they use now.
+        self.allocator.headroom.mean_millicores[0] = 8000.0
+        issued = fixtures.start_runs(
+            self.allocator, B, "k.0.0.0", need=self.ROOM, urgency=5
+        )
+        self.assertEqual(["k.0.0.0"], fixtures.started_tasks(issued))
+        fixtures.update_bid(self.allocator, B, 0.5, need=self.ROOM, urgency=5)
+        self.assertEqual(1, len(self.offers()))
+
+
 class HeadroomTest(unittest.TestCase):
     def allocator_with_urgent_use(self):
         """Returns an allocator of whose CPU urgent runs recently used half."""
--- a/trefoilgw/scheduling/dispatching.py
+++ b/trefoilgw/scheduling/dispatching.py
@@ -253,7 +253,7 @@
             for task in chosen:
                 self._mark_sent(job, task, view, now_s)
                 batch.setdefault(job, []).append(task)
-            if remaining.cpu_millicores <= 0:
+            if remaining.cpu_millicores <= 0 < offer.room.cpu_millicores:
                 break
         self._send_batch(view, batch, offer.number, now_s)
         if not batch:
--- a/trefoilgw/scheduling/tests/test_tasks_without_cpu.py
+++ b/trefoilgw/scheduling/tests/test_tasks_without_cpu.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from trefoilgw.messages import runs as messages
 from trefoilgw.scheduling import jobs
 from trefoilgw.scheduling.tests import fixtures
 from trefoilgw.work import core as work
@@ -28,6 +29,17 @@
         self.assertEqual(5, len(fixtures.sent(scheduler.take_actions())))
         self.assertEqual(1000 * 4, scheduler.runner_views["r1"].used())
 
+    def test_task_that_waits_gets_an_offer_without_cpu(self):
+        """All CPU stays in use while there is more work than room."""
+        scheduler = fixtures.make_scheduler("r1", free=fixtures.NO_CAPACITY)
+        for key in ("j", "k"):
+            scheduler.submit(job(key, MEMORY_TASK), 1, 0.0)
+        self.assertEqual([], fixtures.sent(scheduler.take_actions()))
+        offer = messages.Offer(1, 7, messages.Room(0, 128, 0))
+        scheduler.capacity_offered("r1", offer, 0.01)
+        sent = fixtures.sent(scheduler.take_actions())
+        self.assertEqual(["j.0.0.0", "k.0.0.0"], [x[1] for x in sent])
+
 
 if __name__ == "__main__":
     unittest.main()
