Bound the run time that a caller may declare

Callers would see: an internal error for a job that declares a run time beyond all bounds, where targets differ in speed.

Cause: the weights of runners hold the square of the time that is left, which overflows for such a job.

Result: the new test failed before: nothing was sent.

--- a/trefoilgw/scheduling/runtimes.py
+++ b/trefoilgw/scheduling/runtimes.py
@@ -21,6 +21,9 @@
 # The declared time is used unchanged until this many runs were observed.
 WARM_UP_RUNS = 20
 MIN_RUN_S = 0.001
+# A longer declared time counts as this one. Squares and exponentials of much
+# longer ones have no floating-point value.
+MAX_DECLARED_S = 86_400.0
 # Mean error of the logarithm that is assumed before any run was observed.
 INITIAL_ERROR = run_limits.TYPICAL_ERROR
 # Ratio of the two estimates above which the waiting time is ignored: a caller
@@ -149,6 +152,11 @@
         return max(MIN_RUN_S, self.by_caller_wait.predict(caller_wait_s))
 
 
+def _usable_declared_s(declared_s: float) -> float:
+    """Returns a declared run time, within bounds and never 0."""
+    return min(MAX_DECLARED_S, declared_s) or DEFAULT_RUN_S
+
+
 def _disagree(one_s: float, other_s: float) -> bool:
     """Returns whether two estimates differ by too large a factor."""
     ratio = max(one_s, MIN_RUN_S) / max(other_s, MIN_RUN_S)
@@ -174,7 +182,7 @@
     ) -> None:
         """Updates the regressions of a queue with one completed run."""
         times = self.queues.setdefault(queue, QueueTimes())
-        times.observe(declared_s or DEFAULT_RUN_S, caller_wait_s, run_s)
+        times.observe(_usable_declared_s(declared_s), caller_wait_s, run_s)
 
     def estimate(
         self, queue: str, declared_s: float, caller_wait_s: float | None = None
@@ -186,7 +194,7 @@
             declared_s: Run time declared by the caller, 0 if none.
             caller_wait_s: How long the caller waits, None if unknown.
         """
-        declared_s = declared_s or DEFAULT_RUN_S
+        declared_s = _usable_declared_s(declared_s)
         known = self.queues.get(queue)
         if known is None:
             return Estimate(declared_s, INITIAL_ERROR)
--- a/trefoilgw/scheduling/tests/test_unexpected_errors.py
+++ b/trefoilgw/scheduling/tests/test_unexpected_errors.py
@@ -153,6 +153,18 @@
         )
 
 
+class OddSubmissionTest(UnexpectedErrorTest):
+    def test_huge_declared_time_beside_uneven_targets(self):
+        """The square of the time that is left has no floating-point value."""
+        fixtures.connect_runner(self.scheduler, "r2")
+        for number, name in enumerate(("r1", "r2")):
+            view = self.scheduler.runner_views[name]
+            view.fleet_slowness = 1.0 + 0.5 * number
+        self.submit("j", declared_s=1e300)
+        sent = fixtures.sent(self.scheduler.take_actions())
+        self.assertEqual(1, len(sent))
+
+
 def broken_part(scheduler, now_s):
     raise BrokenError
 
