Use targets that are slow together like sound ones

Callers would see: nobody is served any more after all tasks take three to six times as long as expected, at a load that the targets could bear.

Cause: a runner compares its target with expected times. If these are too short, each target in turn is in doubt as slow and its runs are stopped to be placed elsewhere, until all are in doubt; probes are stopped as well, so that nothing is done, no time is learned, and no doubt ends.

Change: once at most a third of a service's targets are trusted, those in doubt as slow count like sound ones until two thirds are trusted; orders say so, and the runner neither refuses nor stops them. Failing, stalled and flapping targets still get probes only. In between, single targets pass for sound as run times differ.

--- a/tools/tests/test_doubt_replay.py
+++ b/tools/tests/test_doubt_replay.py
@@ -1,5 +1,6 @@
 """Replays of a time in which all targets of a service go bad together."""
 
+import math
 import unittest
 from unittest import mock
 
@@ -21,6 +22,8 @@
 BACK_S = TO_S + probation.MAX_PROBE_INTERVAL_S + 1.0
 UTILIZATION = 0.6
 SEEDS = (1, 2)
+# How much longer tasks take for good.
+SLOWNESS = 4.0
 # A rejection after less is one at once.
 HELD_S = 0.02
 
@@ -82,6 +85,24 @@
             with self.subTest(**trouble):
                 self.check(kinds=kinds, **trouble)
 
+    def test_tasks_take_longer_for_good(self):
+        """Each run was stopped as slow, to be repeated at another target.
+
+        The targets could bear the load: it was 15% before and is 60% now.
+        """
+        load = fleet_trial.scale_load(FLEET, KINDS, UTILIZATION / SLOWNESS)
+        disturbance = uneven_trial.Disturbance(
+            1.0, FROM_S, math.inf, slowness=SLOWNESS
+        )
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                trial = uneven_trial.Trial(
+                    FLEET, load, (), seed, disturbance=disturbance
+                ).run(DURATION_S)
+                before = served(trial, 0.0, FROM_S)
+                after = served(trial, FROM_S + BACK_S - TO_S, DURATION_S)
+                self.assertGreater(after, 0.9 * before, trial.summary())
+
     def test_jobs_beyond_the_probes_are_rejected_at_once(self):
         """If all are admitted, most wait in vain until they are late."""
         in_force = play(1, fails=True)
--- a/trefoilgw/messages/runs.py
+++ b/trefoilgw/messages/runs.py
@@ -63,6 +63,8 @@
         urgency: Urgency class of the task's job.
         error: Mean absolute error of the logarithm of the expected run time.
         slack_s: Seconds until the task should start.
+        may_be_slow: Whether no target of the service is known to be faster, so
+            that it may start and go on at a target that is slow.
     """
 
     task: str
@@ -72,6 +74,7 @@
     urgency: int
     error: float = run_limits.TYPICAL_ERROR
     slack_s: float = 0.0
+    may_be_slow: bool = False
 
 
 @core.message(50, hello=True)
@@ -134,6 +137,7 @@
         slowness: Actual over expected run times at the target, as a code of
             `work.slowness`; 0 if unknown.
         probe_due: Whether a suspect target takes a probe now.
+        slow: Whether it is suspect since its runs are slow.
     """
 
     starts_received: int
@@ -148,6 +152,7 @@
     others_started: tuple[int, ...] = ()
     slowness: int = 0
     probe_due: bool = True
+    slow: bool = False
 
 
 @attrs.frozen
--- a/trefoilgw/room/core.py
+++ b/trefoilgw/room/core.py
@@ -553,7 +553,9 @@
         if duplicates:
             return "duplicate"
         self.target_health.advance(now_s)
-        if self.target_health.suspect and not self._probe_allowed():
+        if self.target_health.suspect and not (
+            self._probe_allowed() or self._is_slow_as_expected(order)
+        ):
             return "suspect"
         return self._room_refusal(order, offer, now_s)
 
@@ -581,6 +583,11 @@
             return "reserved"
         return ""
 
+    def _is_slow_as_expected(self, order: messages.RunOrder) -> bool:
+        """Returns whether an attempt may start although the target is slow."""
+        reason = self.target_health.suspect_reason
+        return order.may_be_slow and reason is health.SuspectReason.SLOW
+
     def _probe_allowed(self) -> bool:
         """Returns whether a suspect target may get a run now."""
         return not self.runs and self.target_health.probe_allowed()
@@ -720,6 +727,7 @@
         """
         usable, suspect = self.usable, self.target_health.suspect
         probe_due = not suspect or self._probe_allowed()
+        slow = self.target_health.suspect_reason is health.SuspectReason.SLOW
         connected = [x for x in self.owners.values() if x.connected]
         free = self.free()
         due = reporting.due_owners(connected, usable, suspect, free, now_s)
@@ -742,6 +750,7 @@
                 reporting.others_started(self.owners.values(), owner),
                 self.target_speed.code,
                 probe_due,
+                slow,
             )
             if reporting.is_news(report, owner.last_report):
                 owner.last_report = report
--- a/trefoilgw/room/runs.py
+++ b/trefoilgw/room/runs.py
@@ -128,7 +128,8 @@
 ) -> list[Run]:
     """Returns the runs of a slow target that would end sooner elsewhere.
 
-    Updates the relative speed of the target first.
+    Updates the relative speed of the target first. Runs of schedulers that know
+    no faster target go on.
     """
     running = [
         (run, run.measured(now_s))
@@ -142,6 +143,7 @@
         run
         for run, progress in running
         if progress.conclusive
+        and not run.order.may_be_slow
         and progress.restart_is_faster(target_health.relative_speed)
     ]
 
--- a/trefoilgw/room/tests/fixtures.py
+++ b/trefoilgw/room/tests/fixtures.py
@@ -32,8 +32,10 @@
     return allocator
 
 
-def make_order(task, run=1, expected_s=1.0, need=TASK_DEMAND, urgency=2):
-    return messages.RunOrder(task, run, need, expected_s, urgency)
+def make_order(
+    task, run=1, expected_s=1.0, need=TASK_DEMAND, urgency=2, **changes
+):
+    return messages.RunOrder(task, run, need, expected_s, urgency, **changes)
 
 
 def start_runs(allocator, name, *tasks, offer=0, now_s=0.1, **kwargs):
--- a/trefoilgw/room/tests/test_core.py
+++ b/trefoilgw/room/tests/test_core.py
@@ -678,6 +678,41 @@
         )
         self.assertTrue(allocator.target_health.suspect)
 
+    def make_slow_allocator(self, may_be_slow):
+        """Returns an allocator of a slow target with three runs."""
+        allocator = fixtures.make_allocator(A)
+        tasks = ["j.0.0.0", "k.0.0.0", "l.0.0.0"]
+        fixtures.start_confirmed(
+            allocator, A, *tasks, expected_s=0.4, may_be_slow=may_be_slow
+        )
+        allocator.update_progress({(x, 1): 0.08 for x in tasks}, 0.3)
+        self.assertTrue(allocator.target_health.suspect)
+        return allocator
+
+    def test_run_goes_on_if_no_target_is_faster(self):
+        """It would be stopped at the next target as well."""
+        allocator = self.make_slow_allocator(may_be_slow=True)
+        self.assertEqual([], fixtures.stopped_tasks(allocator.take_actions()))
+
+    def test_slow_target_is_used_if_no_target_is_faster(self):
+        """With single probes only, most of its room would be idle."""
+        allocator = self.make_slow_allocator(may_be_slow=True)
+        for task, wanted in (("m.0.0.0", False), ("n.0.0.0", True)):
+            issued = fixtures.start_runs(
+                allocator, A, task, now_s=0.3, may_be_slow=wanted
+            )
+            started = fixtures.started_tasks(issued)
+            self.assertEqual([task] if wanted else [], started)
+
+    def test_failing_target_gets_probes_only_if_all_are_slow(self):
+        """The scheduler has not been told yet that it fails."""
+        allocator = fixtures.make_allocator(A)
+        self.fail(allocator, "j1", "j2", "j3")
+        issued = fixtures.start_runs(
+            allocator, A, "k.0.0.0", "k.0.0.1", may_be_slow=True
+        )
+        self.assertEqual(["k.0.0.0"], fixtures.started_tasks(issued))
+
     def test_runs_of_one_long_job_do_not_make_a_target_slow(self):
         """All runs of a job whose declared run time is too low seem slow."""
         allocator = fixtures.make_allocator(A)
--- a/trefoilgw/scheduling/core.py
+++ b/trefoilgw/scheduling/core.py
@@ -26,6 +26,7 @@
 from trefoilgw.scheduling import probing
 from trefoilgw.scheduling import runners
 from trefoilgw.scheduling import runtimes
+from trefoilgw.scheduling import slowdowns
 from trefoilgw.scheduling import speeds
 from trefoilgw.work import core as work
 from trefoilgw.work import rates
@@ -83,6 +84,7 @@
         reviews: When the waiting jobs were reviewed.
         lateness: How late the process handles what arrives.
         fleet_speeds: Relative speeds of the targets.
+        common_slowdowns: Services whose targets are slow together.
         dispatcher: Sends the waiting tasks to the runners.
         handled_s: Time of the last tick but one, before which everything that
             had happened has been handled.
@@ -103,6 +105,9 @@
         factory=capacities.LargestTargets
     )
     fleet_speeds: speeds.FleetSpeeds = attrs.field(factory=speeds.FleetSpeeds)
+    common_slowdowns: slowdowns.CommonSlowdowns = attrs.field(
+        factory=slowdowns.CommonSlowdowns
+    )
     forecaster: forecasts.Forecaster = attrs.field(init=False)
     reviews: batches.Reviews = attrs.field(factory=batches.Reviews)
     lateness: scheduling_lateness.Lateness = attrs.field(
@@ -369,6 +374,7 @@
         Runs that have started there go on.
         """
         self.evacuated = domains
+        self.fleet_speeds.changed = True
         for view in self.runner_views.values():
             view.evacuated = view.domain in domains
             if not view.evacuated:
@@ -558,6 +564,7 @@
         """Lets the rates decay and compares the speeds of the targets."""
         self.admitted_cpu.decay(now_s)
         if self.fleet_speeds.changed:
+            self.common_slowdowns.update(self.runner_views.values())
             self.fleet_speeds.update(self.runner_views.values())
 
     def _expire_lost_runners(self, now_s: float) -> None:
--- a/trefoilgw/scheduling/dispatching.py
+++ b/trefoilgw/scheduling/dispatching.py
@@ -216,6 +216,7 @@
                         job.urgency,
                         x.error,
                         job.latest_start_s - now_s,
+                        view.slow_as_others,
                     )
                     for x in tasks
                 ),
--- a/trefoilgw/scheduling/runners.py
+++ b/trefoilgw/scheduling/runners.py
@@ -49,6 +49,8 @@
             run times of this scheduler's runs.
         fleet_slowness: Run times relative to those at the mean target of its
             service, as the runners report them; None while these are even.
+        slow_as_others: Whether its target is slow like the others of its
+            service, and is used like them.
         odd_slowness: Whether it has reported an invalid slowness on the open
             stream.
         refused_until_s: End of the time in which it reserves its headroom for
@@ -78,6 +80,7 @@
     last_report_s: float = 0.0
     log_slowness: float = 0.0
     fleet_slowness: float | None = None
+    slow_as_others: bool = False
     odd_slowness: bool = False
     refused_until_s: dict[int, float] = attrs.field(factory=dict)
     bid: messages.Bid = NO_BID
@@ -99,7 +102,11 @@
     @property
     def suspect(self) -> bool:
         """Whether the runner gets probes only."""
-        return self.report is not None and self.report.suspect
+        return (
+            self.report is not None
+            and self.report.suspect
+            and not self.slow_as_others
+        )
 
     @property
     def awaits_probe(self) -> bool:
@@ -264,6 +271,7 @@
         self.connected = True
         self.report = None
         self.fleet_slowness = None
+        self.slow_as_others = False
         self.odd_slowness = False
         self.starts_sent = 0
         self.unreported_demands.clear()
--- a/trefoilgw/scheduling/speeds.py
+++ b/trefoilgw/scheduling/speeds.py
@@ -70,6 +70,7 @@
             and last.slowness == report.slowness
             and last.usable == report.usable
             and last.suspect == report.suspect
+            and last.slow == report.slow
         ):
             return
         self.changed = True
