Ignore SIGHUP until a program handles it

Cause: the handler of SIGHUP was installed after all imports and after the settings had been read, and the default action of the signal ends the process.

Change: the signal is ignored before the first large import, and the settings are checked once more after the start. In the milliseconds in which the interpreter itself starts the signal still ends the process.

--- a/trefoilgw/processes/core.py
+++ b/trefoilgw/processes/core.py
@@ -1,7 +1,8 @@
 """Runs a program from loading its settings to its orderly stop.
 
 SIGTERM and SIGINT stop the program in order. SIGHUP reloads the settings,
-which are also checked for changes periodically.
+which are also checked for changes periodically. Before the settings are first
+read, `startup` ignores it.
 """
 
 import argparse
@@ -98,6 +99,8 @@
     settings_watch = platform_hosting.SettingsWatch(settings, program.reload)
     signal.signal(signal.SIGHUP, lambda *_: settings_watch.check())
     program.start()
+    # They may have changed, and the signal was ignored then.
+    settings_watch.check()
     garbage.limit_collections()
     if options.metrics_port:
         address = f"{settings.address}:{options.metrics_port}"
--- a/trefoilgw/processes/tests/test_startup.py
+++ b/trefoilgw/processes/tests/test_startup.py
@@ -45,3 +45,39 @@
         """A blocking call would stop the whole process."""
         _, patched = self.load("runner", "")
         self.assertEqual("eventlet.greenio.base eventlet.greenthread", patched)
+
+
+# Sends SIGHUP to a program while its modules are being imported, and once more
+# while its settings are read.
+SIGNALLED = """
+import os, signal, sys
+class Signaller:
+    def find_spec(self, name, path=None, target=None):
+        if name == "eventlet":
+            os.kill(os.getpid(), signal.SIGHUP)
+sys.meta_path.insert(0, Signaller())
+sys.argv[1:] = []
+from trefoilgw.{program} import main
+from trefoilgw.platform import hosting
+def load():
+    os.kill(os.getpid(), signal.SIGHUP)
+    raise SystemExit("read")
+hosting.load = load
+main.main()
+"""
+
+
+class SignalTest(unittest.TestCase):
+    def test_reload_signal_ends_no_program_that_starts(self):
+        """The settings of hosts that are added change while they start.
+
+        The default action of SIGHUP ends the process.
+        """
+        for program in ("scheduler", "runner"):
+            with self.subTest(program=program):
+                script = SIGNALLED.format(program=program)
+                child = [sys.executable, "-W", "ignore", "-c", script]
+                done = subprocess.run(
+                    child, capture_output=True, text=True, cwd=ROOT
+                )
+                self.assertEqual("read\n", done.stderr)
