Count only orders that go out

Cause: the number of an order was counted before its message was built. If that failed, the runner's count stayed one behind, no report covered a later order, and its room stayed charged until the stream broke.

Change: the order is counted when its message is sent.

Result: the new test failed before: 1,000 millicores stayed in use.

--- a/trefoilgw/scheduling/dispatching.py
+++ b/trefoilgw/scheduling/dispatching.py
@@ -203,7 +203,6 @@
             offer: Number of the offer that this answers, 0 if none.
             now_s: Current time.
         """
-        view.starts_sent += 1
         groups = tuple(
             messages.RunGroup(
                 job.spec.payload,
@@ -225,6 +224,8 @@
         )
         alive_s = view.renew_by_order(self.alive_until_s(now_s))
         order = messages.StartRuns(offer, groups, alive_s)
+        # The runner counts them too, so only a message that goes out counts.
+        view.starts_sent += 1
         self.send_message(view.name, order)
 
     def capacity_offered(
--- a/trefoilgw/scheduling/tests/test_unexpected_errors.py
+++ b/trefoilgw/scheduling/tests/test_unexpected_errors.py
@@ -169,6 +169,19 @@
     raise BrokenError
 
 
+class OrderTest(UnexpectedErrorTest):
+    def test_order_that_is_never_sent_does_not_count(self):
+        """The runner counts too; no report would cover the later orders."""
+        with (
+            mock.patch.object(messages, "RunGroup", side_effect=BrokenError),
+            self.assertRaises(BrokenError),
+        ):
+            self.submit("j")
+        self.submit("k")
+        self.report(fixtures.CAPACITY, starts_received=1)
+        self.assertEqual(0, self.view.used())
+
+
 class TickTest(UnexpectedErrorTest):
     def test_authority_goes_on(self):
         """All runs of the scheduler would be stopped within a second."""
