Keep failing targets out of a common slowdown

Cause: failures at a target in doubt were not counted, and a target in doubt as slow is in use while all are slow. If it failed all runs as well, it would have failed job after job. And one slow target beside three trusted ones of twelve counted as slow like the others, which fail. Both found by reading the change.

Change: three failed jobs make a slow target one in doubt as failing, which gets probes only. A slowdown is common only if more targets are slow than trusted.

--- a/trefoilgw/room/health.py
+++ b/trefoilgw/room/health.py
@@ -268,12 +268,13 @@
         """Records a failed run of a job.
 
         The target becomes suspect after `FAILED_JOBS_LIMIT` different jobs, in
-        a row or as a large share of the recent outcomes.
+        a row or as a large share of the recent outcomes. One that is slow may
+        be in use, so its failures count as well.
         """
-        if self.suspect:
-            if key == self.probe:
-                self.probe = None
-                self.probes.failed(self.now_s)
+        if self.suspect and key == self.probe:
+            self.probe = None
+            self.probes.failed(self.now_s)
+        if self.suspect_reason not in (SuspectReason.NONE, SuspectReason.SLOW):
             return
         self.failed_jobs.add(job)
         self.recent.append(Outcome(self.now_s, job, False))
--- a/trefoilgw/room/tests/test_health.py
+++ b/trefoilgw/room/tests/test_health.py
@@ -278,6 +278,21 @@
         self.assertTrue(self.run_once(work.Ending.DONE, 0.9))
         self.assertFalse(self.health.suspect)
 
+    def test_slow_target_that_fails_is_in_doubt_as_failing(self):
+        """If all targets are slow it is used, and would fail all jobs."""
+        self.health.suspect_reason = health.SuspectReason.SLOW
+        for number in range(health.FAILED_JOBS_LIMIT):
+            task = f"f{number}.0.0.0"
+            fixtures.start_confirmed(
+                self.allocator, A, task, now_s=self.now_s, may_be_slow=True
+            )
+            self.allocator.run_ended(task, 1, work.Ending.FAILED, self.now_s)
+        self.assertIs(health.SuspectReason.FAILING, self.health.suspect_reason)
+        refused = fixtures.start_runs(
+            self.allocator, A, "g.0.0.0", now_s=self.now_s, may_be_slow=True
+        )
+        self.assertEqual([], fixtures.started_tasks(refused))
+
     def test_probe_too_short_to_be_measured_ends_the_suspicion(self):
         """A service of short tasks only would have no other probe."""
         self.health.suspect_reason = health.SuspectReason.SLOW
--- a/trefoilgw/scheduling/slowdowns.py
+++ b/trefoilgw/scheduling/slowdowns.py
@@ -57,14 +57,15 @@
 def _is_common(serving: Sequence[runners.RunnerView], was_common: bool) -> bool:
     """Returns whether the targets of a service are slow together.
 
-    It begins once few are trusted and ends once many are. Single targets may
-    pass for sound in between, as run times differ.
+    It begins once few are trusted, and more are slow, and ends once many are
+    trusted. Single targets may pass for sound in between, as run times differ.
 
     Args:
         serving: Usable runners of the service.
         was_common: Whether they were at the last update.
     """
-    if not any(x.report.slow for x in serving):
-        return False
-    trusted = sum(not x.report.suspect for x in serving) / len(serving)
-    return trusted < MANY_SHARE if was_common else trusted <= FEW_SHARE
+    trusted = sum(not x.report.suspect for x in serving)
+    slow = sum(x.report.slow for x in serving)
+    if was_common:
+        return slow > 0 and trusted < MANY_SHARE * len(serving)
+    return slow > trusted and trusted <= FEW_SHARE * len(serving)
--- a/trefoilgw/scheduling/tests/test_slowdowns.py
+++ b/trefoilgw/scheduling/tests/test_slowdowns.py
@@ -55,6 +55,12 @@
         self.report("r1", "r2", "r3")
         self.assertEqual(set(), self.suspects())
 
+    def test_single_slow_target_among_failing_ones(self):
+        """It is slower than the only one that is trusted."""
+        self.report("r1", "r2", slow=False)
+        self.report("r3")
+        self.assertEqual({"r1", "r2", "r3"}, self.suspects())
+
     def test_target_that_passes_for_sound_ends_nothing(self):
         """All others would get probes only until it is slow again."""
         self.report(*NAMES)
