Carry out actions of both programs in one place

Cause: the scheduler and the runner had the same loop around their actions.

Change: processes.performing has it. Behaviour is unchanged.

--- a/trefoilgw/runner/program.py
+++ b/trefoilgw/runner/program.py
@@ -17,6 +17,7 @@
 from trefoilgw.platform import reports
 from trefoilgw.platform import targets
 from trefoilgw.processes import core as processes
+from trefoilgw.processes import performing
 from trefoilgw.processes import steps as start_steps
 from trefoilgw.room import actions
 from trefoilgw.room import core as room
@@ -161,24 +162,13 @@
         eventlet.sleep(TICK_S)
 
     def flush(self) -> None:
-        """Offers and reports free capacity and carries out pending actions.
-
-        An unexpected error in one of them is logged; the others are carried
-        out. A stream that has lost a message is closed, as the next one begins
-        with what the scheduler has to know.
-        """
+        """Offers and reports free capacity and carries out pending actions."""
         now_s = clock.boottime()
         self.allocator.offer_capacity(now_s)
         self.allocator.report_capacity(now_s)
-        for action in self.allocator.take_actions():
-            try:
-                self._perform(action)
-            except Exception:
-                log.exception(
-                    "action failed", extra={"action": type(action).__name__}
-                )
-                if isinstance(action, actions.SendMessage):
-                    self.links.close(action.owner, "action failed")
+        performing.perform_all(
+            self.allocator.take_actions(), self._perform, self._action_failed
+        )
 
     def _perform(self, action: actions.Action) -> None:
         """Carries out one action."""
@@ -192,6 +182,14 @@
             case actions.Stop(task=task, run=run, since_s=since_s):
                 eventlet.spawn_n(self.driver.stop, task, run, since_s)
 
+    def _action_failed(self, action: actions.Action) -> None:
+        """Closes a stream that has lost a message.
+
+        The next one begins with what the scheduler has to know.
+        """
+        if isinstance(action, actions.SendMessage):
+            self.links.close(action.owner, "action failed")
+
     def _tick(self) -> None:
         """Runs the periodic tasks."""
         self.allocator.tick(clock.boottime())
--- a/trefoilgw/runner/tests/test_program.py
+++ b/trefoilgw/runner/tests/test_program.py
@@ -11,6 +11,7 @@
 from trefoilgw.messages import runs
 from trefoilgw.platform import hosting
 from trefoilgw.platform.tests import test_decoding
+from trefoilgw.processes import performing
 from trefoilgw.room.tests import fixtures
 from trefoilgw.room.tests.fixtures import A
 from trefoilgw.runner import driving
@@ -56,7 +57,7 @@
             "start",
             lambda _, task, *__: started.append(task),
         )
-        with start, self.assertLogs(program.log, "ERROR") as logged:
+        with start, self.assertLogs(performing.log, "ERROR") as logged:
             runner.flush()
             eventlet.sleep(0.0)
         # The end of the run goes out again on the next stream.
--- a/trefoilgw/scheduler/program.py
+++ b/trefoilgw/scheduler/program.py
@@ -21,6 +21,7 @@
 from trefoilgw.platform import callers as platform_callers
 from trefoilgw.platform import store as platform_store
 from trefoilgw.processes import core as processes
+from trefoilgw.processes import performing
 from trefoilgw.processes import steps as start_steps
 from trefoilgw.scheduler import clients as scheduler_clients
 from trefoilgw.scheduler import configuration as scheduler_configuration
@@ -511,24 +512,21 @@
     # Scheduling.
 
     def flush(self) -> None:
-        """Performs all actions that the scheduler has decided on.
+        """Carries out all actions that the scheduler has decided on."""
+        performing.perform_all(
+            self.scheduler.take_actions(), self._perform, self._action_failed
+        )
+
+    def _action_failed(self, action: actions.Action) -> None:
+        """Closes a stream that has lost a message.
 
-        An unexpected error in one of them is logged; the others are performed.
-        A stream that has lost a message is closed: the runner connects again
-        and tells which orders it has.
+        The runner connects again and tells which orders it has.
         """
-        for action in self.scheduler.take_actions():
-            try:
-                self._perform(action)
-            except Exception:
-                log.exception(
-                    "action failed", extra={"action": type(action).__name__}
-                )
-                if isinstance(action, actions.SendMessage):
-                    self.clients.close(action.runner, "action failed")
+        if isinstance(action, actions.SendMessage):
+            self.clients.close(action.runner, "action failed")
 
     def _perform(self, action: actions.Action) -> None:
-        """Performs an action; records of it come after what others await."""
+        """Carries out an action; it is recorded after what others await."""
         match action:
             case actions.SendMessage(runner=runner, message=message):
                 self.clients.send(runner, message)
