Drop two cases that the earlier reviews show

Cases 13 and 14 show what review/3 and review/5 show: a cancel at another node is acknowledged and ends nothing, and a cancelled job is answered with 502 and comes again.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds what the scripts of review/11 to review/14 start beside the programs:
+# Builds what the scripts of review/11 and review/12 start beside the programs:
 # the harness and the project's own stand-ins, compiled below target/.
 set -e
 cd "$(dirname "$0")/.."
