Read TROUBLE in the folder of each case

TROUBLE was read in the harness that both cases share, so that nothing in their folders showed what leaves the disruption out. Each case now reads it itself and passes it on; what is played is unchanged.

--- a/review/lib-3/harness.py
+++ b/review/lib-3/harness.py
@@ -229,17 +229,23 @@
                 )
 
 
-def main(play, folder: pathlib.Path, schedulers: int, runners: int) -> None:
+def main(
+    play,
+    folder: pathlib.Path,
+    trouble: bool,
+    schedulers: int,
+    runners: int,
+) -> None:
     """Plays a case and exits with its result.
 
     Args:
         play: Called with the deployment, the record and whether there is
             trouble; returns `HELD` or `BROKEN`.
         folder: Folder of the case.
+        trouble: Whether the disruption is carried out.
         schedulers: Number of schedulers that are started.
         runners: Number of runners and targets.
     """
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     result = NOT_RUN
     with tempfile.TemporaryDirectory() as directory:
